--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Wiring of reducers and drivers, and the daemon's main class. */
+package io.coltsfootwheel.daemon;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/edge/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers, targets and operators. */
+package io.coltsfootwheel.edge;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/journal/package-info.java
@@ -0,0 +1,2 @@
+/** Durable log and snapshots on disk. */
+package io.coltsfootwheel.journal;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/link/package-info.java
@@ -0,0 +1,2 @@
+/** Framed MessagePack connections between instances. */
+package io.coltsfootwheel.link;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/model/PolicyLists.java
@@ -0,0 +1,39 @@
+package io.coltsfootwheel.model;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The two lists that operators edit.
+ *
+ * @param revision log index of the change that made them, 0 for the empty lists
+ * @param plans plan of each customer
+ * @param allowances allowance of each plan
+ */
+public record PolicyLists(
+    long revision, Map<CustomerId, PlanName> plans, Map<PlanName, Allowance> allowances) {
+  /** Copies both lists. */
+  public PolicyLists {
+    plans = Map.copyOf(plans);
+    allowances = Map.copyOf(allowances);
+  }
+
+  /**
+   * Returns the lists before the first change; they limit nobody.
+   *
+   * @return empty lists with revision 0
+   */
+  public static PolicyLists empty() {
+    return new PolicyLists(0, Map.of(), Map.of());
+  }
+
+  /**
+   * Returns what a customer may use.
+   *
+   * @param customer the customer
+   * @return the allowance of its plan, or empty when the customer holds no plan
+   */
+  public Optional<Allowance> allowanceOf(CustomerId customer) {
+    return Optional.ofNullable(plans.get(customer)).map(allowances::get);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/settings/package-info.java
@@ -0,0 +1,2 @@
+/** TOML settings and their checks. */
+package io.coltsfootwheel.settings;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/tool/package-info.java
@@ -0,0 +1,2 @@
+/** Command-line tool, load driver and burn report. */
+package io.coltsfootwheel.tool;
