Add the replicated control state and its commands

Ownership, dispatch grants and lists must change in the same way on each replica. ControlState.apply checks all preconditions at the log index, because commands race and may be proposed twice: ExpireSession, ChangeTargetStatus, CompleteHandover and CancelHandover carry the index of the fact that they rely on. The types of Supervisor events and effects are declared; the reducer itself is still empty. Compiled, not yet tested.

--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/control/InstanceCommands.java
@@ -0,0 +1,105 @@
+package io.coltsfootwheel.control;
+
+import static io.coltsfootwheel.control.CommandApplier.rejected;
+
+import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.model.InstanceSpec;
+import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.model.TargetStatus;
+import java.util.Optional;
+
+/** Registrations of instances and their dispatch grants. */
+final class InstanceCommands {
+  private final StateEditor editor;
+
+  InstanceCommands(StateEditor editor) {
+    this.editor = editor;
+  }
+
+  CommandResult register(Command.RegisterInstance command) {
+    InstanceSpec spec = command.spec();
+    if (spec == null || spec.id() == null || spec.zone() == null || spec.session() == null) {
+      return rejected(ErrorKind.INVALID_VALUE, "the registration of an instance lacks a field");
+    }
+    Optional<InstanceState> present = editor.instances().get(spec.id());
+    if (present.isPresent() && !present.get().spec().session().equals(spec.session())) {
+      return rejected(
+          ErrorKind.CONFLICT, "another session of " + spec.id() + " has not expired yet");
+    }
+    long registeredIndex = present.map(InstanceState::registeredIndex).orElse(editor.index());
+    editor.put(spec, registeredIndex);
+    if (present.isEmpty()) {
+      editor.explain(Explanations.instance(spec.id()), "registered");
+    }
+    return accepted();
+  }
+
+  CommandResult expire(Command.ExpireSession command) {
+    Optional<InstanceState> present =
+        editor
+            .instances()
+            .get(command.instance())
+            .filter(i -> i.spec().session().equals(command.session()))
+            .filter(i -> i.registeredIndex() == command.registeredIndex());
+    if (present.isEmpty()) {
+      return rejected(ErrorKind.NOT_FOUND, "no such session of " + command.instance());
+    }
+    for (TargetState target : editor.targets().values()) {
+      boolean held =
+          target.entry().grant().filter(g -> g.holder().equals(command.instance())).isPresent();
+      if (held) {
+        editor.put(target.withGrant(Optional.empty(), editor.index()));
+        explain(target.spec().id(), command.reason());
+      }
+    }
+    editor.remove(command.instance());
+    editor.explain(Explanations.instance(command.instance()), command.reason());
+    return accepted();
+  }
+
+  CommandResult grant(Command.GrantDispatch command) {
+    Optional<TargetState> target = editor.targets().get(command.target());
+    if (target.isEmpty() || target.get().status() == TargetStatus.GONE) {
+      return rejected(ErrorKind.NOT_FOUND, "target " + command.target() + " is not known or gone");
+    }
+    if (target.get().entry().grant().isPresent()) {
+      return rejected(ErrorKind.CONFLICT, "target " + command.target() + " has a dispatcher");
+    }
+    boolean registered =
+        editor
+            .instances()
+            .get(command.holder())
+            .filter(i -> i.spec().session().equals(command.session()))
+            .isPresent();
+    if (!registered) {
+      return rejected(ErrorKind.NO_LEASE, "session of " + command.holder() + " is not registered");
+    }
+    editor.grant(target.get(), command.holder(), command.session());
+    explain(command.target(), command.reason());
+    return accepted();
+  }
+
+  CommandResult revoke(Command.RevokeDispatch command) {
+    Optional<TargetState> target =
+        editor
+            .targets()
+            .get(command.target())
+            .filter(
+                t -> t.entry().grant().filter(g -> g.fence().equals(command.fence())).isPresent());
+    if (target.isEmpty()) {
+      return rejected(
+          ErrorKind.STALE_FENCE, command.target() + " has no grant with fence " + command.fence());
+    }
+    editor.put(target.get().withGrant(Optional.empty(), editor.index()));
+    explain(command.target(), command.reason());
+    return accepted();
+  }
+
+  private void explain(TargetId target, String reason) {
+    editor.explain(Explanations.target(target), reason);
+  }
+
+  private CommandResult accepted() {
+    return new CommandResult.Accepted(editor.index());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/control/SupervisorEvent.java
@@ -0,0 +1,41 @@
+package io.coltsfootwheel.control;
+
+import io.coltsfootwheel.model.Renewal;
+
+/** Input of the {@link Supervisor}; times are monotonic nanoseconds of this instance. */
+public sealed interface SupervisorEvent {
+  /**
+   * This member has become control leader.
+   *
+   * @param nowNanos time of the event
+   * @param state state after the first entry of the leader's own term was applied, so that no
+   *     command of an earlier leader can still follow
+   */
+  record LeadershipGained(long nowNanos, ControlState state) implements SupervisorEvent {}
+
+  /** This member is no longer control leader. */
+  record LeadershipLost() implements SupervisorEvent {}
+
+  /**
+   * An instance asks to extend its lease.
+   *
+   * @param nowNanos time of receipt
+   * @param renewal the request
+   */
+  record RenewalReceived(long nowNanos, Renewal renewal) implements SupervisorEvent {}
+
+  /**
+   * Committed commands were applied.
+   *
+   * @param nowNanos time of the event
+   * @param state the new state
+   */
+  record StateApplied(long nowNanos, ControlState state) implements SupervisorEvent {}
+
+  /**
+   * Time has passed; sent about every 50 ms.
+   *
+   * @param nowNanos time of the event
+   */
+  record Tick(long nowNanos) implements SupervisorEvent {}
+}
