--- a/src/main/java/io/coltsfootwheel/control/Command.java
+++ b/src/main/java/io/coltsfootwheel/control/Command.java
@@ -113,9 +113,12 @@
    *
    * @param target the target
    * @param fence fence of the grant
+   * @param expectedIndex value of {@link ControlState#targetChangedIndex} at which the holder had
+   *     released the target; 0 when a leaving holder gave the grant back for good
    * @param reason why, for explanations
    */
-  record RevokeDispatch(TargetId target, Fence fence, String reason) implements Command {}
+  record RevokeDispatch(TargetId target, Fence fence, long expectedIndex, String reason)
+      implements Command {}
 
   /**
    * Assigns hash slots that have no owner or whose owner is LOST or GONE.
--- a/src/main/java/io/coltsfootwheel/control/GrantPlanner.java
+++ b/src/main/java/io/coltsfootwheel/control/GrantPlanner.java
@@ -103,21 +103,21 @@
           .filter(g -> g.session().equals(renewal.session()))
           .filter(g -> g.fence().value() <= renewal.appliedIndex())
           .filter(g -> !held.contains(target.spec().id()))
-          .ifPresent(g -> revoke(target, g, "given back by leaving " + g.holder()));
+          .ifPresent(g -> revoke(target, g, 0, "given back by leaving " + g.holder()));
     }
   }
 
   /** Moves a target that its dispatcher has released to another dispatcher. */
   void moveElsewhere(TargetState target, DispatchGrant grant, String reason) {
     avoided.put(target.spec().id(), grant.holder());
-    revoke(target, grant, reason);
+    revoke(target, grant, target.changedIndex(), reason);
   }
 
-  private void revoke(TargetState target, DispatchGrant grant, String reason) {
+  private void revoke(TargetState target, DispatchGrant grant, long expectedIndex, String reason) {
     TargetId id = target.spec().id();
     proposals.propose(
-        List.of("revoke", id, grant.fence()),
-        new Command.RevokeDispatch(id, grant.fence(), reason));
+        List.of("revoke", id, grant.fence(), expectedIndex),
+        new Command.RevokeDispatch(id, grant.fence(), expectedIndex, reason));
   }
 
   private record PendingGrant(InstanceId holder, long changedIndex, long proposedNanos) {}
--- a/src/main/java/io/coltsfootwheel/control/InstanceCommands.java
+++ b/src/main/java/io/coltsfootwheel/control/InstanceCommands.java
@@ -85,7 +85,9 @@
             .targets()
             .get(command.target())
             .filter(
-                t -> t.entry().grant().filter(g -> g.fence().equals(command.fence())).isPresent());
+                t -> t.entry().grant().filter(g -> g.fence().equals(command.fence())).isPresent())
+            .filter(
+                t -> command.expectedIndex() == 0 || command.expectedIndex() == t.changedIndex());
     if (target.isEmpty()) {
       return rejected(
           ErrorKind.STALE_FENCE, command.target() + " has no grant with fence " + command.fence());
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/control/ListCommandsTest.java
@@ -0,0 +1,75 @@
+package io.coltsfootwheel.control;
+
+import static io.coltsfootwheel.control.Fixtures.LEDGER;
+import static io.coltsfootwheel.control.Fixtures.service;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.control.Fixtures.Log;
+import io.coltsfootwheel.model.Allowance;
+import io.coltsfootwheel.model.CustomerId;
+import io.coltsfootwheel.model.PlanName;
+import io.coltsfootwheel.model.ServiceName;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ListCommandsTest {
+  static Command.ApplyLists lists(String changeId, long base, double rate) {
+    PlanName plan = PlanName.of("standard");
+    return new Command.ApplyLists(
+        changeId,
+        base,
+        Map.of(CustomerId.of("salon-1"), plan),
+        Map.of(plan, new Allowance(rate, 10, 4, Set.of(LEDGER))));
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void givesTheFirstResultAgainForTheSameIdentity(boolean throughSnapshot) {
+    Log log = Log.of(service(8));
+    final CommandResult accepted = log.apply(lists("c-1", 0, 5));
+    final CommandResult conflict = log.apply(lists("c-2", 0, 6));
+    log.apply(lists("c-3", 2, 7));
+    ControlState state =
+        throughSnapshot ? ControlState.fromSnapshot(log.state().toSnapshot()) : log.state();
+    assertThat(state.apply(10, lists("c-1", 0, 5)).result()).isEqualTo(accepted);
+    assertThat(state.apply(10, lists("c-2", 0, 6)).result()).isEqualTo(conflict);
+    assertThat(conflict).isInstanceOf(CommandResult.Conflict.class);
+    assertThat(state.apply(10, lists("c-1", 0, 5)).state().lists().revision()).isEqualTo(4);
+  }
+
+  @Test
+  void namesTheDifferenceInAConflict() {
+    Log log = Log.of(service(8), lists("c-1", 0, 5));
+    CommandResult.Conflict conflict = (CommandResult.Conflict) log.apply(lists("c-2", 0, 6));
+    assertThat(conflict.currentRevision()).isEqualTo(2);
+    assertThat(conflict.differences()).singleElement().asString().startsWith("plan standard: ");
+  }
+
+  @Test
+  void refusesInvalidListsAsAWholeWithAllFaults() {
+    Log log = Log.of(service(8));
+    Command.ApplyLists invalid =
+        new Command.ApplyLists(
+            "c-1",
+            0,
+            Map.of(CustomerId.of("salon-1"), PlanName.of("none")),
+            Map.of(PlanName.of("p"), new Allowance(0, 0, 0, Set.of(ServiceName.of("unknown")))));
+    CommandResult.Rejected rejected = (CommandResult.Rejected) log.apply(invalid);
+    assertThat(rejected.detail().split("; ")).hasSize(5);
+    assertThat(log.state().lists().revision()).isZero();
+  }
+
+  @Test
+  void keepsTenThousandIdentitiesInOrder() {
+    ChangeMemory memory = ChangeMemory.empty();
+    for (int i = 0; i <= ChangeMemory.KEPT; i++) {
+      memory = memory.with("c-" + i, new CommandResult.Accepted(i));
+    }
+    assertThat(memory.results()).hasSize(ChangeMemory.KEPT);
+    assertThat(memory.first("c-0")).isEmpty();
+    assertThat(memory.first("c-1")).contains(new CommandResult.Accepted(1));
+  }
+}
