--- a/src/main/java/io/coltsfootwheel/control/InstanceCommands.java
+++ b/src/main/java/io/coltsfootwheel/control/InstanceCommands.java
@@ -45,8 +45,8 @@
       return rejected(ErrorKind.NOT_FOUND, "no such session of " + command.instance());
     }
     for (TargetState target : editor.targets().values()) {
-      boolean held =
-          target.entry().grant().filter(g -> g.holder().equals(command.instance())).isPresent();
+      Optional<DispatchGrant> grant = target.entry().grant();
+      boolean held = grant.isPresent() && grant.get().holder().equals(command.instance());
       if (held) {
         editor.put(target.withGrant(Optional.empty(), editor.index()));
         explain(target.spec().id(), command.reason());
--- a/src/main/java/io/coltsfootwheel/control/StateEditor.java
+++ b/src/main/java/io/coltsfootwheel/control/StateEditor.java
@@ -71,11 +71,13 @@
   }
 
   void remove(InstanceId instance) {
-    boolean holds =
-        targets.values().stream()
-            .flatMap(t -> t.entry().grant().stream())
-            .anyMatch(g -> g.holder().equals(instance));
-    require(!holds, "instance " + instance + " still holds a dispatch grant");
+    for (TargetState target : targets.values()) {
+      Optional<DispatchGrant> grant = target.entry().grant();
+      boolean holds = grant.isPresent() && grant.get().holder().equals(instance);
+      if (holds) {
+        require(false, "instance " + instance + " still holds a dispatch grant");
+      }
+    }
     instances = instances.without(instance);
   }
 
