--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/settings/ControlMember.java
@@ -0,0 +1,12 @@
+package io.coltsfootwheel.settings;
+
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.InstanceId;
+
+/**
+ * Instance that may be a member of the control group.
+ *
+ * @param instance name of the instance
+ * @param linkAddress address on which it accepts connections of other instances
+ */
+public record ControlMember(InstanceId instance, Address linkAddress) {}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/settings/SettingsException.java
@@ -0,0 +1,25 @@
+package io.coltsfootwheel.settings;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Refusal of a settings file, with all faults found in it; the message has one line for each. */
+public final class SettingsException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final transient List<SettingFault> faults;
+
+  SettingsException(List<SettingFault> faults) {
+    super(faults.stream().map(SettingFault::toString).collect(Collectors.joining("\n")));
+    this.faults = List.copyOf(faults);
+  }
+
+  /**
+   * Returns the faults in the order in which they were found.
+   *
+   * @return at least one fault
+   */
+  public List<SettingFault> faults() {
+    return faults;
+  }
+}
