--- a/src/main/java/io/coltsfootwheel/settings/DaemonSettings.java
+++ b/src/main/java/io/coltsfootwheel/settings/DaemonSettings.java
@@ -21,6 +21,8 @@
  * @param linkAddress address on which other instances connect
  * @param httpAddress address for callers and targets
  * @param operatorAddress address for operators
+ * @param advertisedLinkAddress address that other instances use to connect
+ * @param advertisedHttpAddress address that callers and targets use
  * @param dataFolder folder of the journal; present exactly on control members
  * @param controlMembers instances that may vote, with their link addresses
  * @param initialMembers members of the first configuration of the consensus group
@@ -38,6 +40,8 @@
     Address linkAddress,
     Address httpAddress,
     Address operatorAddress,
+    Address advertisedLinkAddress,
+    Address advertisedHttpAddress,
     Optional<Path> dataFolder,
     List<ControlMember> controlMembers,
     List<InstanceId> initialMembers,
