--- a/src/test/java/io/coltsfootwheel/ArchitectureTest.java
+++ b/src/test/java/io/coltsfootwheel/ArchitectureTest.java
@@ -1,13 +1,88 @@
 package io.coltsfootwheel;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.Arrays;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against dependencies that run against the direction given in docs/design.md. */
 class ArchitectureTest {
+  private static final String ROOT = "io.coltsfootwheel.";
+  private static final JavaClasses CLASSES =
+      new ClassFileImporter()
+          .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+          .importPackages("io.coltsfootwheel");
+
+  @ParameterizedTest
+  @CsvSource({
+    "model, 'consensus control dispatch journal link edge settings daemon tool'",
+    "consensus, 'control dispatch journal link edge settings daemon tool'",
+    "control, 'consensus dispatch journal link edge settings daemon tool'",
+    "dispatch, 'consensus journal link edge settings daemon tool'",
+    "journal, 'control dispatch link edge settings daemon tool'",
+    "link, 'consensus control dispatch journal edge settings daemon tool'",
+    "edge, 'consensus journal settings daemon tool'",
+    "settings, 'consensus control dispatch journal link edge daemon tool'",
+    "daemon, 'tool'",
+    "tool, 'consensus dispatch journal link edge daemon'",
+  })
+  void packageDependsOnlyInTheDesignedDirection(String from, String forbidden) {
+    String[] packages =
+        Arrays.stream(forbidden.split(" ")).map(name -> ROOT + name + "..").toArray(String[]::new);
+    noClasses()
+        .that()
+        .resideInAPackage(ROOT + from + "..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(packages)
+        .allowEmptyShould(true)
+        .check(CLASSES);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"model", "consensus", "control", "dispatch"})
+  void decisionsUseNoClockThreadSocketFileOrRandomSource(String name) {
+    noClasses()
+        .that()
+        .resideInAPackage(ROOT + name + "..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("java.net..", "java.nio.file..", "java.nio.channels..", "reactor..")
+        .orShould()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Thread.class)
+        .allowEmptyShould(true)
+        .check(CLASSES);
+  }
+
   @Test
-  void placeholder() {
-    assertThat(1).isEqualTo(1);
+  void noSourceUsesAnUnseededRandomInDecisions() {
+    String[] pure =
+        Stream.of("model", "consensus", "control", "dispatch")
+            .map(name -> ROOT + name + "..")
+            .toArray(String[]::new);
+    noClasses()
+        .that()
+        .resideInAnyPackage(pure)
+        .should()
+        .callConstructor(java.util.Random.class)
+        .orShould()
+        .callMethod(Math.class, "random")
+        .orShould()
+        .dependOnClassesThat()
+        .haveFullyQualifiedName("java.util.concurrent.ThreadLocalRandom")
+        .allowEmptyShould(true)
+        .check(CLASSES);
   }
 }
