--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/consensus/ProposalFailure.java
@@ -0,0 +1,17 @@
+package io.coltsfootwheel.consensus;
+
+/** Why a proposal or membership change was rejected. */
+public enum ProposalFailure {
+  /** This member is no ready leader; the proposal is not in the log. */
+  NOT_LEADER,
+  /** Too many entries wait for their commit; the proposal is not in the log. */
+  OVERLOADED,
+  /** Another membership change is not yet committed; the proposal is not in the log. */
+  CHANGE_IN_PROGRESS,
+  /** The change does not fit the configuration; the proposal is not in the log. */
+  INVALID_CHANGE,
+  /** The learner does not hold everything committed yet; the proposal is not in the log. */
+  LEARNER_BEHIND,
+  /** Leadership was lost after the proposal was appended; it may still be committed. */
+  OUTCOME_UNKNOWN
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationMessage.java
@@ -0,0 +1,147 @@
+package io.coltsfootwheel.consensus;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+
+/** Message between members, encoded by {@code ControlCodec}. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ReplicationMessage.PreVoteRequest.class, name = "pv"),
+  @JsonSubTypes.Type(value = ReplicationMessage.PreVoteResponse.class, name = "pvr"),
+  @JsonSubTypes.Type(value = ReplicationMessage.VoteRequest.class, name = "v"),
+  @JsonSubTypes.Type(value = ReplicationMessage.VoteResponse.class, name = "vr"),
+  @JsonSubTypes.Type(value = ReplicationMessage.AppendRequest.class, name = "a"),
+  @JsonSubTypes.Type(value = ReplicationMessage.AppendResponse.class, name = "ar"),
+  @JsonSubTypes.Type(value = ReplicationMessage.SnapshotChunk.class, name = "s"),
+  @JsonSubTypes.Type(value = ReplicationMessage.SnapshotChunkResponse.class, name = "sr"),
+  @JsonSubTypes.Type(value = ReplicationMessage.Discover.class, name = "d"),
+  @JsonSubTypes.Type(value = ReplicationMessage.DiscoverResponse.class, name = "dr"),
+  @JsonSubTypes.Type(value = ReplicationMessage.Bootstrap.class, name = "b")
+})
+public sealed interface ReplicationMessage {
+  /**
+   * Asks whether a vote would be granted; changes no state of the receiver.
+   *
+   * @param term term that the sender would stand for
+   * @param lastIndex index of its last entry
+   * @param lastTerm term of its last entry
+   */
+  record PreVoteRequest(long term, long lastIndex, long lastTerm) implements ReplicationMessage {}
+
+  /**
+   * Response to {@link PreVoteRequest}.
+   *
+   * @param term term of the request
+   * @param granted whether a vote would be granted
+   * @param currentTerm term of the responder
+   */
+  record PreVoteResponse(long term, boolean granted, long currentTerm)
+      implements ReplicationMessage {}
+
+  /**
+   * Asks for a vote.
+   *
+   * @param term term of the candidate
+   * @param lastIndex index of its last entry
+   * @param lastTerm term of its last entry
+   */
+  record VoteRequest(long term, long lastIndex, long lastTerm) implements ReplicationMessage {}
+
+  /**
+   * Response to {@link VoteRequest}.
+   *
+   * @param term term of the responder
+   * @param granted whether the vote is given
+   */
+  record VoteResponse(long term, boolean granted) implements ReplicationMessage {}
+
+  /**
+   * Replicates entries; without entries it is a heartbeat.
+   *
+   * @param term term of the leader
+   * @param round quorum round in which the message was sent
+   * @param previousIndex index of the entry before the first one
+   * @param previousTerm term of that entry
+   * @param entries the entries
+   * @param commitIndex commit index of the leader
+   */
+  record AppendRequest(
+      long term,
+      long round,
+      long previousIndex,
+      long previousTerm,
+      List<LogEntry> entries,
+      long commitIndex)
+      implements ReplicationMessage {}
+
+  /**
+   * Response to {@link AppendRequest}, and to the last chunk of a snapshot.
+   *
+   * @param term term of the responder
+   * @param round round of the request
+   * @param accepted whether the entries are stored durably
+   * @param matchIndex if accepted, index up to which the logs agree; otherwise the index after
+   *     which the leader should try next
+   * @param rejectedIndex if not accepted, the previous index that did not match
+   */
+  record AppendResponse(
+      long term, long round, boolean accepted, long matchIndex, long rejectedIndex)
+      implements ReplicationMessage {}
+
+  /**
+   * Part of a snapshot.
+   *
+   * @param term term of the leader
+   * @param round quorum round in which the message was sent
+   * @param index last log index that the snapshot includes
+   * @param entryTerm term of the entry at that index
+   * @param configuration configuration at that index
+   * @param offset position of the first byte
+   * @param totalBytes size of the whole snapshot
+   * @param bytes the part
+   */
+  record SnapshotChunk(
+      long term,
+      long round,
+      long index,
+      long entryTerm,
+      Configuration configuration,
+      int offset,
+      int totalBytes,
+      byte[] bytes)
+      implements ReplicationMessage {}
+
+  /**
+   * Response to {@link SnapshotChunk} while the snapshot is not complete.
+   *
+   * @param term term of the responder
+   * @param round round of the request
+   * @param index index of the snapshot
+   * @param nextOffset position of the next byte that the responder lacks
+   */
+  record SnapshotChunkResponse(long term, long round, long index, int nextOffset)
+      implements ReplicationMessage {}
+
+  /**
+   * Asks whether the receiver's data folder is empty.
+   *
+   * @param diskId disk identity of the sender, echoed in the response
+   */
+  record Discover(String diskId) implements ReplicationMessage {}
+
+  /**
+   * Response to {@link Discover}.
+   *
+   * @param diskId disk identity that asked; a response to an earlier disk is not valid
+   * @param empty true when the responder belongs to no group
+   */
+  record DiscoverResponse(String diskId, boolean empty) implements ReplicationMessage {}
+
+  /**
+   * Fixes the initial configuration; ignored by members that have one.
+   *
+   * @param configuration the initial configuration
+   */
+  record Bootstrap(Configuration configuration) implements ReplicationMessage {}
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/journal/FileAccess.java
@@ -0,0 +1,116 @@
+package io.coltsfootwheel.journal;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.List;
+
+/** File operations of the journal, replaceable so that tests can make a write or sync fail. */
+public interface FileAccess {
+  /**
+   * Returns the access to the operating system's files.
+   *
+   * @return the access
+   */
+  static FileAccess system() {
+    return new SystemFileAccess();
+  }
+
+  /**
+   * Creates a folder with its parents unless it exists.
+   *
+   * @param folder the folder
+   * @throws IOException when it cannot be created
+   */
+  void createFolder(Path folder) throws IOException;
+
+  /**
+   * Locks a file against other processes and other journals of this process.
+   *
+   * @param file the lock file
+   * @return the lock, released by closing it
+   * @throws IOException when the file is locked already
+   */
+  AutoCloseable lock(Path file) throws IOException;
+
+  /**
+   * Lists the names in a folder.
+   *
+   * @param folder the folder
+   * @return the names in alphabetical order
+   * @throws IOException when it cannot be read
+   */
+  List<String> list(Path folder) throws IOException;
+
+  /**
+   * Reads a whole file.
+   *
+   * @param file the file
+   * @return its bytes
+   * @throws IOException when it cannot be read
+   */
+  byte[] read(Path file) throws IOException;
+
+  /**
+   * Opens a file for appending and creates it when missing.
+   *
+   * @param file the file
+   * @return the file, positioned at its end
+   * @throws IOException when it cannot be opened
+   */
+  AppendFile append(Path file) throws IOException;
+
+  /**
+   * Renames a file, replacing the destination.
+   *
+   * @param from the present name
+   * @param to the new name
+   * @throws IOException when it cannot be renamed
+   */
+  void rename(Path from, Path to) throws IOException;
+
+  /**
+   * Deletes a file.
+   *
+   * @param file the file
+   * @throws IOException when it cannot be deleted
+   */
+  void delete(Path file) throws IOException;
+
+  /**
+   * Syncs the entries of a folder.
+   *
+   * @param folder the folder
+   * @throws IOException when the sync fails
+   */
+  void syncFolder(Path folder) throws IOException;
+
+  /** File opened for appending. */
+  interface AppendFile extends AutoCloseable {
+    /**
+     * Appends all bytes of a buffer.
+     *
+     * @param bytes the buffer
+     * @throws IOException when the write fails
+     */
+    void write(ByteBuffer bytes) throws IOException;
+
+    /**
+     * Cuts the file.
+     *
+     * @param sizeBytes the new size
+     * @throws IOException when it cannot be cut
+     */
+    void truncate(long sizeBytes) throws IOException;
+
+    /**
+     * Syncs content and size.
+     *
+     * @throws IOException when the sync fails
+     */
+    void sync() throws IOException;
+
+    @Override
+    void close() throws IOException;
+  }
+}
