--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/edge/CallerResponse.java
@@ -0,0 +1,46 @@
+package io.coltsfootwheel.edge;
+
+import io.coltsfootwheel.link.Header;
+import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.model.Outcome;
+import io.coltsfootwheel.model.TargetId;
+import io.netty.buffer.ByteBuf;
+import java.util.List;
+import reactor.core.publisher.Flux;
+
+/** Response to a caller: one of a target, or an error of the router. */
+public sealed interface CallerResponse {
+  /**
+   * Returns an error response with the outcome of its kind.
+   *
+   * @param kind kind of the error
+   * @param detail what is wrong
+   * @return the response
+   */
+  static CallerResponse error(ErrorKind kind, String detail) {
+    return new Error(kind, kind.outcome(), detail, 0);
+  }
+
+  /**
+   * Response of a target.
+   *
+   * @param target the target
+   * @param status HTTP status
+   * @param headers end-to-end headers
+   * @param body body parts, subscribed once; the subscriber releases each buffer; an error makes
+   *     the server abort the caller's connection
+   */
+  record Relayed(TargetId target, int status, List<Header> headers, Flux<ByteBuf> body)
+      implements CallerResponse {}
+
+  /**
+   * Error of the router.
+   *
+   * @param kind kind of the error
+   * @param outcome what is known about the execution
+   * @param detail what is wrong
+   * @param retryAfterMillis time after which a resend makes sense, 0 for none
+   */
+  record Error(ErrorKind kind, Outcome outcome, String detail, long retryAfterMillis)
+      implements CallerResponse {}
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/link/LinkTransport.java
@@ -0,0 +1,66 @@
+package io.coltsfootwheel.link;
+
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.InstanceId;
+import java.util.Map;
+
+/**
+ * Connections between instances.
+ *
+ * <p>Each instance sends on connections that it opened itself and receives on those that its peers
+ * opened. Frames to one peer on one channel arrive in order; none is repeated.
+ *
+ * <p>Usage: {@code LinkTransport link = LinkTransport.of(settings); link.start(listener);
+ * link.peers(addresses); link.send(peer, frame);}
+ */
+public interface LinkTransport extends AutoCloseable {
+  /**
+   * Returns a transport over TCP that is not started yet.
+   *
+   * @param settings the settings
+   * @return the transport
+   */
+  static LinkTransport of(LinkSettings settings) {
+    return new TcpLinkTransport(settings);
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param listener receives frames and connection changes
+   * @return the bound address
+   * @throws io.coltsfootwheel.model.ColtsfootwheelException when the address cannot be bound
+   */
+  Address start(LinkListener listener);
+
+  /**
+   * Queues a frame without waiting. Control connections are kept open to all peers; a data
+   * connection is opened by the first frame.
+   *
+   * @param to the peer
+   * @param frame the frame
+   * @return false when the peer is unknown, its queue is full or its control connection is down;
+   *     the frame was not sent
+   */
+  boolean send(InstanceId to, Frame frame);
+
+  /**
+   * Replaces the peers; connections to removed or moved peers are closed.
+   *
+   * @param peers addresses of the links of all other instances; an entry for this instance is
+   *     ignored
+   */
+  void peers(Map<InstanceId, Address> peers);
+
+  /**
+   * Returns how often connections and frames were refused.
+   *
+   * @param failure the cause
+   * @return the number since the start
+   */
+  long failures(LinkFailure failure);
+
+  /** Closes all connections and stops to listen. */
+  @Override
+  void close();
+}
