--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/tool/BurnCommand.java
@@ -0,0 +1,59 @@
+package io.coltsfootwheel.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Reports how fast services use up their objectives. */
+final class BurnCommand implements Command {
+  private static final String HTML = "html";
+
+  private final Options options =
+      ServerOptions.add(new Options())
+          .addOption(ServerOptions.flag(ServerOptions.JSON, "print the response as JSON"))
+          .addOption(ServerOptions.option(HTML, "FILE", "write a page with plots"));
+
+  @Override
+  public String name() {
+    return "burn";
+  }
+
+  @Override
+  public String summary() {
+    return "Reports how fast services use up their objectives.";
+  }
+
+  @Override
+  public String arguments() {
+    return "";
+  }
+
+  @Override
+  public Options options() {
+    return options;
+  }
+
+  @Override
+  public ExitCode run(CommandLine line, Console console) {
+    OperatorApi.Burn burn = ServerOptions.client(line).get("/v1/burn", OperatorApi.Burn.class);
+    BurnReport report = new BurnReport(burn);
+    if (line.hasOption(HTML)) {
+      writeHtml(Path.of(line.getOptionValue(HTML)), report);
+    }
+    boolean json = line.hasOption(ServerOptions.JSON);
+    console.out().println(json ? ToolJson.pretty(burn) : report.text());
+    return ExitCode.OK;
+  }
+
+  private static void writeHtml(Path file, BurnReport report) {
+    // The plots are drawn into memory; no display is needed.
+    System.setProperty("java.awt.headless", "true");
+    try {
+      Files.writeString(file, report.html());
+    } catch (IOException e) {
+      throw ToolException.of(ExitCode.FAILED, file + " cannot be written: " + e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/tool/ListsCommand.java
@@ -0,0 +1,154 @@
+package io.coltsfootwheel.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Shows, compares and applies the two lists. */
+final class ListsCommand implements Command {
+  private static final String BASE_REVISION = "base-revision";
+  private static final String WRITE = "write";
+  private static final String WAIT = "wait";
+  private static final String WAIT_SECONDS = "wait-seconds";
+  private static final int DEFAULT_WAIT_SECONDS = 30;
+
+  private final Options options =
+      ServerOptions.add(new Options())
+          .addOption(ServerOptions.flag(ServerOptions.JSON, "print JSON"))
+          .addOption(
+              ServerOptions.option(WRITE, "FOLDER", "show: write plans.toml and allowances.toml"))
+          .addOption(
+              ServerOptions.option(
+                  BASE_REVISION, "N", "apply: revision on which the files are based"))
+          .addOption(ServerOptions.flag(WAIT, "apply: wait until all instances applied the lists"))
+          .addOption(ServerOptions.option(WAIT_SECONDS, "N", "limit of --wait (default 30)"));
+
+  @Override
+  public String name() {
+    return "lists";
+  }
+
+  @Override
+  public String summary() {
+    return "Shows, compares or applies the lists of plans and allowances.";
+  }
+
+  @Override
+  public String arguments() {
+    return "show | diff FILE... | apply FILE...";
+  }
+
+  @Override
+  public List<String> subcommands() {
+    return List.of("show", "diff", "apply");
+  }
+
+  @Override
+  public Options options() {
+    return options;
+  }
+
+  @Override
+  public ExitCode run(CommandLine line, Console console) {
+    List<String> words = line.getArgList();
+    String action = words.isEmpty() ? "" : words.get(0);
+    List<Path> files = words.stream().skip(1).map(Path::of).toList();
+    if (action.equals("show") && files.isEmpty()) {
+      return show(line, console);
+    }
+    if (action.equals("diff") && !files.isEmpty()) {
+      return diff(line, console, files);
+    }
+    if (action.equals("apply") && !files.isEmpty()) {
+      return apply(line, console, files);
+    }
+    throw ToolException.usage("lists takes 'show', 'diff FILE...' or 'apply FILE...'");
+  }
+
+  private static ExitCode show(CommandLine line, Console console) {
+    OperatorApi.Lists lists = current(ServerOptions.client(line));
+    ListContents contents = ListContents.of(lists);
+    if (line.hasOption(WRITE)) {
+      writeFiles(Path.of(line.getOptionValue(WRITE)), lists.revision(), contents);
+      console.out().println("revision " + lists.revision() + " written");
+    } else if (line.hasOption(ServerOptions.JSON)) {
+      console.out().println(ToolJson.pretty(lists));
+    } else {
+      console.out().println("# revision " + lists.revision() + "\n" + contents.toml());
+    }
+    return ExitCode.OK;
+  }
+
+  private static ExitCode diff(CommandLine line, Console console, List<Path> files) {
+    ListContents wanted = ListsFiles.read(files);
+    OperatorApi.Lists lists = current(ServerOptions.client(line));
+    List<String> difference = ListContents.of(lists).differenceTo(wanted);
+    if (line.hasOption(ServerOptions.JSON)) {
+      console.out().println(ToolJson.pretty(new Difference(lists.revision(), difference)));
+    } else {
+      console.out().println("difference from revision " + lists.revision() + ":");
+      printDifference(console, difference);
+    }
+    return ExitCode.OK;
+  }
+
+  private static ExitCode apply(CommandLine line, Console console, List<Path> files) {
+    ListContents wanted = ListsFiles.read(files);
+    Path stateFile = ListsState.fileBeside(files.get(0));
+    ListsState state = ListsState.read(stateFile);
+    int base = ServerOptions.integer(line, BASE_REVISION, -1, 0, Integer.MAX_VALUE);
+    ListsState based = base < 0 ? state : state.withBase(base);
+    OperatorClient client = ServerOptions.client(line);
+    ListContents inForce = ListContents.of(current(client));
+    printDifference(console, inForce.differenceTo(wanted));
+    ListsApplier applier =
+        new ListsApplier(client, console, stateFile, () -> UUID.randomUUID().toString());
+    long revision = applier.apply(based, wanted, files);
+    if (line.hasOption(ServerOptions.JSON)) {
+      console.out().println(ToolJson.pretty(new OperatorApi.ListsAccepted(revision)));
+    } else {
+      console.out().println("revision " + revision + " accepted");
+    }
+    if (!line.hasOption(WAIT)) {
+      return ExitCode.OK;
+    }
+    int seconds = ServerOptions.integer(line, WAIT_SECONDS, DEFAULT_WAIT_SECONDS, 1, 3_600);
+    return applier.waitUntilApplied(revision, Duration.ofSeconds(seconds));
+  }
+
+  private static OperatorApi.Lists current(OperatorClient client) {
+    return client.get("/v1/lists", OperatorApi.Lists.class);
+  }
+
+  static void printDifference(Console console, List<String> difference) {
+    if (difference.isEmpty()) {
+      console.err().println("no difference");
+    }
+    difference.forEach(console.err()::println);
+  }
+
+  private static void writeFiles(Path folder, long revision, ListContents contents) {
+    try {
+      Files.createDirectories(folder);
+      Files.writeString(folder.resolve("plans.toml"), contents.plansToml());
+      Files.writeString(folder.resolve("allowances.toml"), contents.allowancesToml());
+      new ListsState(revision, Optional.empty()).write(ListsState.fileIn(folder));
+    } catch (IOException e) {
+      throw ToolException.of(ExitCode.FAILED, folder + " cannot be written: " + e);
+    }
+  }
+
+  /**
+   * Output of {@code lists diff --json}.
+   *
+   * @param revision revision in force
+   * @param difference one line for each entry that differs
+   */
+  record Difference(long revision, List<String> difference) {}
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/tool/LoadDriver.java
@@ -0,0 +1,94 @@
+package io.coltsfootwheel.tool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.concurrent.locks.LockSupport;
+
+/** Sends requests at their due times, whether or not earlier ones were answered (open loop). */
+final class LoadDriver {
+  private static final long STAMP_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long STAMP_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+  private final LoadPlan plan;
+  private final LoadSender sender;
+
+  LoadDriver(LoadPlan plan) {
+    this.plan = plan;
+    this.sender = new LoadSender(plan);
+  }
+
+  /** Runs the plan and returns one record for each request, in the order of due times. */
+  List<RequestRecord> run() throws InterruptedException {
+    int total = plan.totalRequests();
+    AtomicReferenceArray<RequestRecord> records = new AtomicReferenceArray<>(total);
+    CountDownLatch open = new CountDownLatch(total);
+    LoadSchedule schedule = new LoadSchedule(plan);
+    fetchStamp();
+    long startNanos = System.nanoTime();
+    for (int number = 0; number < total; number++) {
+      waitUntil(startNanos + plan.dueNanos(number));
+      LoadRequest request = schedule.next(number, sender.stamp());
+      sender
+          .send(request)
+          .subscribe(
+              sent -> {
+                records.set(request.number(), record(request, sent, startNanos));
+                open.countDown();
+              });
+    }
+    open.await();
+    List<RequestRecord> list = new ArrayList<>(total);
+    for (int number = 0; number < total; number++) {
+      list.add(records.get(number));
+    }
+    return list;
+  }
+
+  /** Gets a first stamp, so that identities of the first requests already carry one. */
+  private void fetchStamp() {
+    if (plan.nonIdempotentShare() == 0) {
+      return;
+    }
+    long endNanos = System.nanoTime() + STAMP_WAIT_NANOS;
+    int number = 0;
+    while (sender.stamp().isEmpty() && System.nanoTime() < endNanos) {
+      String service = plan.keyedService().isEmpty() ? plan.unkeyedService() : plan.keyedService();
+      String key = plan.keyedService().isEmpty() ? "" : "key-0";
+      String id = plan.runId() + "-stamp-" + number;
+      sender.send(new LoadRequest(number, id, service, key, "", 0)).block();
+      number++;
+      LockSupport.parkNanos(STAMP_POLL_NANOS);
+    }
+  }
+
+  private RequestRecord record(LoadRequest request, LoadSender.Sent sent, long startNanos) {
+    long endMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+    long dueMicros = TimeUnit.NANOSECONDS.toMicros(request.dueNanos());
+    long inTimeMicros = TimeUnit.MILLISECONDS.toMicros(plan.inTimeMillis());
+    LoadSender.Answer answer = sent.answer();
+    return new RequestRecord(
+        request.number(),
+        request.id(),
+        request.service(),
+        request.key(),
+        request.identity(),
+        dueMicros,
+        endMicros,
+        answer.result(endMicros - dueMicros, inTimeMicros),
+        answer.status(),
+        answer.code(),
+        answer.target(),
+        sent.sends());
+  }
+
+  private static void waitUntil(long nanos) {
+    long remaining = nanos - System.nanoTime();
+    while (remaining > 0) {
+      LockSupport.parkNanos(remaining);
+      remaining = nanos - System.nanoTime();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/tool/LoadPlan.java
@@ -0,0 +1,59 @@
+package io.coltsfootwheel.tool;
+
+import io.coltsfootwheel.model.Address;
+import java.util.List;
+
+/**
+ * What a load run sends.
+ *
+ * @param entries HTTP addresses of instances, used round robin
+ * @param keyedService keyed service, empty for none
+ * @param unkeyedService unkeyed service, empty for none
+ * @param unkeyedShare share of requests to the unkeyed service when both are named
+ * @param ratePerSecond requests due per second
+ * @param durationSeconds length of the run
+ * @param keys number of distinct keys
+ * @param zipfExponent skew of the keys, 0 for uniform
+ * @param nonIdempotentShare share of requests that carry an identity
+ * @param deadlineMillis deadline sent with each request
+ * @param inTimeMillis latency up to which a response is in time
+ * @param resendsOnNotRun how often a request that was not run is sent again
+ * @param seed seed of the random choices
+ * @param runId prefix that makes request ids and identities unique
+ * @param customer customer sent with each request, empty for none
+ */
+record LoadPlan(
+    List<Address> entries,
+    String keyedService,
+    String unkeyedService,
+    double unkeyedShare,
+    int ratePerSecond,
+    int durationSeconds,
+    int keys,
+    double zipfExponent,
+    double nonIdempotentShare,
+    int deadlineMillis,
+    int inTimeMillis,
+    int resendsOnNotRun,
+    long seed,
+    String runId,
+    String customer) {
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+  LoadPlan {
+    entries = List.copyOf(entries);
+  }
+
+  int totalRequests() {
+    return Math.multiplyExact(ratePerSecond, durationSeconds);
+  }
+
+  /** Returns the time at which a request is due, from the start of the run. */
+  long dueNanos(int number) {
+    return number * NANOS_PER_SECOND / ratePerSecond;
+  }
+
+  Address entry(int number) {
+    return entries.get(Math.floorMod(number, entries.size()));
+  }
+}
--- a/src/main/java/io/coltsfootwheel/tool/OperatorApi.java
+++ b/src/main/java/io/coltsfootwheel/tool/OperatorApi.java
@@ -209,9 +209,9 @@
    * @param windowSeconds length of the window
    * @param answered requests answered in time
    * @param late requests answered late
-   * @param lost requests whose caller got no answer
-   * @param notRun requests refused as not run
-   * @param unknown requests whose outcome is unknown
+   * @param lost requests that got no response from a target
+   * @param notRun lost requests that were not run
+   * @param unknown lost requests whose outcome is unknown
    * @param imbalance highest load of a target divided by the mean
    * @param churnSlots ownership changes of hash slots
    * @param unavailableMillis time during which some hash slot had no usable owner
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/bench/FenceGate.java
@@ -0,0 +1,49 @@
+package io.coltsfootwheel.bench;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/** Checks grants and fences as docs/design.md section 13 states for targets. */
+final class FenceGate {
+  /** Response to an accepted grant. */
+  record GrantAnswer(long fence, int running, int runningOlder) {}
+
+  private final LongSupplier nanoClock;
+  private final Map<Long, Integer> running = new HashMap<>();
+  private long fence;
+  private long expiryNanos;
+
+  FenceGate(LongSupplier nanoClock) {
+    this.nanoClock = nanoClock;
+  }
+
+  /** Accepts a grant; returns false for a fence below the highest seen. */
+  synchronized boolean grant(long newFence, long ttlMillis) {
+    if (newFence < fence) {
+      return false;
+    }
+    fence = newFence;
+    expiryNanos = nanoClock.getAsLong() + ttlMillis * 1_000_000L;
+    return true;
+  }
+
+  synchronized GrantAnswer answer() {
+    int all = running.values().stream().mapToInt(Integer::intValue).sum();
+    return new GrantAnswer(fence, all, all - running.getOrDefault(fence, 0));
+  }
+
+  /** Begins an execution; returns false for an outdated fence or an expired grant. */
+  synchronized boolean begin(long requestFence, boolean check) {
+    boolean valid = requestFence == fence && nanoClock.getAsLong() - expiryNanos < 0;
+    if (check && !valid) {
+      return false;
+    }
+    running.merge(requestFence, 1, Integer::sum);
+    return true;
+  }
+
+  synchronized void end(long requestFence) {
+    running.merge(requestFence, -1, (count, one) -> count + one == 0 ? null : count + one);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the targets, used by tests and bench scripts. */
+package io.coltsfootwheel.bench;
