--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/tool/CommandLineToolTest.java
@@ -0,0 +1,150 @@
+package io.coltsfootwheel.tool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against wrong exit codes, on which operators' scripts rely. */
+class CommandLineToolTest {
+  private static final String STATUS =
+      """
+      {"clusterName":"c","instance":"a","leader":"","term":3,"commitIndex":9,
+       "instances":[{"id":"a","zone":"z","controlMember":true,"leased":true,"appliedIndex":9}],
+       "services":[{"name":"s","keyed":true,"hashSlots":8,"unownedHashSlots":1,"imbalance":1.5}],
+       "targets":[],"alarms":["target t is unresolved"],"addedLater":1}""";
+
+  @TempDir Path folder;
+  private String token;
+
+  @BeforeEach
+  void writeToken() throws IOException {
+    token = Files.writeString(folder.resolve("token"), "secret\n").toString();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "nonsense",
+        "status --nonsense",
+        "owner KEY",
+        "owner --service s",
+        "target",
+        "target remove t",
+        "lists",
+        "lists apply",
+        "check-config",
+        "load",
+        "load --entry 127.0.0.1:1",
+        "load --entry 127.0.0.1 --keyed-service s",
+        "load --entry 127.0.0.1:1 --keyed-service s --rate 0",
+        "load --entry 127.0.0.1:1 --keyed-service s --zipf x",
+        "load --entry 127.0.0.1:1 --keyed-service s --rate 20000 --duration-seconds 3600",
+        "match --requests f",
+        "completion zsh",
+      })
+  void wrongCommandLineIsUsage(String line) {
+    String[] arguments = line.isEmpty() ? new String[0] : line.split(" ");
+    assertThat(ToolRun.of(arguments).exit()).isEqualTo(ExitCode.USAGE);
+  }
+
+  @Test
+  void everyCommandHasHelpAndCompletion() {
+    String completion = ToolRun.of("completion", "bash").out();
+    for (Command command : new CommandLineTool(new Console(System.out, System.err)).commands()) {
+      ToolRun help = ToolRun.of(command.name(), "--help");
+      assertThat(help.exit()).isEqualTo(ExitCode.OK);
+      assertThat(help.out()).contains(command.summary());
+      assertThat(completion).contains(command.name() + ") words=");
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "200, OK",
+    "401, FAILED",
+    "404, FAILED",
+    "503, FAILED",
+  })
+  void statusOfResponseDecidesExit(int status, ExitCode expected) {
+    String body =
+        status == 200 ? STATUS : "{\"code\":\"not-found\",\"message\":\"m\",\"remedy\":\"r\"}";
+    try (StubServer server = new StubServer(StubServer.Reply.of(status, body))) {
+      assertThat(run(server, "status").exit()).isEqualTo(expected);
+    }
+  }
+
+  @Test
+  void statusShowsAlarmsAndUnknownLeader() {
+    try (StubServer server = new StubServer(StubServer.Reply.of(200, STATUS))) {
+      assertThat(run(server, "status").out())
+          .contains("leader unknown")
+          .contains("ALARM target t is unresolved");
+    }
+  }
+
+  @Test
+  void unreachableServerIsPassedOver() {
+    String unused = closedAddress();
+    try (StubServer server = new StubServer(StubServer.Reply.of(200, "{\"targets\":[]}"))) {
+      ToolRun run = run(server, "targets", "--json", "--server", unused);
+      assertThat(run.exit()).isEqualTo(ExitCode.OK);
+    }
+    ToolRun none = ToolRun.of("targets", "--server", unused, "--token-file", token);
+    assertThat(none.exit()).isEqualTo(ExitCode.UNREACHABLE);
+    assertThat(none.err()).contains(unused);
+  }
+
+  @Test
+  void brokenConnectionAfterSendLeavesOutcomeUnknown() {
+    try (StubServer server = new StubServer(StubServer.Reply.of(0, ""))) {
+      assertThat(run(server, "target", "gone", "t1").exit()).isEqualTo(ExitCode.OUTCOME_UNKNOWN);
+      assertThat(server.requests()).hasSize(1);
+    }
+  }
+
+  @Test
+  void keyIsEncodedInPath() {
+    String owner =
+        "{\"service\":\"s\",\"hashSlot\":3,\"owner\":\"\",\"fence\":0,\"dispatcher\":\"\"}";
+    try (StubServer server = new StubServer(StubServer.Reply.of(200, owner))) {
+      assertThat(run(server, "owner", "--service", "s", "a&b c").out()).contains("owner none");
+      assertThat(server.requests().get(0)).contains("key=a%26b+c");
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "change-outcome-unknown, OUTCOME_UNKNOWN",
+    "deadline-exceeded, OUTCOME_UNKNOWN",
+    "not-leader, FAILED",
+    "invalid-value, FAILED",
+    "never-heard-of, FAILED",
+  })
+  void errorCodeDecidesExit(String code, ExitCode expected) {
+    assertThat(ExitCode.ofError(code)).isEqualTo(expected);
+  }
+
+  private ToolRun run(StubServer server, String... arguments) {
+    String[] all = java.util.Arrays.copyOf(arguments, arguments.length + 4);
+    all[arguments.length] = "--server";
+    all[arguments.length + 1] = server.address();
+    all[arguments.length + 2] = "--token-file";
+    all[arguments.length + 3] = token;
+    return ToolRun.of(all);
+  }
+
+  private static String closedAddress() {
+    StubServer server = new StubServer(StubServer.Reply.of(200, ""));
+    server.close();
+    return server.address();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/tool/ListsCommandTest.java
@@ -0,0 +1,151 @@
+package io.coltsfootwheel.tool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against a change applied twice, lost silently or applied over another operator's. */
+class ListsCommandTest {
+  private static final String EMPTY = "{\"revision\":0,\"plans\":{},\"allowances\":{}}";
+  private static final String OTHER =
+      """
+      {"revision":57,"plans":{"kiosk":"basic"},"allowances":{"basic":
+       {"ratePerSecond":1.0,"burst":1,"concurrency":1,"services":["ledger"]}}}""";
+
+  @TempDir Path folder;
+  private Path plans;
+  private Path allowances;
+  private Path token;
+
+  @BeforeEach
+  void writeFiles() throws IOException {
+    plans = Files.writeString(folder.resolve("plans.toml"), "[plans]\nsalon = \"standard\"\n");
+    allowances =
+        Files.writeString(
+            folder.resolve("allowances.toml"),
+            "[allowances.standard]\nrate-per-second = 5\nburst = 2\nconcurrency = 1\n"
+                + "services = [\"ledger\"]\n");
+    token = Files.writeString(folder.resolve("token"), "secret");
+  }
+
+  @Test
+  void resendAfterLostResponseKeepsIdentity() {
+    try (StubServer server =
+        new StubServer(reply(EMPTY), reply(0, ""), reply(EMPTY), reply("{\"revision\":4}"))) {
+      assertThat(apply(server).exit()).isEqualTo(ExitCode.OUTCOME_UNKNOWN);
+      assertThat(apply(server).exit()).isEqualTo(ExitCode.OK);
+      assertThat(changeIds(server)).hasSize(2);
+      assertThat(changeIds(server).get(0)).isEqualTo(changeIds(server).get(1));
+    }
+  }
+
+  @Test
+  void changedFilesOrAnsweredChangeTakeNewIdentity() throws IOException {
+    try (StubServer server =
+        new StubServer(
+            reply(EMPTY),
+            reply(0, ""),
+            reply(EMPTY),
+            reply("{\"revision\":4}"),
+            reply(EMPTY),
+            reply("{\"revision\":5}"))) {
+      apply(server);
+      Files.writeString(plans, "[plans]\nkiosk = \"standard\"\n");
+      apply(server);
+      apply(server);
+      assertThat(changeIds(server)).hasSize(3).doesNotHaveDuplicates();
+      assertThat(server.requests().get(5)).contains("\"baseRevision\":4");
+    }
+  }
+
+  @Test
+  void conflictShowsDifferenceAndNextCommand() {
+    try (StubServer server =
+        new StubServer(reply(EMPTY), reply(409, OTHER), reply(OTHER), reply("{\"revision\":9}"))) {
+      ToolRun conflict = apply(server);
+      assertThat(conflict.exit()).isEqualTo(ExitCode.CONFLICT);
+      assertThat(conflict.err())
+          .contains("- plan of customer kiosk: basic")
+          .contains("+ plan of customer salon: standard")
+          .contains("lists apply --base-revision 57 " + plans + " " + allowances);
+      assertThat(apply(server, "--base-revision", "57").exit()).isEqualTo(ExitCode.OK);
+      assertThat(server.requests().get(3)).contains("\"baseRevision\":57");
+    }
+  }
+
+  @Test
+  void waitEndsWhenNoInstanceIsBehind() {
+    String behind = "{\"revision\":4,\"instances\":[],\"behind\":[\"b\"]}";
+    String level = "{\"revision\":4,\"instances\":[],\"behind\":[]}";
+    try (StubServer server =
+        new StubServer(reply(EMPTY), reply("{\"revision\":4}"), reply(behind), reply(level))) {
+      assertThat(apply(server, "--wait").exit()).isEqualTo(ExitCode.OK);
+      assertThat(server.requests()).hasSize(4).last().asString().contains("applied?revision=4");
+    }
+  }
+
+  @Test
+  void waitNamesInstancesThatStayBehind() {
+    String behind = "{\"revision\":4,\"instances\":[],\"behind\":[\"daemon-3\"]}";
+    try (StubServer server =
+        new StubServer(reply(EMPTY), reply("{\"revision\":4}"), reply(behind))) {
+      ToolRun run = apply(server, "--wait", "--wait-seconds", "1");
+      assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
+      assertThat(run.err()).contains("behind revision 4: daemon-3");
+    }
+  }
+
+  @Test
+  void shownListsCanBeAppliedOnTheirRevision() {
+    Path written = folder.resolve("written");
+    try (StubServer server =
+        new StubServer(reply(OTHER), reply(OTHER), reply("{\"revision\":58}"))) {
+      assertThat(run(server, "lists", "show", "--write", written.toString()).exit())
+          .isEqualTo(ExitCode.OK);
+      ToolRun applied =
+          run(
+              server,
+              "lists",
+              "apply",
+              written.resolve("plans.toml").toString(),
+              written.resolve("allowances.toml").toString());
+      assertThat(applied.err()).contains("no difference");
+      assertThat(server.requests().get(2)).contains("\"baseRevision\":57");
+    }
+  }
+
+  private ToolRun apply(StubServer server, String... more) {
+    List<String> words =
+        new java.util.ArrayList<>(
+            List.of("lists", "apply", plans.toString(), allowances.toString()));
+    words.addAll(List.of(more));
+    return run(server, words.toArray(String[]::new));
+  }
+
+  private ToolRun run(StubServer server, String... words) {
+    List<String> all = new java.util.ArrayList<>(List.of(words));
+    all.addAll(List.of("--server", server.address(), "--token-file", token.toString()));
+    return ToolRun.of(all.toArray(String[]::new));
+  }
+
+  private static List<String> changeIds(StubServer server) {
+    return server.requests().stream()
+        .filter(request -> request.startsWith("POST "))
+        .map(request -> request.replaceAll(".*\"changeId\":\"([^\"]*)\".*", "$1"))
+        .toList();
+  }
+
+  private static StubServer.Reply reply(String body) {
+    return StubServer.Reply.of(200, body);
+  }
+
+  private static StubServer.Reply reply(int status, String body) {
+    return StubServer.Reply.of(status, body);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/tool/RunMatchTest.java
@@ -0,0 +1,102 @@
+package io.coltsfootwheel.tool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a violation of R3, R4 or R5 that the match does not find. */
+class RunMatchTest {
+  private static final RequestRecord ANSWERED = request(0, LoadResult.ANSWERED);
+  private static final RequestRecord NOT_RUN = request(1, LoadResult.LOST_NOT_RUN);
+  private static final RequestRecord UNKNOWN = request(2, LoadResult.LOST_UNKNOWN);
+
+  @TempDir Path folder;
+
+  @Test
+  void runWithoutViolationPasses() {
+    RunMatch match =
+        RunMatch.of(
+            List.of(ANSWERED, NOT_RUN, UNKNOWN),
+            List.of(execution("r-0", "i-0"), execution("other-run", ""), execution("r-2", "i-2")));
+    assertThat(match.violations()).isEmpty();
+    assertThat(match.text()).isEqualTo("match: sent 3, executions 2: no violation");
+  }
+
+  static Stream<Arguments> violations() {
+    ExecutionRecord first = execution("r-0", "i-0");
+    return Stream.of(
+        Arguments.of(List.of(ANSWERED), List.of(first, first), "identity i-0 was executed by"),
+        Arguments.of(
+            List.of(ANSWERED, NOT_RUN),
+            List.of(first, execution("r-1", "")),
+            "reported as not run, but was executed"),
+        Arguments.of(List.of(ANSWERED), List.of(), "reported as run, but was not executed"),
+        Arguments.of(
+            List.of(request(0, LoadResult.LOST_RUN)),
+            List.of(),
+            "reported as run, but was not executed"),
+        Arguments.of(List.of(ANSWERED, ANSWERED), List.of(first), "is recorded twice"),
+        Arguments.of(List.of(ANSWERED, UNKNOWN), List.of(first), "1 requests are missing"));
+  }
+
+  @ParameterizedTest(name = "{2}")
+  @MethodSource("violations")
+  void eachViolationIsFound(
+      List<RequestRecord> requests, List<ExecutionRecord> executions, String violation) {
+    assertThat(RunMatch.of(requests, executions).violations())
+        .anySatisfy(line -> assertThat(line).contains(violation));
+  }
+
+  @Test
+  void commandReadsFilesAndFailsOnViolation() throws IOException {
+    Path requests = write("requests.jsonl", List.of(ANSWERED));
+    Path one = write("one.jsonl", List.of(execution("r-0", "i-0")));
+    Path two = write("two.jsonl", List.of(execution("r-0", "i-0")));
+    ToolRun good = match(requests, one);
+    assertThat(good.exit()).isEqualTo(ExitCode.OK);
+    ToolRun bad = match(requests, one, two);
+    assertThat(bad.exit()).isEqualTo(ExitCode.FAILED);
+    assertThat(bad.out().lines()).hasSize(1);
+  }
+
+  @Test
+  void unreadableLineIsNamed() throws IOException {
+    Path requests = Files.writeString(folder.resolve("requests.jsonl"), "{\n");
+    ToolRun run = match(requests, requests);
+    assertThat(run.exit()).isEqualTo(ExitCode.FAILED);
+    assertThat(run.err()).contains("requests.jsonl: line 1");
+  }
+
+  private static ToolRun match(Path requests, Path... executions) {
+    String[] words = new String[4 + executions.length];
+    words[0] = "match";
+    words[1] = "--requests";
+    words[2] = requests.toString();
+    words[3] = "--executions";
+    for (int i = 0; i < executions.length; i++) {
+      words[4 + i] = executions[i].toString();
+    }
+    return ToolRun.of(words);
+  }
+
+  private Path write(String name, List<?> values) throws IOException {
+    return Files.write(folder.resolve(name), values.stream().map(ToolJson::line).toList());
+  }
+
+  private static RequestRecord request(int number, LoadResult result) {
+    return LoadSummaryTest.record(number, "a", 0, 1, result, "t");
+  }
+
+  private static ExecutionRecord execution(String loadRequest, String identity) {
+    return new ExecutionRecord(0, "t1", "q", loadRequest, identity, 7, 3);
+  }
+}
