--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchEvent.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchEvent.java
@@ -2,7 +2,9 @@
 
 import io.coltsfootwheel.control.RoutingView;
 import io.coltsfootwheel.model.Fence;
+import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import java.util.Set;
 
 /** Input of {@link DispatchReducer}; times are monotonic nanoseconds of this instance. */
 public sealed interface DispatchEvent {
@@ -18,8 +20,10 @@
    *
    * @param nowNanos time of the event
    * @param view the new view
+   * @param services all services of the view, whose targets are searched for grants
    */
-  record ViewChanged(long nowNanos, RoutingView view) implements DispatchEvent {}
+  record ViewChanged(long nowNanos, RoutingView view, Set<ServiceName> services)
+      implements DispatchEvent {}
 
   /**
    * A renewal was acknowledged.
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/dispatch/FairQueue.java
@@ -0,0 +1,86 @@
+package io.coltsfootwheel.dispatch;
+
+import io.coltsfootwheel.model.CustomerId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** Queue that serves customers in turn and each customer's requests in order of arrival. */
+final class FairQueue {
+  private final Map<Optional<CustomerId>, ArrayDeque<DispatchRequest>> requestsByCustomer =
+      new HashMap<>();
+  private final ArrayDeque<Optional<CustomerId>> turns = new ArrayDeque<>();
+  private int size;
+
+  int size() {
+    return size;
+  }
+
+  void add(DispatchRequest request) {
+    ArrayDeque<DispatchRequest> requests = requestsByCustomer.get(request.customer());
+    if (requests == null) {
+      requests = new ArrayDeque<>();
+      requestsByCustomer.put(request.customer(), requests);
+      turns.addLast(request.customer());
+    }
+    requests.addLast(request);
+    size++;
+  }
+
+  /** Removes the first eligible request of the customer whose turn it is. */
+  Optional<DispatchRequest> poll(Predicate<DispatchRequest> eligible) {
+    for (int i = turns.size(); i > 0; i--) {
+      Optional<CustomerId> customer = turns.removeFirst();
+      Optional<DispatchRequest> found =
+          removeFirst(requestsByCustomer.get(customer).iterator(), eligible);
+      if (requestsByCustomer.get(customer).isEmpty()) {
+        requestsByCustomer.remove(customer);
+      } else {
+        turns.addLast(customer);
+      }
+      if (found.isPresent()) {
+        return found;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Removes all requests that match, in no particular order between customers. */
+  List<DispatchRequest> removeIf(Predicate<DispatchRequest> matches) {
+    List<DispatchRequest> removed = new ArrayList<>();
+    if (size == 0) {
+      return removed;
+    }
+    for (Optional<CustomerId> customer : List.copyOf(turns)) {
+      ArrayDeque<DispatchRequest> requests = requestsByCustomer.get(customer);
+      Optional<DispatchRequest> found = removeFirst(requests.iterator(), matches);
+      while (found.isPresent()) {
+        removed.add(found.get());
+        found = removeFirst(requests.iterator(), matches);
+      }
+      if (requests.isEmpty()) {
+        requestsByCustomer.remove(customer);
+        turns.remove(customer);
+      }
+    }
+    return removed;
+  }
+
+  private Optional<DispatchRequest> removeFirst(
+      Iterator<DispatchRequest> requests, Predicate<DispatchRequest> matches) {
+    while (requests.hasNext()) {
+      DispatchRequest request = requests.next();
+      if (matches.test(request)) {
+        requests.remove();
+        size--;
+        return Optional.of(request);
+      }
+    }
+    return Optional.empty();
+  }
+}
