--- a/src/main/java/io/coltsfootwheel/dispatch/EntryEvent.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/EntryEvent.java
@@ -101,6 +101,14 @@
   record TokensGranted(long nowNanos, CustomerId customer, int tokens, int permits)
       implements EntryEvent {}
 
+  /**
+   * The instance has applied everything that was committed when its last acknowledged renewal was
+   * answered. Without this event for 3 s the router admits no requests.
+   *
+   * @param nowNanos send time of that renewal
+   */
+  record ControlContact(long nowNanos) implements EntryEvent {}
+
   /**
    * Time passed; expected every 10 ms.
    *
