--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/link/BadFrameException.java
@@ -0,0 +1,17 @@
+package io.coltsfootwheel.link;
+
+/** Ends a connection whose peer broke the protocol. */
+final class BadFrameException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final LinkFailure failure;
+
+  BadFrameException(LinkFailure failure) {
+    super(failure.name(), null, false, false);
+    this.failure = failure;
+  }
+
+  LinkFailure failure() {
+    return failure;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/link/FrameDecoder.java
@@ -0,0 +1,49 @@
+package io.coltsfootwheel.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.List;
+
+/** Cuts the byte stream into frames: 4-byte length, kind byte, payload. */
+final class FrameDecoder extends ByteToMessageDecoder {
+  static final int LENGTH_BYTES = 4;
+
+  private int limitBytes;
+
+  /**
+   * Starts with a limit.
+   *
+   * @param limitBytes largest frame until the handshake is complete
+   */
+  FrameDecoder(int limitBytes) {
+    this.limitBytes = limitBytes;
+  }
+
+  /** Allows frames of the full size once the peer is authenticated. */
+  void raiseLimit() {
+    limitBytes = Frame.MAX_FRAME_BYTES;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+    if (in.readableBytes() < LENGTH_BYTES) {
+      return;
+    }
+    int length = in.getInt(in.readerIndex());
+    if (length < 1 || length > limitBytes) {
+      in.skipBytes(in.readableBytes());
+      throw new BadFrameException(length < 1 ? LinkFailure.BAD_FRAME : LinkFailure.FRAME_TOO_LARGE);
+    }
+    if (in.readableBytes() < LENGTH_BYTES + length) {
+      return;
+    }
+    in.skipBytes(LENGTH_BYTES);
+    FrameKind kind =
+        FrameKind.ofCode(in.readByte())
+            .orElseThrow(() -> new BadFrameException(LinkFailure.BAD_FRAME));
+    byte[] payload = new byte[length - 1];
+    in.readBytes(payload);
+    out.add(new Frame(kind, payload));
+  }
+}
