--- a/src/main/java/io/coltsfootwheel/tool/OperatorApi.java
+++ b/src/main/java/io/coltsfootwheel/api/OperatorApi.java
@@ -1,4 +1,4 @@
-package io.coltsfootwheel.tool;
+package io.coltsfootwheel.api;
 
 import io.coltsfootwheel.model.Allowance;
 import io.coltsfootwheel.model.CustomerId;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/api/package-info.java
@@ -0,0 +1,2 @@
+/** JSON shapes shared by the daemon and the command-line tool. */
+package io.coltsfootwheel.api;
--- a/src/main/java/io/coltsfootwheel/daemon/DispatchDriver.java
+++ b/src/main/java/io/coltsfootwheel/daemon/DispatchDriver.java
@@ -102,8 +102,7 @@
   void offer(InstanceId from, String session, ForwardFrame frame) {
     String requestId = requestId(from, session, frame.requestId());
     Content content =
-        new Content(
-            frame.identity(), frame.method(), frame.uri(), frame.headers(), frame.body());
+        new Content(frame.identity(), frame.method(), frame.uri(), frame.headers(), frame.body());
     Origin origin = new Origin(Optional.of(from), frame.requestId());
     offeredById.put(requestId, new Offered(content, origin, new AtomicBoolean()));
     long nowNanos = System.nanoTime();
@@ -218,8 +217,7 @@
             .doOnError(error -> reply(requestId, new TargetReply.Broken()))
             .doOnCancel(() -> reply(requestId, new TargetReply.Completed(responded.status())));
     CallerResponse.Relayed response =
-        new CallerResponse.Relayed(
-            send.target(), responded.status(), responded.headers(), body);
+        new CallerResponse.Relayed(send.target(), responded.status(), responded.headers(), body);
     boolean first = offered.responded().compareAndSet(false, true);
     offeredById.remove(requestId);
     if (!first) {
@@ -253,10 +251,7 @@
 
   private static CallerResponse.Error error(DispatchEffect.RefuseRequest refusal) {
     return new CallerResponse.Error(
-        refusal.kind(),
-        refusal.kind().outcome(),
-        refusal.detail(),
-        refusal.retryAfterMillis());
+        refusal.kind(), refusal.kind().outcome(), refusal.detail(), refusal.retryAfterMillis());
   }
 
   private void grant(DispatchEffect.SendGrant grant) {
--- a/src/main/java/io/coltsfootwheel/daemon/EntryDriver.java
+++ b/src/main/java/io/coltsfootwheel/daemon/EntryDriver.java
@@ -160,8 +160,7 @@
             .subscribe(
                 answer -> answered(forward.requestNumber(), request.requestId(), answer),
                 error -> failed(request.requestId(), true));
-    attemptByRequestId.put(
-        request.requestId(), new Attempt(forward.instance(), attempt, response));
+    attemptByRequestId.put(request.requestId(), new Attempt(forward.instance(), attempt, response));
     boolean sent = link.send(forward.instance(), frame(attempt, held.request(), request).toFrame());
     if (!sent) {
       response.dispose();
@@ -170,8 +169,7 @@
     }
   }
 
-  private static ForwardFrame frame(
-      long attempt, CallerRequest caller, DispatchRequest request) {
+  private static ForwardFrame frame(long attempt, CallerRequest caller, DispatchRequest request) {
     long remainingMillis =
         TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - System.nanoTime());
     return new ForwardFrame(
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -213,8 +213,7 @@
     } else if (message instanceof ControlMessage.TokensGranted grant) {
       enter(
           nowNanos,
-          new EntryEvent.TokensGranted(
-              nowNanos, grant.customer(), grant.tokens(), grant.permits()),
+          new EntryEvent.TokensGranted(nowNanos, grant.customer(), grant.tokens(), grant.permits()),
           effects);
     } else {
       member.ifPresent(part -> take(nowNanos, part.receive(nowNanos, from, message), effects));
@@ -222,10 +221,7 @@
   }
 
   private void extendLease(long nowNanos, long untilNanos, List<InstanceEffect> effects) {
-    take(
-        nowNanos,
-        requests.apply(new DispatchEvent.LeaseExtended(nowNanos, untilNanos)),
-        effects);
+    take(nowNanos, requests.apply(new DispatchEvent.LeaseExtended(nowNanos, untilNanos)), effects);
   }
 
   private void publish(long nowNanos, ControlState newer, List<InstanceEffect> effects) {
@@ -246,8 +242,7 @@
         .toList();
   }
 
-  private void take(
-      long nowNanos, List<InstanceEffect> decided, List<InstanceEffect> effects) {
+  private void take(long nowNanos, List<InstanceEffect> decided, List<InstanceEffect> effects) {
     for (InstanceEffect effect : decided) {
       if (effect instanceof InstanceEffect.SendMessage send && send.to().equals(self)) {
         selfMessages.addLast(send.message());
--- a/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
@@ -129,8 +129,7 @@
    * @param reports one report for each target that it dispatches to
    * @return the renewal
    */
-  Renewal renewal(
-      long nowNanos, long appliedIndex, boolean leaving, List<TargetReport> reports) {
+  Renewal renewal(long nowNanos, long appliedIndex, boolean leaving, List<TargetReport> reports) {
     return new Renewal(spec.id(), session(), nowNanos, appliedIndex, leaving, reports);
   }
 
@@ -143,8 +142,7 @@
    * @param appliedIndex index that this instance has applied
    * @return the end of the lease when it was extended, or empty for an outdated acknowledgement
    */
-  Optional<Long> acknowledged(
-      long nowNanos, InstanceId from, RenewalAck ack, long appliedIndex) {
+  Optional<Long> acknowledged(long nowNanos, InstanceId from, RenewalAck ack, long appliedIndex) {
     if (!ack.session().equals(session())) {
       return Optional.empty();
     }
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -156,8 +156,7 @@
         replicated.toDisk().isEmpty() || replicated.toDisk().equals(self.diskId());
     if (isForThisDisk) {
       MemberId member = new MemberId(from, replicated.fromDisk());
-      run(
-          new ReplicationEvent.MessageReceived(nowNanos, member, replicated.message()), effects);
+      run(new ReplicationEvent.MessageReceived(nowNanos, member, replicated.message()), effects);
     }
   }
 
@@ -185,8 +184,7 @@
       long nowNanos, Origin origin, Command command, List<InstanceEffect> effects) {
     long number = nextNumber++;
     originByProposal.put(number, origin);
-    run(
-        new ReplicationEvent.Propose(nowNanos, number, ControlCodec.encode(command)), effects);
+    run(new ReplicationEvent.Propose(nowNanos, number, ControlCodec.encode(command)), effects);
   }
 
   private void supervise(long nowNanos, SupervisorEvent event, List<InstanceEffect> effects) {
@@ -214,8 +212,7 @@
       effects.add(
           new InstanceEffect.SendMessage(
               send.to().instance(),
-              new ControlMessage.Replication(
-                  self.diskId(), send.to().diskId(), send.message())));
+              new ControlMessage.Replication(self.diskId(), send.to().diskId(), send.message())));
     } else if (effect instanceof ReplicationEffect.Persist persist) {
       effects.add(new InstanceEffect.Persist(persist));
     } else if (effect instanceof ReplicationEffect.PersistSnapshot persist) {
@@ -283,8 +280,7 @@
     resultByIndex.remove(index);
     Origin origin = originByProposal.remove(proposal);
     if (origin != null && origin.instance().isPresent()) {
-      ControlMessage answer =
-          new ControlMessage.Proposed(origin.proposalId(), Optional.of(result));
+      ControlMessage answer = new ControlMessage.Proposed(origin.proposalId(), Optional.of(result));
       effects.add(new InstanceEffect.SendMessage(origin.instance().get(), answer));
     }
   }
@@ -313,7 +309,12 @@
     leader = changed.leader().map(MemberId::instance);
     effects.add(
         new InstanceEffect.LogChange(
-            "role=" + role + " term=" + term + " leader=" + leader.map(Object::toString).orElse("none")));
+            "role="
+                + role
+                + " term="
+                + term
+                + " leader="
+                + leader.map(Object::toString).orElse("none")));
     if (!wasLeading && isLeading()) {
       gainLeadership(nowNanos, effects);
     } else if (wasLeading && !isLeading()) {
--- a/src/main/java/io/coltsfootwheel/daemon/RequestPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestPart.java
@@ -1,6 +1,6 @@
 package io.coltsfootwheel.daemon;
 
-import io.coltsfootwheel.control.RoutingView;
+import io.coltsfootwheel.control.ControlState;
 import io.coltsfootwheel.dispatch.DispatchEffect;
 import io.coltsfootwheel.dispatch.DispatchEvent;
 import io.coltsfootwheel.dispatch.DispatchReducer;
@@ -9,17 +9,22 @@
 import io.coltsfootwheel.dispatch.EntryEvent;
 import io.coltsfootwheel.dispatch.EntryRouter;
 import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.ServiceSpec;
 import io.coltsfootwheel.model.TargetReport;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * Entry side and dispatchers of one instance; passes requests between them when both ends are
- * here.
+ * Entry side and dispatchers of one instance; passes requests between them when both ends are here.
  */
 final class RequestPart {
+  /** A request lives 60 s at most, and a session that expires takes over 400 ms to be replaced. */
+  private static final int MAX_ENDED_SESSIONS = 8;
+
   private final InstanceId self;
   private final DispatchSettings settings;
   private final EntryRouter entry;
@@ -27,11 +32,7 @@
   private final List<DispatchReducer> ended = new ArrayList<>();
   private DispatchReducer dispatch;
 
-  RequestPart(
-      InstanceId self,
-      String session,
-      DispatchSettings settings,
-      EntryRouter entry) {
+  RequestPart(InstanceId self, String session, DispatchSettings settings, EntryRouter entry) {
     this.self = self;
     this.settings = settings;
     this.entry = entry;
@@ -45,6 +46,9 @@
    */
   void beginSession(String session) {
     ended.add(dispatch);
+    if (ended.size() > MAX_ENDED_SESSIONS) {
+      ended.remove(0);
+    }
     dispatch = new DispatchReducer(self, session, settings);
   }
 
@@ -62,13 +66,13 @@
    * Routes under a newer view.
    *
    * @param nowNanos monotonic time
-   * @param view the view
+   * @param state the control state
    * @return the effects
    */
-  List<InstanceEffect> changeView(long nowNanos, RoutingView view) {
+  List<InstanceEffect> changeView(long nowNanos, ControlState state) {
     List<InstanceEffect> effects = new ArrayList<>();
-    dispatch(new DispatchEvent.ViewChanged(nowNanos, view), effects);
-    entry(new EntryEvent.ViewChanged(nowNanos, view), effects);
+    dispatch(new DispatchEvent.ViewChanged(nowNanos, state, services(state)), effects);
+    entry(new EntryEvent.ViewChanged(nowNanos, state), effects);
     return effects;
   }
 
@@ -112,15 +116,26 @@
     return effects;
   }
 
+  private static Set<ServiceName> services(ControlState state) {
+    return state.services().stream().map(ServiceSpec::name).collect(Collectors.toSet());
+  }
+
   private void dispatch(DispatchEvent event, List<InstanceEffect> effects) {
-    for (DispatchReducer reducer : ended) {
-      execute(event.nowNanos(), reducer.apply(event), effects);
+    if (concernsEndedSessions(event)) {
+      for (DispatchReducer reducer : ended) {
+        execute(event.nowNanos(), reducer.apply(event), effects);
+      }
     }
     execute(event.nowNanos(), dispatch.apply(event), effects);
   }
 
-  private void execute(
-      long nowNanos, List<DispatchEffect> decided, List<InstanceEffect> effects) {
+  private static boolean concernsEndedSessions(DispatchEvent event) {
+    return event instanceof DispatchEvent.TargetReplied
+        || event instanceof DispatchEvent.RequestCancelled
+        || event instanceof DispatchEvent.Tick;
+  }
+
+  private void execute(long nowNanos, List<DispatchEffect> decided, List<InstanceEffect> effects) {
     for (DispatchEffect effect : decided) {
       if (effect instanceof DispatchEffect.RefuseRequest refusal
           && localRequests.remove(refusal.requestId())) {
@@ -184,15 +199,13 @@
       long nowNanos, EntryEffect.GrantTokens grant, List<InstanceEffect> effects) {
     if (grant.entry().equals(self)) {
       entry(
-          new EntryEvent.TokensGranted(
-              nowNanos, grant.customer(), grant.tokens(), grant.permits()),
+          new EntryEvent.TokensGranted(nowNanos, grant.customer(), grant.tokens(), grant.permits()),
           effects);
     } else {
       effects.add(
           new InstanceEffect.SendMessage(
               grant.entry(),
-              new ControlMessage.TokensGranted(
-                  grant.customer(), grant.tokens(), grant.permits())));
+              new ControlMessage.TokensGranted(grant.customer(), grant.tokens(), grant.permits())));
     }
   }
 }
--- a/src/main/java/io/coltsfootwheel/daemon/Subscribers.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Subscribers.java
@@ -36,7 +36,8 @@
     if (!isRetained) {
       return List.of(
           new InstanceEffect.SendMessage(
-              instance, new ControlMessage.StateSnapshot(state.appliedIndex(), state.toSnapshot())));
+              instance,
+              new ControlMessage.StateSnapshot(state.appliedIndex(), state.toSnapshot())));
     }
     List<InstanceEffect> effects = new ArrayList<>();
     retained.stream()
