--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/simulation/package-info.java
@@ -0,0 +1,2 @@
+/** Deterministic in-memory simulation of a replication group with failing links and disks. */
+package io.coltsfootwheel.simulation;
