--- a/src/main/java/io/coltsfootwheel/dispatch/FairQueue.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/FairQueue.java
@@ -21,6 +21,10 @@
     return size;
   }
 
+  long count(Predicate<DispatchRequest> matches) {
+    return requestsByCustomer.values().stream().flatMap(ArrayDeque::stream).filter(matches).count();
+  }
+
   void add(DispatchRequest request) {
     ArrayDeque<DispatchRequest> requests = requestsByCustomer.get(request.customer());
     if (requests == null) {
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -263,8 +263,10 @@
 
   private Optional<DispatchEffect> checkLoad(long nowNanos, DispatchRequest request) {
     double meanNanos = limit.meanNanos();
-    boolean isFree = queue.size() == 0 && ledger.inFlight() < capacity(nowNanos);
-    double waitNanos = isFree ? 0 : (queue.size() + 1) * meanNanos / spec.slots();
+    boolean isFree =
+        queue.size() == 0 && ledger.inFlight() < capacity(nowNanos) && isSendable(request);
+    boolean isBusy = ledger.inFlight() >= capacity(nowNanos);
+    double waitNanos = isBusy ? (queue.size() + 1) * meanNanos / spec.slots() : 0;
     long remainingNanos = request.deadlineNanos() - nowNanos;
     long waitMillis = TimeUnit.NANOSECONDS.toMillis((long) waitNanos);
     if (remainingNanos <= 0 || waitNanos > remainingNanos) {
@@ -274,13 +276,21 @@
           waitMillis,
           "the expected wait is " + waitMillis + " ms");
     }
-    if (!isFree && queue.size() >= settings.queuePerSlot() * spec.slots()) {
+    if (!isFree && isQueueFull(request)) {
       long retryMillis = Math.max(waitMillis, limit.shedMillis(nowNanos));
       return refusal(request, ErrorKind.OVERLOADED, retryMillis, "the queue is full");
     }
     return Optional.empty();
   }
 
+  /** Requests for hash slots in handover get half of the queue, so they do not block the others. */
+  private boolean isQueueFull(DispatchRequest request) {
+    int bound = settings.queuePerSlot() * spec.slots();
+    boolean blocked = slots.isInHandover(request.hashSlot());
+    return queue.size() >= bound
+        || (blocked && queue.count(r -> slots.isInHandover(r.hashSlot())) >= bound / 2);
+  }
+
   private Optional<DispatchEffect> checkIdentity(long nowNanos, DispatchRequest request) {
     if (request.identity().isEmpty() || spec.keepsIdentities()) {
       return Optional.empty();
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/dispatch/DispatchSimulationTest.java
@@ -0,0 +1,22 @@
+package io.coltsfootwheel.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against double execution, false not-run, overfilled slots and execution without owner. */
+class DispatchSimulationTest {
+  private static final int SEEDS_PER_BLOCK = 10;
+
+  @ParameterizedTest
+  @ValueSource(longs = {0, 10, 20, 30, 40, 50, 60, 70})
+  void rulesHoldUnderFaults(long firstSeed) {
+    for (long seed = firstSeed; seed < firstSeed + SEEDS_PER_BLOCK; seed++) {
+      DispatchSimulation simulation = new DispatchSimulation(seed);
+      simulation.run(20_000);
+      assertThat(simulation.violations()).as("seed %d", seed).isEmpty();
+      assertThat(simulation.executions()).as("seed %d executes work", seed).isGreaterThan(300);
+    }
+  }
+}
