--- a/src/main/java/io/coltsfootwheel/tool/BurnRates.java
+++ b/src/main/java/io/coltsfootwheel/tool/BurnRates.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.tool;
 
+import io.coltsfootwheel.api.OperatorApi;
 import java.time.Duration;
 import java.util.Optional;
 
--- a/src/main/java/io/coltsfootwheel/tool/CommandLineTool.java
+++ b/src/main/java/io/coltsfootwheel/tool/CommandLineTool.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.tool;
 
+import io.coltsfootwheel.api.OperatorApi;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.net.URLEncoder;
--- a/src/main/java/io/coltsfootwheel/tool/ListContents.java
+++ b/src/main/java/io/coltsfootwheel/tool/ListContents.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.tool;
 
+import io.coltsfootwheel.api.OperatorApi;
 import io.coltsfootwheel.model.Allowance;
 import io.coltsfootwheel.model.CustomerId;
 import io.coltsfootwheel.model.PlanName;
--- a/src/main/java/io/coltsfootwheel/tool/ListsCommand.java
+++ b/src/main/java/io/coltsfootwheel/tool/ListsCommand.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.tool;
 
+import io.coltsfootwheel.api.OperatorApi;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/main/java/io/coltsfootwheel/tool/OperatorClient.java
+++ b/src/main/java/io/coltsfootwheel/tool/OperatorClient.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.tool;
 
+import io.coltsfootwheel.api.OperatorApi;
 import io.coltsfootwheel.model.Address;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
--- a/src/main/java/io/coltsfootwheel/tool/Render.java
+++ b/src/main/java/io/coltsfootwheel/tool/Render.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.tool;
 
+import io.coltsfootwheel.api.OperatorApi;
 import java.util.List;
 import java.util.stream.Collectors;
 
--- a/src/test/java/io/coltsfootwheel/tool/BurnReportTest.java
+++ b/src/test/java/io/coltsfootwheel/tool/BurnReportTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import io.coltsfootwheel.api.OperatorApi;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
