Tell the entry router of contact with the control group

Cause: the router refuses requests after 3 s without contact; the reducer had a second check of the same bound. The second check is removed. Compiles; not run yet.

--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -4,11 +4,10 @@
 import io.coltsfootwheel.control.DispatchGrant;
 import io.coltsfootwheel.control.TargetEntry;
 import io.coltsfootwheel.dispatch.DispatchEvent;
-import io.coltsfootwheel.dispatch.EntryEffect;
 import io.coltsfootwheel.dispatch.EntryEvent;
-import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.Renewal;
+import io.coltsfootwheel.model.RenewalAck;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -23,7 +22,6 @@
  * sends to itself without a link. It is not safe for use by several threads.
  */
 final class InstanceReducer {
-  private static final long STALE_RETRY_MILLIS = 500;
   private static final long LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final InstanceId self;
@@ -106,7 +104,7 @@
     } else if (event instanceof InstanceEvent.Dispatch dispatch) {
       take(nowNanos, requests.apply(dispatch.event()), effects);
     } else if (event instanceof InstanceEvent.Entry entry) {
-      enter(nowNanos, entry.event(), effects);
+      take(nowNanos, requests.apply(entry.event()), effects);
     } else if (event instanceof InstanceEvent.MessageReceived received) {
       receive(nowNanos, received.from(), received.message(), effects);
     } else if (event instanceof InstanceEvent.ProposalRequested requested) {
@@ -169,26 +167,10 @@
     return grant.holder().equals(self) && grant.session().equals(lease.session());
   }
 
-  private void enter(long nowNanos, EntryEvent event, List<InstanceEffect> effects) {
-    if (event instanceof EntryEvent.RequestArrived arrived && lease.isStale(nowNanos)) {
-      effects.add(
-          new InstanceEffect.Entry(
-              new EntryEffect.Refuse(
-                  arrived.request().requestNumber(),
-                  ErrorKind.NO_LEASE,
-                  STALE_RETRY_MILLIS,
-                  "the lists of this instance may be outdated")));
-      return;
-    }
-    take(nowNanos, requests.apply(event), effects);
-  }
-
   private void receive(
       long nowNanos, InstanceId from, ControlMessage message, List<InstanceEffect> effects) {
     if (message instanceof ControlMessage.RenewAck acked) {
-      lease
-          .acknowledged(nowNanos, from, acked.ack(), state.appliedIndex())
-          .ifPresent(until -> extendLease(nowNanos, until, effects));
+      acknowledged(nowNanos, from, acked.ack(), effects);
     } else if (message instanceof ControlMessage.Proposed proposed) {
       proposed
           .result()
@@ -205,21 +187,34 @@
           .flatMap(f -> f.install(state, snapshot))
           .ifPresent(newer -> publish(nowNanos, newer, effects));
     } else if (message instanceof ControlMessage.TokensRequested request) {
-      enter(
+      take(
           nowNanos,
-          new EntryEvent.TokensRequested(
-              nowNanos, from, request.customer(), request.tokens(), request.permits()),
+          requests.apply(
+              new EntryEvent.TokensRequested(
+                  nowNanos, from, request.customer(), request.tokens(), request.permits())),
           effects);
     } else if (message instanceof ControlMessage.TokensGranted grant) {
-      enter(
+      take(
           nowNanos,
-          new EntryEvent.TokensGranted(nowNanos, grant.customer(), grant.tokens(), grant.permits()),
+          requests.apply(
+              new EntryEvent.TokensGranted(
+                  nowNanos, grant.customer(), grant.tokens(), grant.permits())),
           effects);
     } else {
       member.ifPresent(part -> take(nowNanos, part.receive(nowNanos, from, message), effects));
     }
   }
 
+  private void acknowledged(
+      long nowNanos, InstanceId from, RenewalAck ack, List<InstanceEffect> effects) {
+    lease
+        .acknowledged(nowNanos, from, ack, state.appliedIndex())
+        .ifPresent(until -> extendLease(nowNanos, until, effects));
+    if (!lease.isBehind(nowNanos, 0)) {
+      take(nowNanos, requests.apply(new EntryEvent.ControlContact(nowNanos)), effects);
+    }
+  }
+
   private void extendLease(long nowNanos, long untilNanos, List<InstanceEffect> effects) {
     take(nowNanos, requests.apply(new DispatchEvent.LeaseExtended(nowNanos, untilNanos)), effects);
   }
