--- a/src/main/java/io/coltsfootwheel/dispatch/IdentityTable.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/IdentityTable.java
@@ -15,6 +15,8 @@
  * request that ends as not run leaves none.
  */
 final class IdentityTable {
+  private static final long NO_STAMP = -1;
+
   /** Refusal of a request because of its identity. */
   record Refusal(ErrorKind kind, String detail) {}
 
@@ -24,15 +26,18 @@
     UNKNOWN
   }
 
+  /** Fields instead of the request's objects keep a record small; there are many. */
   private static final class Entry {
-    private final RequestIdentity identity;
+    private final String value;
+    private final long stamp;
     private State state = State.RUNNING;
     private short httpStatus;
     private ErrorKind unknownKind;
     private long endedNanos;
 
     private Entry(RequestIdentity identity) {
-      this.identity = identity;
+      this.value = identity.value();
+      this.stamp = identity.stamp().orElse(NO_STAMP);
     }
   }
 
@@ -41,7 +46,7 @@
   private final int maxRecords;
   private final long retentionNanos;
   private final long createdNanos;
-  private long droppedStamp = -1;
+  private long droppedStamp = NO_STAMP;
 
   IdentityTable(DispatchSettings settings, long createdNanos) {
     this.maxRecords = settings.identityRecords();
@@ -105,8 +110,8 @@
   void expire(long nowNanos) {
     while (!ended.isEmpty() && nowNanos - ended.peekFirst().endedNanos >= retentionNanos) {
       Entry entry = ended.removeFirst();
-      if (entries.remove(entry.identity.value(), entry)) {
-        droppedStamp = Math.max(droppedStamp, entry.identity.stamp().orElse(-1));
+      if (entries.remove(entry.value, entry)) {
+        droppedStamp = Math.max(droppedStamp, entry.stamp);
       }
     }
   }
