--- a/src/main/java/io/coltsfootwheel/edge/NettyOperatorServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyOperatorServer.java
@@ -1,17 +1,129 @@
 package io.coltsfootwheel.edge;
 
 import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.ErrorKind;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
 
 /** Server over Reactor Netty. */
 final class NettyOperatorServer implements OperatorServer {
-  NettyOperatorServer(String host, int port, String token, List<OperatorRoute> routes) {}
+  /** Both lists are sent in full; the bound keeps a wrong upload from taking the memory. */
+  private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+  private static final String BEARER = "Bearer ";
+  private static final String JSON = "application/json";
+  private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(75);
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+  private final String host;
+  private final int port;
+  private final byte[] token;
+  private final List<RouteMatcher> routes;
+
+  private volatile DisposableServer server;
+
+  NettyOperatorServer(String host, int port, String token, List<OperatorRoute> routes) {
+    this.host = host;
+    this.port = port;
+    this.token = token.getBytes(StandardCharsets.UTF_8);
+    this.routes = routes.stream().map(RouteMatcher::new).toList();
+  }
 
   @Override
   public Address start() {
-    throw new UnsupportedOperationException("start");
+    try {
+      server =
+          HttpServer.create()
+              .host(host)
+              .port(port)
+              .idleTimeout(IDLE_TIMEOUT)
+              .handle(this::handle)
+              .bindNow();
+    } catch (RuntimeException e) {
+      throw ColtsfootwheelException.of(
+          ErrorKind.INVALID_SETTINGS,
+          "operator address " + host + ":" + port + " cannot be bound",
+          e);
+    }
+    return new Address(host, server.port());
   }
 
   @Override
-  public void close() {}
+  public void close() {
+    DisposableServer open = server;
+    if (open != null) {
+      open.disposeNow(CLOSE_TIMEOUT);
+    }
+  }
+
+  private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    return Mono.defer(() -> route(request))
+        .onErrorResume(error -> Mono.just(asResponse(response, error)))
+        .flatMap(result -> write(response, result));
+  }
+
+  /** The token is checked before the path, so that strangers cannot tell which routes exist. */
+  private Mono<OperatorResponse> route(HttpServerRequest request) {
+    QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+    String method = request.method().name();
+    for (RouteMatcher matcher : routes) {
+      Optional<Map<String, String>> parameters = matcher.match(method, uri.path());
+      if (parameters.isPresent() && (matcher.route().open() || isAuthorized(request))) {
+        return BodyReader.read(request, MAX_BODY_BYTES)
+            .defaultIfEmpty(BodyReader.EMPTY)
+            .map(body -> new OperatorRequest(parameters.get(), uri.parameters(), body))
+            .flatMap(matcher.route().handler());
+      }
+    }
+    return Mono.error(
+        isAuthorized(request)
+            ? ColtsfootwheelException.of(
+                ErrorKind.NOT_FOUND, "no endpoint " + method + " " + uri.path())
+            : ColtsfootwheelException.of(
+                ErrorKind.UNAUTHORIZED, "operator token is missing or wrong"));
+  }
+
+  private boolean isAuthorized(HttpServerRequest request) {
+    String value = request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION);
+    return value != null
+        && value.regionMatches(true, 0, BEARER, 0, BEARER.length())
+        && token.length > 0
+        && MessageDigest.isEqual(
+            token, value.substring(BEARER.length()).trim().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static OperatorResponse asResponse(HttpServerResponse response, Throwable error) {
+    CallerResponse.Error known = ResponseWriter.asError(response, error);
+    return new OperatorResponse(
+        known.kind().httpStatus(),
+        new EdgeJson.ErrorBody(
+            known.kind().code(), known.outcome().text(), known.detail(), known.kind().remedy()));
+  }
+
+  private static Mono<Void> write(HttpServerResponse response, OperatorResponse result) {
+    boolean text = result.content() instanceof String;
+    byte[] body =
+        text
+            ? ((String) result.content()).getBytes(StandardCharsets.UTF_8)
+            : EdgeJson.write(result.content());
+    response
+        .status(result.status())
+        .header(HttpHeaderNames.CONTENT_TYPE, text ? TEXT : JSON)
+        .header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+    return response.send(Mono.just(Unpooled.wrappedBuffer(body))).then();
+  }
 }
--- a/src/main/java/io/coltsfootwheel/link/Handshake.java
+++ b/src/main/java/io/coltsfootwheel/link/Handshake.java
@@ -25,6 +25,14 @@
     RANDOM.nextBytes(nonce);
   }
 
+  /** Loads cryptography and codec, so that the first peers do not time out in a new process. */
+  static void warmUp(LinkSettings settings) {
+    Handshake opener = new Handshake(settings);
+    Handshake acceptor = new Handshake(settings);
+    Hello opening = Hello.decode(opener.opening(LinkChannel.CONTROL).toFrame().payload());
+    opener.isAcceptanceProven(acceptor.acceptance(opening));
+  }
+
   Hello opening(LinkChannel channel) {
     return hello(channel, new byte[0]);
   }
--- a/src/main/java/io/coltsfootwheel/link/InboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/InboundHandler.java
@@ -38,7 +38,7 @@
   public void handlerAdded(ChannelHandlerContext context) {
     context
         .executor()
-        .schedule(() -> expire(context), settings.connectMillis(), TimeUnit.MILLISECONDS);
+        .schedule(() -> expire(context), settings.handshakeMillis(), TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/io/coltsfootwheel/link/LinkSettings.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkSettings.java
@@ -12,7 +12,7 @@
  * @param port port to listen on, 0 for any free port
  * @param key shared key of the cluster
  * @param queueBytes bound of the outbound queue for each peer and channel
- * @param connectMillis bound of the time to connect and to complete the handshake
+ * @param connectMillis bound of the time to connect; the handshake may take four times as long
  * @param idleMillis time without frames after which a data connection is closed
  * @param seed seed of the jitter between attempts to connect
  */
@@ -36,6 +36,13 @@
   /** Above the largest deadline of a request (60 s), so no request is in flight when it closes. */
   public static final long DEFAULT_IDLE_MILLIS = 120_000;
 
+  /** A peer that has just started loads classes and is slower than the network. */
+  private static final int HANDSHAKE_FACTOR = 4;
+
+  long handshakeMillis() {
+    return HANDSHAKE_FACTOR * connectMillis;
+  }
+
   /**
    * Returns settings with the default limits.
    *
--- a/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
@@ -26,7 +26,7 @@
   public void handlerAdded(ChannelHandlerContext context) {
     context
         .executor()
-        .schedule(() -> expire(context), settings.connectMillis(), TimeUnit.MILLISECONDS);
+        .schedule(() -> expire(context), settings.handshakeMillis(), TimeUnit.MILLISECONDS);
     Hello opening = handshake.opening(outbound.channel());
     context.writeAndFlush(FrameEncoder.encode(context.alloc(), opening.toFrame()));
   }
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -70,6 +70,7 @@
   @Override
   public synchronized Address start(LinkListener newListener) {
     listener = newListener;
+    Handshake.warmUp(settings);
     try {
       server =
           TcpServer.create()
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/edge/OperatorServerTest.java
@@ -0,0 +1,76 @@
+package io.coltsfootwheel.edge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.ErrorKind;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import reactor.core.publisher.Mono;
+
+@Timeout(30)
+class OperatorServerTest {
+  private static final List<OperatorRoute> ROUTES =
+      List.of(
+          OperatorRoute.open("/health", r -> Mono.just(new OperatorResponse(200, "ok"))),
+          OperatorRoute.of(
+              "GET",
+              "/v1/owner",
+              r -> Mono.just(new OperatorResponse(200, Map.of("key", r.queryValue("key"))))),
+          OperatorRoute.of(
+              "POST",
+              "/v1/targets/{id}/gone",
+              r ->
+                  Mono.just(
+                      new OperatorResponse(200, r.parameters().get("id") + new String(r.body())))),
+          OperatorRoute.of(
+              "GET",
+              "/v1/lists",
+              r -> Mono.error(ColtsfootwheelException.of(ErrorKind.CONFLICT, "revision 3"))));
+
+  /** Guards against control by strangers, and against errors without code and remedy. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "GET|/health||200|ok",
+        "GET|/v1/owner?service=s&key=a%20b|Bearer secret|200|{\"key\":\"a b\"}",
+        "GET|/v1/owner|Bearer secret|200|{\"key\":null}",
+        "POST|/v1/targets/t1/gone|bearer secret|200|t1body",
+        "GET|/v1/lists|Bearer secret|409|revision 3 (conflict; remedy: read the current lists",
+        "GET|/v1/owner||401|unauthorized",
+        "GET|/v1/owner|Bearer wrong|401|unauthorized",
+        "GET|/v1/owner|Basic secret|401|unauthorized",
+        "POST|/v1/targets/t1/gone|Bearer|401|unauthorized",
+        "GET|/v1/nothing||401|unauthorized",
+        "GET|/v1/nothing|Bearer secret|404|not-found",
+        "POST|/health|Bearer secret|404|not-found"
+      })
+  void routes(String method, String path, String token, int status, String text) throws Exception {
+    try (OperatorServer server = OperatorServer.of("127.0.0.1", 0, "secret", ROUTES)) {
+      Address address = server.start();
+      HttpRequest.Builder request =
+          HttpRequest.newBuilder(URI.create("http://" + address + path))
+              .method(
+                  method,
+                  method.equals("POST")
+                      ? HttpRequest.BodyPublishers.ofString("body")
+                      : HttpRequest.BodyPublishers.noBody());
+      if (token != null) {
+        request.header("Authorization", token);
+      }
+      HttpResponse<String> response =
+          HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
+      assertThat(response.statusCode()).isEqualTo(status);
+      assertThat(response.body()).contains(text);
+    }
+  }
+}
