Skip log entries without a command

Cause: the no-op entry at the start of a term was decoded as a command, and the decision loop stopped the instance.

--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -218,7 +218,10 @@
     } else if (effect instanceof ReplicationEffect.PersistSnapshot persist) {
       effects.add(new InstanceEffect.PersistSnapshot(persist));
     } else if (effect instanceof ReplicationEffect.ApplyCommitted committed) {
-      applyCommitted(nowNanos, committed, effects);
+      // Entries of the log itself, such as the no-op of a new term, carry no command.
+      if (committed.bytes().length > 0) {
+        applyCommitted(nowNanos, committed, effects);
+      }
     } else if (effect instanceof ReplicationEffect.InstallSnapshot snapshot) {
       install(nowNanos, snapshot, effects);
     } else if (effect instanceof ReplicationEffect.ProposalCommitted committed) {
