--- a/src/main/java/io/coltsfootwheel/dispatch/AdmissionLimiter.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/AdmissionLimiter.java
@@ -83,7 +83,7 @@
    */
   Optional<Refusal> admit(
       long nowNanos, Optional<CustomerId> customer, ServiceName service, List<EntryEffect> out) {
-    if (lists.plans().isEmpty() && lists.allowances().isEmpty()) {
+    if (!isLimiting()) {
       return Optional.empty();
     }
     Optional<Allowance> allowance = customer.flatMap(lists::allowanceOf);
@@ -99,6 +99,11 @@
     return refusal;
   }
 
+  /** Tells whether there are lists; without them admission takes no permits. */
+  boolean isLimiting() {
+    return !lists.plans().isEmpty() || !lists.allowances().isEmpty();
+  }
+
   /** Gives the permit of an admitted request back. */
   void released(Optional<CustomerId> customer) {
     Share share = customer.map(shares::get).orElse(null);
--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchReducer.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchReducer.java
@@ -100,6 +100,17 @@
     return reports;
   }
 
+  /**
+   * Returns the load of a target as a hint for entries, sent with each response.
+   *
+   * @param target a target
+   * @return requests in flight and queued, 0 when this instance does not dispatch to it
+   */
+  public int loadOf(TargetId target) {
+    TargetDispatcher dispatcher = dispatchers.get(target);
+    return dispatcher == null ? 0 : dispatcher.load();
+  }
+
   private void offered(DispatchEvent.RequestOffered event, List<DispatchEffect> out) {
     DispatchRequest request = event.request();
     if (requests.containsKey(request.requestId())) {
--- a/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
@@ -62,6 +62,7 @@
 
   private static final class Pending {
     private final EntryRequest request;
+    private final boolean holdsPermit;
     private Optional<Route> route = Optional.empty();
     private Problem problem;
     private int attempt;
@@ -70,8 +71,9 @@
     private boolean waiting;
     private boolean bridging;
 
-    private Pending(EntryRequest request) {
+    private Pending(EntryRequest request, boolean holdsPermit) {
       this.request = request;
+      this.holdsPermit = holdsPermit;
     }
   }
 
@@ -172,7 +174,7 @@
       return;
     }
     budget.firstTry(nowNanos);
-    Pending pending = new Pending(request);
+    Pending pending = new Pending(request, limiter.isLimiting());
     pendings.put(request.requestNumber(), pending);
     route(nowNanos, pending, out);
   }
@@ -354,7 +356,9 @@
   private void finish(Pending pending) {
     stopWaiting(pending);
     pendings.remove(pending.request.requestNumber());
-    limiter.released(pending.request.customer());
+    if (pending.holdsPermit) {
+      limiter.released(pending.request.customer());
+    }
   }
 
   private void stopWaiting(Pending pending) {
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -75,6 +75,10 @@
     return fence;
   }
 
+  int load() {
+    return ledger.inFlight() + queue.size();
+  }
+
   /** Tells whether a closed dispatcher has settled everything that it can. */
   boolean isSettled() {
     return ledger.inFlight() == 0;
--- a/src/test/java/io/coltsfootwheel/dispatch/DispatchReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/dispatch/DispatchReducerTest.java
@@ -88,6 +88,7 @@
       warm.offer(id, 0, 5_000);
     }
     assertThat(warm.sent()).containsExactly("a", "b");
+    assertThat(warm.reducer.loadOf(DispatchFixture.T1)).isEqualTo(3);
     warm.reply("a", DONE);
     assertThat(warm.sent()).containsExactly("a", "b", "c");
   }
