--- a/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
@@ -46,7 +46,9 @@
   }
 
   Mono<TargetResult> send(TargetRequest request) {
-    return Mono.defer(() -> attempt(request));
+    // What fails before the client is subscribed to, such as an invalid method, wrote no byte.
+    return Mono.defer(() -> attempt(request))
+        .onErrorResume(error -> Mono.just(new TargetResult.NotSent(error.toString())));
   }
 
   private Mono<TargetResult> attempt(TargetRequest request) {
--- a/src/main/java/io/coltsfootwheel/link/LinkSettings.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkSettings.java
@@ -12,7 +12,7 @@
  * @param port port to listen on, 0 for any free port
  * @param key shared key of the cluster
  * @param queueBytes bound of the outbound queue for each peer and channel
- * @param connectMillis bound of the time to connect; the handshake may take four times as long
+ * @param connectMillis bound of the time to connect; the handshake may take ten times as long
  * @param idleMillis time without frames after which a data connection is closed
  * @param seed seed of the jitter between attempts to connect
  */
@@ -36,8 +36,12 @@
   /** Above the largest deadline of a request (60 s), so no request is in flight when it closes. */
   public static final long DEFAULT_IDLE_MILLIS = 120_000;
 
-  /** A peer that has just started loads classes and is slower than the network. */
-  private static final int HANDSHAKE_FACTOR = 4;
+  /**
+   * A peer that has just started, or whose event loops are saturated, answers later than its
+   * network. With four times the connect time, the first connection for credit to a saturated
+   * dispatcher timed out and ended its responses.
+   */
+  private static final int HANDSHAKE_FACTOR = 10;
 
   long handshakeMillis() {
     return HANDSHAKE_FACTOR * connectMillis;
--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -72,6 +72,39 @@
     }
   }
 
+  /** Guards against a path that is changed, or taken for the address of another server. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "//other.invalid/x",
+        "/a/../b",
+        "/a//b",
+        "/?q",
+        "/a%2Fb?x=%20&y=http://z.invalid/"
+      })
+  void keepsPath(String uri) throws Exception {
+    try (RawServer server = server(RawServer.response(200, "", ""))) {
+      client.open(TARGET, server.address(), 1);
+      TargetRequest request =
+          new TargetRequest("r", 1, -1, 100, Optional.empty(), "GET", uri, List.of(), new byte[0]);
+      assertThat(client.send(TARGET, request).block()).isInstanceOf(TargetResult.Responded.class);
+      assertThat(server.heads().get(0)).startsWith("GET " + uri + " HTTP/1.1\r\n");
+    }
+  }
+
+  /** Guards against an error signal or an unknown outcome for a request that cannot be written. */
+  @ParameterizedTest
+  @CsvSource({"G T,/", "GET,/a b"})
+  void invalidRequestIsNotSent(String method, String uri) throws Exception {
+    try (RawServer server = server(RawServer.response(200, "", ""))) {
+      client.open(TARGET, server.address(), 1);
+      TargetRequest request =
+          new TargetRequest("r", 1, -1, 100, Optional.empty(), method, uri, List.of(), new byte[0]);
+      assertThat(client.send(TARGET, request).block()).isInstanceOf(TargetResult.NotSent.class);
+      assertThat(server.heads()).isEmpty();
+    }
+  }
+
   /** Guards against a refusal being reported as an unknown outcome, or the reverse. */
   @ParameterizedTest
   @CsvSource({
