--- a/src/main/java/io/coltsfootwheel/tool/LoadSender.java
+++ b/src/main/java/io/coltsfootwheel/tool/LoadSender.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -82,38 +83,43 @@
     return stamp.get();
   }
 
-  /** Sends a request, and again while it was not run and the plan allows it. */
+  /** Sends a request, and again until its deadline while it was not run and the plan allows it. */
   Mono<Sent> send(LoadRequest request) {
-    return send(request, 1);
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(plan.deadlineMillis());
+    return send(request, 1, deadlineNanos);
   }
 
-  private Mono<Sent> send(LoadRequest request, int sends) {
+  /** The time left is taken when the send begins, so the delay before a resend counts. */
+  private Mono<Sent> send(LoadRequest request, int sends, long deadlineNanos) {
     Address entry = plan.entry(request.number() + sends - 1);
-    return sendOnce(request, entry)
+    long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+    return sendOnce(request, entry, Math.max(1, leftMillis))
         .flatMap(
             answer -> {
-              if (answer.isNotRun() && sends <= plan.resendsOnNotRun()) {
-                return Mono.delay(RESEND_DELAY).then(send(request, sends + 1));
+              boolean inTime = System.nanoTime() - deadlineNanos < 0;
+              if (answer.isNotRun() && inTime && sends <= plan.resendsOnNotRun()) {
+                return Mono.delay(RESEND_DELAY)
+                    .then(Mono.defer(() -> send(request, sends + 1, deadlineNanos)));
               }
               return Mono.just(new Sent(answer, sends));
             });
   }
 
-  private Mono<Answer> sendOnce(LoadRequest request, Address entry) {
+  private Mono<Answer> sendOnce(LoadRequest request, Address entry, long leftMillis) {
     HttpMethod method = request.isIdempotent() ? HttpMethod.GET : HttpMethod.POST;
     Mono<String> body = request.isIdempotent() ? Mono.empty() : Mono.just(request.id());
-    return http.headers(headers -> setHeaders(headers, request))
+    return http.headers(headers -> setHeaders(headers, request, leftMillis))
         .request(method)
         .uri("http://" + entry + "/s/" + request.service() + "/load")
         .send(ByteBufFlux.fromString(body))
         .responseSingle(
             (head, bytes) -> bytes.asString().defaultIfEmpty("").map(text -> answer(head, text)))
-        .timeout(Duration.ofMillis(plan.deadlineMillis()).plus(GRACE))
+        .timeout(Duration.ofMillis(leftMillis).plus(GRACE))
         .onErrorResume(failure -> Mono.just(failed(failure)));
   }
 
-  private void setHeaders(HttpHeaders headers, LoadRequest request) {
-    headers.set(LOAD_REQUEST, request.id()).set(DEADLINE, plan.deadlineMillis());
+  private void setHeaders(HttpHeaders headers, LoadRequest request, long leftMillis) {
+    headers.set(LOAD_REQUEST, request.id()).set(DEADLINE, leftMillis);
     Map.of(KEY, request.key(), IDENTITY, request.identity(), CUSTOMER, plan.customer())
         .forEach(
             (name, value) -> {
--- a/src/test/java/io/coltsfootwheel/tool/LoadDriverTest.java
+++ b/src/test/java/io/coltsfootwheel/tool/LoadDriverTest.java
@@ -49,6 +49,19 @@
     }
   }
 
+  /** Resends beyond the deadline kept a run alive long after its last request was due. */
+  @Test
+  void resendsEndAtTheDeadline() throws InterruptedException {
+    StubServer.Reply refusal =
+        new StubServer.Reply(503, Map.of("Coltsfootwheel-Outcome", "not-run"), ERROR);
+    try (StubServer server = new StubServer(refusal)) {
+      LoadPlan plan = plan(server.address(), 1, 0, 1_000, 300);
+      RequestRecord record = new LoadDriver(plan).run().get(0);
+      assertThat(record.result()).isEqualTo(LoadResult.LOST_NOT_RUN);
+      assertThat(record.sends()).isLessThan(1_000);
+    }
+  }
+
   @Test
   void refusedConnectionWasNotRun() throws InterruptedException {
     StubServer server = new StubServer(StubServer.Reply.of(200, ""));
@@ -95,6 +108,11 @@
   }
 
   private static LoadPlan plan(String entry, int rate, double nonIdempotent, int resends) {
+    return plan(entry, rate, nonIdempotent, resends, 5_000);
+  }
+
+  private static LoadPlan plan(
+      String entry, int rate, double nonIdempotent, int resends, int deadlineMillis) {
     return new LoadPlan(
         List.of(Address.parse(entry)),
         "ledger",
@@ -105,7 +123,7 @@
         10,
         0,
         nonIdempotent,
-        5_000,
+        deadlineMillis,
         5_000,
         resends,
         1,
