--- a/src/main/java/io/coltsfootwheel/link/LinkSettings.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkSettings.java
@@ -37,9 +37,8 @@
   public static final long DEFAULT_IDLE_MILLIS = 120_000;
 
   /**
-   * A peer that has just started, or whose event loops are saturated, answers later than its
-   * network. With four times the connect time, the first connection for credit to a saturated
-   * dispatcher timed out and ended its responses.
+   * A peer that has just started, or whose event loops are busy, answers later than its network.
+   * With a factor of 4, one handshake timed out in a test on a busy machine and ended responses.
    */
   private static final int HANDSHAKE_FACTOR = 10;
 
--- a/src/test/java/io/coltsfootwheel/edge/CallerServerTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/CallerServerTest.java
@@ -254,7 +254,7 @@
       byte[] buffer = new byte[1 << 16];
       long read = 0;
       while (read < parts * PART_BYTES) {
-        // Covers the socket buffers of both sides and the prefetch of the server.
+        // The socket buffers of both sides and the prefetch of the server fit in this.
         assertThat(produced.get() * PART_BYTES - read).isLessThan(24_000_000);
         read += in.read(buffer);
       }
@@ -312,11 +312,9 @@
                 + "\r\n\r\n"
                 + body);
     assertThat(response).startsWith("HTTP/1.1 " + status);
-    if (status == 200) {
-      assertThat(announced).containsExactly(texts);
-    } else {
+    assertThat(announced).containsExactly(status == 200 ? new String[] {texts} : new String[0]);
+    if (status != 200) {
       assertThat(response).contains(texts.split(","));
-      assertThat(announced).isEmpty();
     }
   }
 
@@ -365,7 +363,7 @@
     return exchange("GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   }
 
-  /** Reads until the connection ends; a reset ends the text like a close. */
+  /** Reads until the end; a reset ends the text like a close. */
   private String exchange(String request) throws IOException {
     try (Socket socket = new Socket(address.host(), address.port())) {
       socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
@@ -378,7 +376,7 @@
           read = socket.getInputStream().read(buffer);
         }
       } catch (IOException e) {
-        return text.toString();
+        // The text so far is the result.
       }
       return text.toString();
     }
