--- a/src/main/java/io/coltsfootwheel/tool/LoadSender.java
+++ b/src/main/java/io/coltsfootwheel/tool/LoadSender.java
@@ -1,6 +1,5 @@
 package io.coltsfootwheel.tool;
 
-import io.coltsfootwheel.api.OperatorApi;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.Outcome;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -143,7 +142,7 @@
 
   private static String code(String body) {
     try {
-      return ToolJson.read(body, OperatorApi.ApiError.class, "error").code();
+      return ToolJson.read(body, ErrorReply.class, "error").code();
     } catch (ToolException e) {
       return "unreadable";
     }
--- a/src/main/java/io/coltsfootwheel/tool/OperatorClient.java
+++ b/src/main/java/io/coltsfootwheel/tool/OperatorClient.java
@@ -1,6 +1,5 @@
 package io.coltsfootwheel.tool;
 
-import io.coltsfootwheel.api.OperatorApi;
 import io.coltsfootwheel.model.Address;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -61,18 +60,18 @@
    */
   static void requireSuccess(Response response) {
     if (response.status() > MAX_SUCCESS_STATUS) {
-      OperatorApi.ApiError error = errorOf(response);
+      ErrorReply error = errorOf(response);
       throw ToolException.of(
           ExitCode.ofError(error.code()),
-          error.message() + " (" + error.code() + "; remedy: " + error.remedy() + ")");
+          error.detail() + " (" + error.code() + "; remedy: " + error.remedy() + ")");
     }
   }
 
-  private static OperatorApi.ApiError errorOf(Response response) {
+  private static ErrorReply errorOf(Response response) {
     try {
-      return ToolJson.read(response.body(), OperatorApi.ApiError.class, "error");
+      return ToolJson.read(response.body(), ErrorReply.class, "error");
     } catch (ToolException e) {
-      return new OperatorApi.ApiError(
+      return new ErrorReply(
           "http-" + response.status(), response.body(), "check --server and the daemon's log");
     }
   }
--- a/src/test/java/io/coltsfootwheel/tool/CommandLineToolTest.java
+++ b/src/test/java/io/coltsfootwheel/tool/CommandLineToolTest.java
@@ -82,6 +82,17 @@
     }
   }
 
+  /** The fault was shown as "null" when the daemon named it in another field. */
+  @ParameterizedTest
+  @CsvSource({"detail", "message"})
+  void errorShowsItsDetailAndRemedy(String field) {
+    String body =
+        "{\"code\":\"no-quorum\",\"%s\":\"no majority\",\"remedy\":\"restart\"}".formatted(field);
+    try (StubServer server = new StubServer(StubServer.Reply.of(503, body))) {
+      assertThat(run(server, "members").err()).contains("no majority (no-quorum; remedy: restart)");
+    }
+  }
+
   @Test
   void statusShowsAlarmsAndUnknownLeader() {
     try (StubServer server = new StubServer(StubServer.Reply.of(200, STATUS))) {
