--- a/src/main/java/io/coltsfootwheel/dispatch/SendLedger.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/SendLedger.java
@@ -98,14 +98,15 @@
     return expired;
   }
 
-  /** Settles everything that an ended incarnation of the target can no longer execute. */
-  List<Sent> settleEndedIncarnation() {
+  /** Settles what was sent to an incarnation of the target that has ended. */
+  List<Sent> settleEndedIncarnation(long sentBeforeNanos) {
     List<Sent> settled = new ArrayList<>(unresolved.values());
     for (Sent sent : inFlight.values()) {
       if (sent.broken) {
         settled.add(sent);
       }
     }
+    settled.removeIf(sent -> sent.sentNanos - sentBeforeNanos > 0);
     settled.forEach(sent -> settle(sent.request.requestId()));
     return settled;
   }
--- a/src/main/java/io/coltsfootwheel/dispatch/SendOutcomes.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/SendOutcomes.java
@@ -28,8 +28,10 @@
     spec = newSpec;
   }
 
-  void incarnationEnded() {
-    ledger.settleEndedIncarnation().forEach(s -> requests.remove(s.request.requestId()));
+  void incarnationEnded(long sentBeforeNanos) {
+    ledger
+        .settleEndedIncarnation(sentBeforeNanos)
+        .forEach(s -> requests.remove(s.request.requestId()));
   }
 
   /** Drops a request that was accepted but not run. */
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.control.RoutingView;
 import io.coltsfootwheel.control.TargetEntry;
+import io.coltsfootwheel.model.ControlTiming;
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.Fence;
 import io.coltsfootwheel.model.ServiceSpec;
@@ -22,6 +23,11 @@
  * sent.
  */
 final class TargetDispatcher {
+  private static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(ControlTiming.LEASE_MILLIS);
+
+  /** Bound on the time from a target's first accepted request to its new incarnation's view. */
+  private static final long ANNOUNCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final DispatchSettings settings;
   private final Fence fence;
   private final SlotTable slots;
@@ -38,6 +44,7 @@
   private boolean shuttingDown;
   private boolean closed;
   private long leaseUntilNanos;
+  private final long createdNanos;
   private long lastReportNanos;
   private int sentSinceReport;
 
@@ -69,6 +76,7 @@
     this.requests = requests;
     this.outcomes = new SendOutcomes(spec, ledger, identities, requests);
     this.lastReportNanos = nowNanos;
+    this.createdNanos = nowNanos;
   }
 
   Fence fence() {
@@ -91,8 +99,10 @@
       TargetEntry entry,
       List<DispatchEffect> out) {
     if (!entry.spec().incarnation().equals(spec.incarnation())) {
-      seenIncarnationBegin = true;
-      outcomes.incarnationEnded();
+      // What was sent later may have reached the new process before the view showed it.
+      long sentBeforeNanos = leaseNanos - LEASE_NANOS - ANNOUNCE_NANOS;
+      seenIncarnationBegin |= createdNanos - sentBeforeNanos <= 0;
+      outcomes.incarnationEnded(sentBeforeNanos);
       limit = new ConcurrencyLimit(entry.spec().slots());
     }
     spec = entry.spec();
