--- a/src/main/java/io/coltsfootwheel/consensus/Configuration.java
+++ b/src/main/java/io/coltsfootwheel/consensus/Configuration.java
@@ -11,18 +11,12 @@
  *
  * @param voters members that count for quorums
  * @param learners members that receive the log and count for no quorum
- * @param removed latest members that were removed; they are not added again by a delayed message
  */
-public record Configuration(
-    List<MemberId> voters, List<MemberId> learners, List<MemberId> removed) {
-  /** Bounds the size of a configuration; a delayed message is far younger than 64 changes. */
-  private static final int MAX_REMOVED = 64;
-
+public record Configuration(List<MemberId> voters, List<MemberId> learners) {
   /** Copies the lists. */
   public Configuration {
     voters = List.copyOf(voters);
     learners = List.copyOf(learners);
-    removed = List.copyOf(removed);
   }
 
   /**
@@ -32,7 +26,7 @@
    * @return the configuration
    */
   public static Configuration of(List<MemberId> voters) {
-    return new Configuration(voters, List.of(), List.of());
+    return new Configuration(voters, List.of());
   }
 
   /**
@@ -90,7 +84,7 @@
    * @return the new configuration
    */
   public Configuration withLearner(MemberId member) {
-    return new Configuration(voters, plus(learners, member), minus(removed, member));
+    return new Configuration(voters, plus(learners, member));
   }
 
   /**
@@ -100,7 +94,7 @@
    * @return the new configuration
    */
   public Configuration withPromoted(MemberId member) {
-    return new Configuration(plus(voters, member), minus(learners, member), removed);
+    return new Configuration(plus(voters, member), minus(learners, member));
   }
 
   /**
@@ -110,9 +104,7 @@
    * @return the new configuration
    */
   public Configuration without(MemberId member) {
-    List<MemberId> gone = plus(minus(removed, member), member);
-    List<MemberId> latest = gone.subList(Math.max(0, gone.size() - MAX_REMOVED), gone.size());
-    return new Configuration(minus(voters, member), minus(learners, member), latest);
+    return new Configuration(minus(voters, member), minus(learners, member));
   }
 
   private static List<MemberId> plus(List<MemberId> list, MemberId member) {
--- a/src/main/java/io/coltsfootwheel/consensus/Election.java
+++ b/src/main/java/io/coltsfootwheel/consensus/Election.java
@@ -15,7 +15,7 @@
 
   /** Starts a pre-vote when no leader was heard for the election timeout. */
   void tick() {
-    if (core.isElectionTimerExpired() && core.isSelfVoter()) {
+    if (core.isElectionTimerExpired() && core.isEligible()) {
       startPreVote();
     }
   }
@@ -35,13 +35,15 @@
     }
   }
 
-  /** A member that missed the bootstrap must be able to vote before there is a leader. */
+  /**
+   * Configures voters that missed the bootstrap, because they must vote before there is a leader. A
+   * voter without any entry can only be an initial one, and it has promised nothing.
+   */
   private void resendInitialConfiguration() {
-    if (core.log.baseIndex() == 0) {
-      core.initialConfiguration()
-          .map(ReplicationMessage.Bootstrap::new)
-          .ifPresent(b -> core.otherVoters().forEach(m -> core.outbox.sendDurably(m, b)));
-    }
+    core.initialConfiguration()
+        .or(core.log::configuration)
+        .map(ReplicationMessage.Bootstrap::new)
+        .ifPresent(b -> core.otherVoters().forEach(m -> core.outbox.sendDurably(m, b)));
   }
 
   private void startElection() {
--- a/src/main/java/io/coltsfootwheel/consensus/FollowerProgress.java
+++ b/src/main/java/io/coltsfootwheel/consensus/FollowerProgress.java
@@ -9,6 +9,7 @@
   private long acknowledgedRound;
   private long heardNanos;
   private boolean heard;
+  private boolean probing = true;
   private Optional<SnapshotTransfer> transfer = Optional.empty();
 
   FollowerProgress(long nextIndex, long nowNanos) {
@@ -37,6 +38,11 @@
     return heard;
   }
 
+  /** Tells whether the point of agreement is unknown, so that one message at a time is sent. */
+  boolean isProbing() {
+    return probing;
+  }
+
   Optional<SnapshotTransfer> transfer() {
     return transfer;
   }
@@ -56,6 +62,7 @@
   }
 
   void matched(long index) {
+    probing = false;
     matchIndex = Math.max(matchIndex, index);
     nextIndex = Math.max(nextIndex, matchIndex + 1);
     transfer = transfer.filter(t -> t.snapshot().index() > matchIndex);
@@ -65,6 +72,7 @@
   boolean rejected(long rejectedIndex, long retryAfter) {
     boolean valid = rejectedIndex > matchIndex && rejectedIndex < nextIndex;
     if (valid) {
+      probing = true;
       nextIndex = Math.max(matchIndex, Math.min(retryAfter, rejectedIndex - 1)) + 1;
     }
     return valid;
--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.consensus;
 
 import io.coltsfootwheel.model.ControlCodec;
+import io.coltsfootwheel.model.InstanceId;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,6 +17,7 @@
 
   private final MemberCore core;
   private final Map<MemberId, FollowerProgress> progress = new HashMap<>();
+  private final Map<InstanceId, MemberId> presentIdentity = new HashMap<>();
   private final TreeMap<Long, Long> proposalAtIndex = new TreeMap<>();
   private final LeadershipRounds rounds = new LeadershipRounds();
   private long noOpIndex;
@@ -118,13 +120,25 @@
     }
   }
 
-  /** Returns the members to send to; of an instance only the identity that was added last. */
+  /** Returns the members to send to; of an instance only the identity that it has now. */
   private List<MemberId> receivers() {
-    Map<Object, MemberId> latest = new LinkedHashMap<>();
-    configuration().members().forEach(m -> latest.put(m.instance(), m));
-    return latest.values().stream()
-        .filter(m -> !m.instance().equals(core.self().instance()))
-        .toList();
+    Map<InstanceId, MemberId> receivers = new LinkedHashMap<>();
+    for (MemberId member : configuration().members()) {
+      if (!member.instance().equals(core.self().instance()) && !isReplaced(member)) {
+        receivers.put(member.instance(), member);
+      }
+    }
+    return List.copyOf(receivers.values());
+  }
+
+  /** Notes which disk identity an instance has now. */
+  void noteSender(MemberId from) {
+    presentIdentity.put(from.instance(), from);
+  }
+
+  private boolean isReplaced(MemberId member) {
+    MemberId present = presentIdentity.getOrDefault(member.instance(), member);
+    return !present.equals(member) && configuration().hasMember(present);
   }
 
   private void sendHeartbeat(MemberId to, FollowerProgress target) {
@@ -154,7 +168,7 @@
 
   private boolean hasRoomInFlight(FollowerProgress target) {
     long unacknowledged = target.nextIndex() - 1 - target.matchIndex();
-    return target.hasAnswered()
+    return !target.isProbing()
         && unacknowledged < (long) MAX_BATCHES_IN_FLIGHT * core.settings.maxBatchEntries();
   }
 
@@ -190,8 +204,9 @@
     if (response.accepted()) {
       target.matched(Math.min(response.matchIndex(), core.log.lastIndex()));
     } else if (target.rejected(response.rejectedIndex(), response.matchIndex())
+        && target.transfer().isEmpty()
         && !sendEntries(from, target)) {
-      sendHeartbeat(from, target);
+      sendAppend(from, target, nextBatch(target));
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/consensus/MemberCore.java
+++ b/src/main/java/io/coltsfootwheel/consensus/MemberCore.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.model.ErrorKind;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -88,8 +89,14 @@
     return initialConfiguration;
   }
 
-  boolean isSelfVoter() {
-    return log.configuration().filter(c -> c.hasVoter(self())).isPresent();
+  /**
+   * Tells whether this member may stand for election. A member whose removal is not known to be
+   * committed may, because only its log may be recent enough to complete the removal.
+   */
+  boolean isEligible() {
+    return Stream.of(log.configuration(), log.configurationAt(commitIndex))
+        .flatMap(Optional::stream)
+        .anyMatch(c -> c.hasVoter(self()));
   }
 
   boolean isVoter(MemberId member) {
@@ -100,9 +107,10 @@
     return log.configuration().filter(c -> c.hasMember(member)).isPresent();
   }
 
+  /** Returns the voters to send to; an old identity of this instance would be this member. */
   List<MemberId> otherVoters() {
     return log.configuration().map(Configuration::voters).orElse(List.of()).stream()
-        .filter(m -> !m.equals(self()))
+        .filter(m -> !m.instance().equals(self().instance()))
         .toList();
   }
 
--- a/src/main/java/io/coltsfootwheel/consensus/Membership.java
+++ b/src/main/java/io/coltsfootwheel/consensus/Membership.java
@@ -1,21 +1,20 @@
 package io.coltsfootwheel.consensus;
 
-import io.coltsfootwheel.model.InstanceId;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 
 /** Membership changes of a leader, on request and as repair of replaced disks. */
 final class Membership {
-  private record Newcomer(MemberId member, long heardNanos) {}
-
   private final MemberCore core;
   private final LeaderState leader;
-  private final Map<InstanceId, Newcomer> newcomers = new TreeMap<>();
+  private final long startNanos;
+  private final Map<MemberId, Long> heardNanos = new LinkedHashMap<>();
 
   Membership(MemberCore core, LeaderState leader) {
     this.core = core;
     this.leader = leader;
+    startNanos = core.now();
   }
 
   void change(ReplicationEvent.ChangeMembership event) {
@@ -70,16 +69,11 @@
         .isPresent();
   }
 
-  /** Notes a sender that is not a member, but whose instance has a voter with another disk. */
+  /** Notes which disk identities are in use, including those of senders that are no members. */
   void noteSender(MemberId from) {
-    Configuration present = leader.configuration();
-    boolean replaced =
-        !present.hasMember(from)
-            && !present.removed().contains(from)
-            && !from.instance().equals(core.self().instance())
-            && present.voterOf(from.instance()).isPresent();
-    if (replaced) {
-      newcomers.put(from.instance(), new Newcomer(from, core.now()));
+    leader.noteSender(from);
+    if (!from.instance().equals(core.self().instance())) {
+      heardNanos.put(from, core.now());
     }
   }
 
@@ -88,25 +82,46 @@
     if (!core.settings.repairsReplacedDisks() || !leader.isReady() || isChangeInProgress()) {
       return;
     }
-    newcomers.values().removeIf(n -> !isFresh(n) || leader.configuration().hasMember(n.member));
-    removeReplacedVoter()
+    heardNanos.keySet().removeIf(m -> !leader.configuration().hasMember(m) && isSilent(m));
+    removeReplaced()
         .or(this::promoteReplacement)
         .or(this::admitNewcomer)
         .ifPresent(next -> leader.changeConfiguration(next, Optional.empty()));
   }
 
-  private boolean isFresh(Newcomer newcomer) {
-    return core.now() - newcomer.heardNanos < core.settings.electionMaxNanos();
+  private boolean isHeard(MemberId member) {
+    return member.equals(core.self())
+        || core.now() - heardNanos.getOrDefault(member, startNanos)
+            < core.settings.electionMinNanos();
   }
 
-  private Optional<Configuration> removeReplacedVoter() {
+  /**
+   * A single delayed message must not make an old identity look like the present one, so the other
+   * identity must have been silent for longer than a heartbeat can be missing.
+   */
+  private boolean isSilent(MemberId member) {
+    return !member.equals(core.self())
+        && core.now() - heardNanos.getOrDefault(member, startNanos)
+            >= 2 * core.settings.electionMaxNanos();
+  }
+
+  /** Removes an old identity; that of a voter stays until the new one is a voter, too. */
+  private Optional<Configuration> removeReplaced() {
     Configuration present = leader.configuration();
-    return present.voters().stream()
-        .filter(m -> present.voters().stream().filter(o -> isSameInstance(m, o)).count() > 1)
+    return present.members().stream()
+        .filter(this::isSilent)
+        .filter(m -> present.members().stream().anyMatch(o -> replaces(o, m, present)))
         .findFirst()
         .map(present::without);
   }
 
+  private boolean replaces(MemberId other, MemberId member, Configuration present) {
+    return !other.equals(member)
+        && isSameInstance(other, member)
+        && isHeard(other)
+        && (present.hasVoter(other) || !present.hasVoter(member));
+  }
+
   private Optional<Configuration> promoteReplacement() {
     Configuration present = leader.configuration();
     return present.learners().stream()
@@ -120,15 +135,16 @@
 
   private Optional<Configuration> admitNewcomer() {
     Configuration present = leader.configuration();
-    return newcomers.values().stream()
+    return heardNanos.keySet().stream()
+        .filter(m -> !present.hasMember(m) && isHeard(m))
+        .filter(m -> present.voterOf(m.instance()).isPresent())
+        .filter(m -> present.members().stream().allMatch(o -> isOtherOrSilent(m, o)))
         .findFirst()
-        .map(
-            n ->
-                present.learners().stream()
-                    .filter(l -> isSameInstance(l, n.member))
-                    .findFirst()
-                    .map(present::without)
-                    .orElseGet(() -> present.withLearner(n.member)));
+        .map(present::withLearner);
+  }
+
+  private boolean isOtherOrSilent(MemberId newcomer, MemberId member) {
+    return !isSameInstance(newcomer, member) || isSilent(member);
   }
 
   private static boolean isSameInstance(MemberId one, MemberId other) {
--- a/src/main/java/io/coltsfootwheel/consensus/ReplicatedLog.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicatedLog.java
@@ -101,6 +101,10 @@
     return Optional.ofNullable(configurations.lastEntry()).map(e -> e.getValue());
   }
 
+  Optional<Configuration> configurationAt(long index) {
+    return Optional.ofNullable(configurations.floorEntry(index)).map(e -> e.getValue());
+  }
+
   long configurationIndex() {
     return configurations.isEmpty() ? 0 : configurations.lastKey();
   }
--- a/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
@@ -89,7 +89,7 @@
     if (event instanceof ReplicationEvent.Tick) {
       tick();
     } else if (event instanceof ReplicationEvent.MessageReceived received) {
-      receive(received.from(), received.message());
+      receiveFromOther(received.from(), received.message());
     } else if (event instanceof ReplicationEvent.Persisted persisted) {
       core.outbox.persisted(persisted.sequence()).forEach(m -> receive(core.self(), m));
     } else if (event instanceof ReplicationEvent.PersistFailed) {
@@ -142,6 +142,12 @@
     }
   }
 
+  private void receiveFromOther(MemberId from, ReplicationMessage message) {
+    if (!from.equals(core.self())) {
+      receive(from, message);
+    }
+  }
+
   private void receive(MemberId from, ReplicationMessage message) {
     membership.ifPresent(m -> m.noteSender(from));
     if (message instanceof ReplicationMessage.PreVoteRequest request) {
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/journal/JournalState.java
@@ -0,0 +1,44 @@
+package io.coltsfootwheel.journal;
+
+import io.coltsfootwheel.consensus.DurableState;
+import io.coltsfootwheel.consensus.HardState;
+import io.coltsfootwheel.consensus.LogEntry;
+import io.coltsfootwheel.consensus.ReplicationEffect;
+import io.coltsfootwheel.consensus.ReplicationSnapshot;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Content of the journal in memory, from which a new segment starts. */
+final class JournalState {
+  private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
+  private HardState hardState;
+  private Optional<ReplicationSnapshot> snapshot;
+
+  JournalState(DurableState start) {
+    hardState = start.hardState();
+    snapshot = start.snapshot();
+    start.entries().forEach(e -> entries.put(e.index(), e));
+  }
+
+  void apply(ReplicationEffect.Persist effect) {
+    effect.hardState().ifPresent(h -> hardState = h);
+    if (effect.truncateFrom() > 0) {
+      entries.tailMap(effect.truncateFrom(), true).clear();
+    }
+    effect.entries().forEach(e -> entries.put(e.index(), e));
+  }
+
+  void apply(ReplicationEffect.PersistSnapshot effect) {
+    snapshot = Optional.of(effect.snapshot());
+    if (effect.replacesLog()) {
+      entries.clear();
+    } else {
+      entries.headMap(effect.firstRetainedIndex(), false).clear();
+    }
+  }
+
+  DurableState content() {
+    return new DurableState(hardState, snapshot, List.copyOf(entries.values()));
+  }
+}
