--- a/src/main/java/io/coltsfootwheel/journal/SegmentFormat.java
+++ b/src/main/java/io/coltsfootwheel/journal/SegmentFormat.java
@@ -49,8 +49,10 @@
     }
     JournalState state = null;
     int valid = buffer.position();
-    while (isComplete(buffer)) {
-      byte[] payload = payload(file, buffer);
+    while (isValid(bytes, buffer.position())) {
+      byte[] payload = new byte[buffer.getInt()];
+      buffer.getInt();
+      buffer.get(payload);
       if (state == null) {
         state = new JournalState(ControlCodec.decode(payload, DurableState.class));
       } else {
@@ -58,29 +60,35 @@
       }
       valid = buffer.position();
     }
-    if (state == null) {
+    if (state == null || hasValidRecordAfter(bytes, valid)) {
       throw corrupt(file, valid);
     }
     return new Content(state, valid);
   }
 
-  private static boolean isComplete(ByteBuffer buffer) {
-    if (buffer.remaining() < RECORD_HEAD_BYTES) {
+  private static boolean isValid(byte[] bytes, int position) {
+    if (bytes.length - position < RECORD_HEAD_BYTES) {
       return false;
     }
-    int length = buffer.getInt(buffer.position());
-    return length >= 0 && length <= buffer.remaining() - RECORD_HEAD_BYTES;
+    ByteBuffer buffer = ByteBuffer.wrap(bytes).position(position);
+    int length = buffer.getInt();
+    int checksum = buffer.getInt();
+    if (length <= 0 || length > buffer.remaining()) {
+      return false;
+    }
+    CRC32C crc = new CRC32C();
+    crc.update(bytes, position + RECORD_HEAD_BYTES, length);
+    return checksum == (int) crc.getValue();
   }
 
-  private static byte[] payload(Path file, ByteBuffer buffer) {
-    int position = buffer.position();
-    byte[] payload = new byte[buffer.getInt()];
-    int checksum = buffer.getInt();
-    buffer.get(payload);
-    if (checksum != checksum(payload)) {
-      throw corrupt(file, position);
+  /** A torn tail has no valid record behind it; damage before the tail has. */
+  private static boolean hasValidRecordAfter(byte[] bytes, int position) {
+    for (int next = position + 1; next <= bytes.length - RECORD_HEAD_BYTES; next++) {
+      if (isValid(bytes, next)) {
+        return true;
+      }
     }
-    return payload;
+    return false;
   }
 
   private static ColtsfootwheelException corrupt(Path file, int position) {
--- a/src/test/java/io/coltsfootwheel/journal/JournalTest.java
+++ b/src/test/java/io/coltsfootwheel/journal/JournalTest.java
@@ -71,6 +71,33 @@
         .hasMessageContaining("journal-corrupt");
   }
 
+  /** Guards against cutting synced records when a length before the tail is damaged. */
+  @Test
+  void refusesDamagedLength() throws Exception {
+    long firstRecordEnd;
+    try (Journal journal = Journal.open(folder)) {
+      firstRecordEnd = Files.size(folder.resolve("segment"));
+      journal.persist(List.of(entry(1), entry(2)));
+    }
+    Path segment = folder.resolve("segment");
+    byte[] bytes = Files.readAllBytes(segment);
+    bytes[(int) firstRecordEnd] = 127;
+    Files.write(segment, bytes);
+    assertThatThrownBy(() -> Journal.open(folder))
+        .hasMessageContaining("damaged at byte " + firstRecordEnd);
+  }
+
+  /** Guards against misreading the format of a newer version. */
+  @Test
+  void refusesNewerVersion() throws Exception {
+    writeTwo();
+    Path segment = folder.resolve("segment");
+    byte[] bytes = Files.readAllBytes(segment);
+    bytes[3] = 9;
+    Files.write(segment, bytes);
+    assertThatThrownBy(() -> Journal.open(folder)).hasMessageContaining("format version 9");
+  }
+
   /** Guards against two processes that write one journal. */
   @Test
   void refusesSecondOpen() {
