End grants on the target's own clock

Cause: the life of a grant counted from its arrival. A frozen target that thaws reads a grant and a request that waited in its socket, and executed under hash slots that had moved. The fake target hid this: it counted from the arrival at the host. Change: a target answers with the reading of its clock, and a grant names the end of its validity on that clock. A grant that had ended when it was read only fetches the reading; the next one follows at once. Ruled out: a wait for the end of the freeze (no bound); requiring a new fence for each move (every handover would interrupt all slots of the target).

--- a/src/main/java/io/coltsfootwheel/daemon/DispatchDriver.java
+++ b/src/main/java/io/coltsfootwheel/daemon/DispatchDriver.java
@@ -261,7 +261,7 @@
       return;
     }
     targets
-        .grant(grant.target(), self, grant.fence().value(), grant.ttlMillis())
+        .grant(grant.target(), self, grant.fence().value(), grant.validUntilMillis())
         .subscribe(result -> granted(grant.target(), grant.fence(), result));
   }
 
@@ -274,7 +274,8 @@
               target,
               Fence.of(granted.fence()),
               granted.running(),
-              granted.runningOlder()));
+              granted.runningOlder(),
+              granted.clockMillis()));
     } else if (result instanceof GrantResult.Outdated) {
       post(new DispatchEvent.GrantRejected(nowNanos, target, Fence.of(sent.value() + 1)));
     } else {
--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchEffect.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchEffect.java
@@ -43,11 +43,12 @@
    *
    * @param target the target
    * @param fence dispatch fence
-   * @param ttlMillis life of the grant from its arrival
+   * @param validUntilMillis end of the grant on the target's monotonic clock, 0 for a grant that
+   *     only fetches the clock's reading
    * @param sendBeforeNanos time after which the driver writes nothing and reports {@link
    *     DispatchEvent.GrantFailed}; the wait before a release counts from it
    */
-  record SendGrant(TargetId target, Fence fence, int ttlMillis, long sendBeforeNanos)
+  record SendGrant(TargetId target, Fence fence, long validUntilMillis, long sendBeforeNanos)
       implements DispatchEffect {}
 
   /**
--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchEvent.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchEvent.java
@@ -67,8 +67,10 @@
    * @param fence fence of the accepted grant
    * @param running requests running under this fence
    * @param runningOlder requests still running under older fences
+   * @param clockMillis reading of the target's monotonic clock in its answer
    */
-  record GrantAnswered(long nowNanos, TargetId target, Fence fence, int running, int runningOlder)
+  record GrantAnswered(
+      long nowNanos, TargetId target, Fence fence, int running, int runningOlder, long clockMillis)
       implements DispatchEvent {}
 
   /**
--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchReducer.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchReducer.java
@@ -216,14 +216,13 @@
       TargetDispatcher dispatcher = dispatchers.get(answered.target());
       if (dispatcher != null) {
         long now = answered.nowNanos();
-        dispatcher.grantAnswered(
-            now, leaseNanos(now), answered.fence(), answered.runningOlder(), out);
+        dispatcher.grantAnswered(now, leaseNanos(now), answered, out);
       }
     } else if (event instanceof DispatchEvent.ProbeAnswered answered) {
       TargetDispatcher dispatcher = dispatchers.get(answered.target());
       if (dispatcher != null) {
         long now = answered.nowNanos();
-        dispatcher.grantAnswered(now, leaseNanos(now), dispatcher.fence(), 0, out);
+        dispatcher.probeAnswered(now, leaseNanos(now), out);
       }
     } else if (event instanceof DispatchEvent.GrantRejected rejected) {
       Optional.ofNullable(dispatchers.get(rejected.target()))
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetContact.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetContact.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.model.TargetSpec;
 import io.coltsfootwheel.model.TargetStatus;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -37,6 +38,8 @@
   private final Fence fence;
   private TargetSpec spec;
   private TargetStatus status;
+  private OptionalLong clockMillis = OptionalLong.empty();
+  private long validUntilMillis;
   private long lastSentNanos;
   private long lastWrittenNanos;
   private long answeredSendNanos;
@@ -60,6 +63,9 @@
   }
 
   void viewChanged(TargetSpec newSpec, TargetStatus newStatus) {
+    if (!newSpec.incarnation().equals(spec.incarnation())) {
+      clockMillis = OptionalLong.empty();
+    }
     spec = newSpec;
     status = newStatus;
   }
@@ -76,25 +82,46 @@
     }
     long sendBeforeNanos = Math.min(nowNanos + WRITE_NANOS, leaseUntilNanos);
     if (spec.checksFences()) {
-      out.add(
-          new DispatchEffect.SendGrant(
-              spec.id(), fence, ControlTiming.GRANT_TTL_MILLIS, sendBeforeNanos));
+      validUntilMillis =
+          clockMillis.isPresent() ? clockMillis.getAsLong() + ControlTiming.GRANT_TTL_MILLIS : 0;
+      out.add(new DispatchEffect.SendGrant(spec.id(), fence, validUntilMillis, sendBeforeNanos));
     } else {
       out.add(new DispatchEffect.SendProbe(spec.id()));
     }
     recordSent(nowNanos, sendBeforeNanos);
   }
 
-  void answered(int older) {
+  /**
+   * Takes the answer to a grant. A grant that had already ended when the target read it only
+   * fetched the clock's reading, and the next one is sent at once.
+   */
+  void grantAnswered(int older, long targetClockMillis) {
     if (!outstanding) {
       return;
     }
+    clockMillis = OptionalLong.of(targetClockMillis);
+    runningOlder = older;
+    endSuspicion();
+    if (targetClockMillis < validUntilMillis) {
+      everAnswered = true;
+      answeredSendNanos = lastSentNanos;
+    } else {
+      sentAny = false;
+    }
+  }
+
+  void probeAnswered() {
+    if (outstanding) {
+      endSuspicion();
+      everAnswered = true;
+      answeredSendNanos = lastSentNanos;
+    }
+  }
+
+  private void endSuspicion() {
     outstanding = false;
     unanswered = false;
     suspected = false;
-    everAnswered = true;
-    answeredSendNanos = lastSentNanos;
-    runningOlder = older;
   }
 
   void failed() {
@@ -165,6 +192,7 @@
   private void resumeIfLost(boolean hasOpen) {
     if (released && status == TargetStatus.LOST && !hasOpen) {
       released = false;
+      clockMillis = OptionalLong.empty();
       everAnswered = false;
       outstanding = false;
       unanswered = false;
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -165,14 +165,23 @@
   }
 
   void grantAnswered(
-      long nowNanos, long leaseNanos, Fence answered, int older, List<DispatchEffect> out) {
+      long nowNanos,
+      long leaseNanos,
+      DispatchEvent.GrantAnswered answer,
+      List<DispatchEffect> out) {
     leaseUntilNanos = leaseNanos;
-    if (answered.equals(fence)) {
-      contact.answered(older);
-      pump(nowNanos, out);
+    if (answer.fence().equals(fence)) {
+      contact.grantAnswered(answer.runningOlder(), answer.clockMillis());
+      tick(nowNanos, leaseNanos, out);
     }
   }
 
+  void probeAnswered(long nowNanos, long leaseNanos, List<DispatchEffect> out) {
+    leaseUntilNanos = leaseNanos;
+    contact.probeAnswered();
+    pump(nowNanos, out);
+  }
+
   void grantRejected(Fence newer, List<DispatchEffect> out) {
     if (fence.isOlderThan(newer)) {
       contact.superseded();
--- a/src/main/java/io/coltsfootwheel/edge/GrantResult.java
+++ b/src/main/java/io/coltsfootwheel/edge/GrantResult.java
@@ -8,8 +8,10 @@
    * @param fence fence that the target holds now
    * @param running requests running under this fence
    * @param runningOlder requests running under older fences
+   * @param clockMillis reading of the target's monotonic clock
    */
-  record Granted(long fence, int running, int runningOlder) implements GrantResult {}
+  record Granted(long fence, int running, int runningOlder, long clockMillis)
+      implements GrantResult {}
 
   /** The target has seen a higher fence (409). */
   record Outdated() implements GrantResult {}
--- a/src/main/java/io/coltsfootwheel/edge/NettyTargetClient.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyTargetClient.java
@@ -47,11 +47,12 @@
   }
 
   @Override
-  public Mono<GrantResult> grant(TargetId target, InstanceId instance, long fence, long ttlMillis) {
+  public Mono<GrantResult> grant(
+      TargetId target, InstanceId instance, long fence, long validUntilMillis) {
     TargetPool pool = pools.get(target);
     return pool == null
         ? Mono.just(new GrantResult.Failed(NOT_OPEN))
-        : pool.control().grant(instance, fence, ttlMillis);
+        : pool.control().grant(instance, fence, validUntilMillis);
   }
 
   @Override
--- a/src/main/java/io/coltsfootwheel/edge/TargetClient.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetClient.java
@@ -53,10 +53,11 @@
    * @param target the target
    * @param instance this instance
    * @param fence dispatch fence
-   * @param ttlMillis validity of the grant from its arrival
+   * @param validUntilMillis end of the grant on the target's monotonic clock, 0 to fetch its
+   *     reading
    * @return the result; never an error
    */
-  Mono<GrantResult> grant(TargetId target, InstanceId instance, long fence, long ttlMillis);
+  Mono<GrantResult> grant(TargetId target, InstanceId instance, long fence, long validUntilMillis);
 
   /**
    * Probes a target with {@code GET /health} and a timeout of 200 ms.
