Let an instance whose session has expired rejoin, and keep unknown outcomes

Cause 1: members link only to registered instances. A subscription now carries the link address, and the receiver keeps a link to it. Cause 2: an idempotent request whose first attempt may have run was answered not-run when its retry was refused. The earlier unknown outcome now wins. Ruled out for 1: a lost subscription (it is repeated every second), a lost delta (a gap leads to a new subscription). Also: a caller's disconnect is no longer logged as an unexpected error.

--- a/src/main/java/io/coltsfootwheel/daemon/ControlMessage.java
+++ b/src/main/java/io/coltsfootwheel/daemon/ControlMessage.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.control.CommandResult;
 import io.coltsfootwheel.link.Frame;
 import io.coltsfootwheel.link.FrameKind;
+import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ControlCodec;
 import io.coltsfootwheel.model.CustomerId;
 import java.util.Optional;
@@ -124,8 +125,10 @@
    * Request for the commands after an index; repeated to keep the subscription alive.
    *
    * @param appliedIndex index that the sender has applied
+   * @param linkAddress address for the answers; a sender whose session has expired is not
+   *     registered, so the receiver may not know it
    */
-  record Subscribe(long appliedIndex) implements ControlMessage {
+  record Subscribe(long appliedIndex, Address linkAddress) implements ControlMessage {
     @Override
     public FrameKind frameKind() {
       return FrameKind.SUBSCRIBE;
--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -57,6 +57,10 @@
   private final DaemonSettings settings;
   private final InstanceId self;
   private final Map<InstanceId, Address> memberAddresses;
+
+  /** Subscribers by id; bounded by the number of names that instances have. */
+  private final Map<InstanceId, Address> subscriberAddresses = new HashMap<>();
+
   private final LinkTransport link;
   private final ResponseRelay relay;
   private final TargetClient targets = TargetClient.create();
@@ -200,6 +204,8 @@
   private void execute(InstanceEffect effect, Stamp stamps) {
     if (effect instanceof InstanceEffect.SendMessage send) {
       link.send(send.to(), send.message().toFrame());
+    } else if (effect instanceof InstanceEffect.RememberPeer peer) {
+      rememberPeer(peer);
     } else if (effect instanceof InstanceEffect.Dispatch dispatched) {
       dispatch.execute(dispatched.effect());
     } else if (effect instanceof InstanceEffect.Entry entered) {
@@ -240,8 +246,16 @@
     pools.update(newer);
   }
 
+  private void rememberPeer(InstanceEffect.RememberPeer peer) {
+    Address before = subscriberAddresses.put(peer.instance(), peer.linkAddress());
+    if (!peer.linkAddress().equals(before)) {
+      link.peers(peers(state));
+    }
+  }
+
   private Map<InstanceId, Address> peers(ControlState present) {
-    Map<InstanceId, Address> peers = new HashMap<>(memberAddresses);
+    Map<InstanceId, Address> peers = new HashMap<>(subscriberAddresses);
+    peers.putAll(memberAddresses);
     present.instances().forEach(instance -> peers.put(instance.id(), instance.linkAddress()));
     peers.remove(self);
     return peers;
@@ -265,7 +279,8 @@
     Optional<StateFollower> follower =
         member.isPresent()
             ? Optional.empty()
-            : Optional.of(new StateFollower(members, self, nowNanos));
+            : Optional.of(
+                new StateFollower(members, self, settings.advertisedLinkAddress(), nowNanos));
     InstanceSpec spec =
         new InstanceSpec(
             self,
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceEffect.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceEffect.java
@@ -5,6 +5,7 @@
 import io.coltsfootwheel.control.ControlState;
 import io.coltsfootwheel.dispatch.DispatchEffect;
 import io.coltsfootwheel.dispatch.EntryEffect;
+import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.Optional;
 
@@ -14,6 +15,9 @@
   /** Sends a control message to another instance. */
   record SendMessage(InstanceId to, ControlMessage message) implements InstanceEffect {}
 
+  /** Keeps a link open to an instance that may not be registered. */
+  record RememberPeer(InstanceId instance, Address linkAddress) implements InstanceEffect {}
+
   /** Writes and syncs part of the replicated log. */
   record Persist(ReplicationEffect.Persist effect) implements InstanceEffect {}
 
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -127,6 +127,7 @@
     } else if (message instanceof ControlMessage.Propose propose) {
       propose(nowNanos, from, propose, effects);
     } else if (message instanceof ControlMessage.Subscribe subscribe) {
+      effects.add(new InstanceEffect.RememberPeer(from, subscribe.linkAddress()));
       effects.addAll(subscribers.subscribe(nowNanos, from, subscribe.appliedIndex(), state));
     } else if (message instanceof ControlMessage.ReportRequest request && isLeading()) {
       ControlMessage answer = new ControlMessage.ReportAnswer(request.requestId(), report());
--- a/src/main/java/io/coltsfootwheel/daemon/StateFollower.java
+++ b/src/main/java/io/coltsfootwheel/daemon/StateFollower.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.control.Command;
 import io.coltsfootwheel.control.ControlState;
+import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ControlCodec;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.List;
@@ -14,6 +15,7 @@
   private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final List<InstanceId> members;
+  private final Address linkAddress;
   private int source;
   private long nextSubscribeNanos;
 
@@ -22,10 +24,12 @@
    *
    * @param members the control members
    * @param self this instance; its name spreads followers over the members
+   * @param linkAddress address on which members connect to this instance
    * @param nowNanos monotonic time
    */
-  StateFollower(List<InstanceId> members, InstanceId self, long nowNanos) {
+  StateFollower(List<InstanceId> members, InstanceId self, Address linkAddress, long nowNanos) {
     this.members = List.copyOf(members);
+    this.linkAddress = linkAddress;
     this.source = Math.floorMod(self.hashCode(), members.size());
     this.nextSubscribeNanos = nowNanos;
   }
@@ -49,7 +53,7 @@
     nextSubscribeNanos = nowNanos + (behind ? RETRY_NANOS : KEEP_ALIVE_NANOS);
     return Optional.of(
         new InstanceEffect.SendMessage(
-            members.get(source), new ControlMessage.Subscribe(appliedIndex)));
+            members.get(source), new ControlMessage.Subscribe(appliedIndex, linkAddress)));
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
@@ -65,6 +65,7 @@
     private final boolean holdsPermit;
     private Optional<Route> route = Optional.empty();
     private Problem problem;
+    private Optional<Problem> unknown = Optional.empty();
     private int attempt;
     private long refusedNanos;
     private long waitedMillis;
@@ -294,6 +295,9 @@
     }
     loads.returned(pending.route.orElseThrow().target());
     pending.problem = problem;
+    if (problem.kind().outcome() == Outcome.UNKNOWN) {
+      pending.unknown = Optional.of(problem);
+    }
     boolean safe = problem.kind().outcome() == Outcome.NOT_RUN || pending.request.idempotent();
     if (!safe || !RETRIED.contains(problem.kind())) {
       refuse(pending, out);
@@ -344,7 +348,9 @@
   }
 
   private void refuse(Pending pending, List<EntryEffect> out) {
-    out.add(refusal(pending.request.requestNumber(), pending.problem));
+    // An earlier attempt that may have run outweighs a later one that was not.
+    Problem problem = pending.unknown.orElse(pending.problem);
+    out.add(refusal(pending.request.requestNumber(), problem));
     finish(pending);
   }
 
--- a/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
+++ b/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
@@ -18,6 +18,7 @@
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -54,7 +55,10 @@
   /** Converts an exception to an error response. */
   static CallerResponse.Error asError(HttpServerResponse response, Throwable cause) {
     if (!(cause instanceof ColtsfootwheelException)) {
-      LOGGER.error("request failed after an unexpected error", cause);
+      // A caller that disconnects while its request is read is counted as lost, not logged.
+      if (!AbortedException.isConnectionReset(cause)) {
+        LOGGER.error("request failed after an unexpected error", cause);
+      }
       ErrorKind kind = ErrorKind.INVARIANT_VIOLATED;
       return new CallerResponse.Error(kind, kind.outcome(), "unexpected error", 0);
     }
--- a/src/test/java/io/coltsfootwheel/dispatch/EntryRouterTest.java
+++ b/src/test/java/io/coltsfootwheel/dispatch/EntryRouterTest.java
@@ -5,6 +5,7 @@
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.Outcome;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetStatus;
 import java.util.ArrayList;
@@ -144,6 +145,21 @@
     assertThat(refusal().isEmpty()).isEqualTo(retried);
   }
 
+  /** Guards against "not run" about a request of which an earlier attempt may have run. */
+  @ParameterizedTest
+  @CsvSource({"NO_OWNER", "TARGET_REFUSED", "SHUTTING_DOWN"})
+  void neverSaysNotRunAfterAnAttemptThatMayHaveRun(ErrorKind second) {
+    keyedTarget();
+    arrive(1, FakeControl.KEYED, true, 60);
+    refuse(lastAttempt(), ErrorKind.TARGET_FAILED);
+    passDelay(1);
+    control.grant("t1", OTHER);
+    view();
+    passDelay(1);
+    refuse(lastAttempt(), second);
+    assertThat(refusal().map(ErrorKind::outcome)).hasValue(Outcome.UNKNOWN);
+  }
+
   @Test
   void ignoresALateAnswerToAnEarlierAttempt() {
     keyedTarget();
