Wait for another route while a dispatcher shuts down

Cause: a refusal as shutting-down was retried on the same route every 25 ms and used up the retry budget before the grant had moved. Change: it is bridged like a missing lease: the request waits for a new route, and the same one is tried again after 200 ms. Tests: the new row of EntryRouterTest failed before and passes now.

--- a/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
@@ -45,7 +45,8 @@
   private static final long ANSWER_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private static final Set<ErrorKind> BRIDGED =
-      Set.of(ErrorKind.NO_OWNER, ErrorKind.NO_LEASE, ErrorKind.STALE_FENCE);
+      Set.of(
+          ErrorKind.NO_OWNER, ErrorKind.NO_LEASE, ErrorKind.STALE_FENCE, ErrorKind.SHUTTING_DOWN);
   private static final Set<ErrorKind> RETRIED =
       Set.of(
           ErrorKind.NO_OWNER,
--- a/src/test/java/io/coltsfootwheel/dispatch/EntryRouterTest.java
+++ b/src/test/java/io/coltsfootwheel/dispatch/EntryRouterTest.java
@@ -199,11 +199,13 @@
     assertThat(refusal()).isEmpty();
   }
 
-  @Test
-  void doesNotHammerARouteThatRefused() {
+  /** Guards against requests that use up the retry budget while a dispatcher leaves. */
+  @ParameterizedTest
+  @CsvSource({"NO_LEASE", "SHUTTING_DOWN"})
+  void doesNotHammerARouteThatRefused(ErrorKind kind) {
     keyedTarget();
     arrive(1, FakeControl.KEYED, false, 5_000);
-    refuse(lastAttempt(), ErrorKind.NO_LEASE);
+    refuse(lastAttempt(), kind);
     for (int i = 0; i < 7; i++) {
       passDelay(1);
     }
