--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -152,12 +152,9 @@
       InstanceId from,
       ControlMessage.Replication replicated,
       List<InstanceEffect> effects) {
-    boolean isForThisDisk =
-        replicated.toDisk().isEmpty() || replicated.toDisk().equals(self.diskId());
-    if (isForThisDisk) {
-      MemberId member = new MemberId(from, replicated.fromDisk());
-      run(new ReplicationEvent.MessageReceived(nowNanos, member, replicated.message()), effects);
-    }
+    // A message for a lost disk is taken too: its answer tells the sender the present identity.
+    MemberId member = new MemberId(from, replicated.fromDisk());
+    run(new ReplicationEvent.MessageReceived(nowNanos, member, replicated.message()), effects);
   }
 
   private void renew(long nowNanos, Renewal renewal, List<InstanceEffect> effects) {
--- a/src/test/java/io/coltsfootwheel/bench/FenceGate.java
+++ b/src/test/java/io/coltsfootwheel/bench/FenceGate.java
@@ -5,9 +5,9 @@
 import java.util.function.LongSupplier;
 
 /** Checks grants and fences as docs/design.md section 13 states for targets. */
-final class FenceGate {
+public final class FenceGate {
   /** Response to an accepted grant. */
-  record GrantAnswer(long fence, int running, int runningOlder, long clockMillis) {}
+  public record GrantAnswer(long fence, int running, int runningOlder, long clockMillis) {}
 
   /** A grant made from another process's clock must not be valid for long. */
   private static final long MAX_AHEAD_MILLIS = 1_000;
@@ -17,12 +17,12 @@
   private long fence;
   private long validUntilMillis;
 
-  FenceGate(LongSupplier nanoClock) {
+  public FenceGate(LongSupplier nanoClock) {
     this.nanoClock = nanoClock;
   }
 
   /** Accepts a grant; returns false for a fence below the highest seen. */
-  synchronized boolean grant(long newFence, long untilMillis) {
+  public synchronized boolean grant(long newFence, long untilMillis) {
     if (newFence < fence) {
       return false;
     }
@@ -31,13 +31,13 @@
     return true;
   }
 
-  synchronized GrantAnswer answer() {
+  public synchronized GrantAnswer answer() {
     int all = running.values().stream().mapToInt(Integer::intValue).sum();
     return new GrantAnswer(fence, all, all - running.getOrDefault(fence, 0), clockMillis());
   }
 
   /** Begins an execution; returns false for an outdated fence or an expired grant. */
-  synchronized boolean begin(long requestFence, boolean check) {
+  public synchronized boolean begin(long requestFence, boolean check) {
     boolean valid = requestFence == fence && clockMillis() < validUntilMillis;
     if (check && !valid) {
       return false;
@@ -50,7 +50,7 @@
     return nanoClock.getAsLong() / 1_000_000;
   }
 
-  synchronized void end(long requestFence) {
+  public synchronized void end(long requestFence) {
     running.merge(requestFence, -1, (count, one) -> count + one == 0 ? null : count + one);
   }
 }
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
@@ -0,0 +1,43 @@
+package io.coltsfootwheel.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.consensus.DurableState;
+import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.ReplicationMessage;
+import io.coltsfootwheel.consensus.ReplicationReducer;
+import io.coltsfootwheel.consensus.ReplicationSettings;
+import io.coltsfootwheel.control.Supervisor;
+import io.coltsfootwheel.model.InstanceId;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class MemberPartTest {
+  private static final InstanceId M1 = InstanceId.of("m1");
+  private static final InstanceId M2 = InstanceId.of("m2");
+
+  /**
+   * Guards against a member that is never repaired after the loss of its disk: the leader knows
+   * only the lost identity, and learns the new one from the answer to what it sends to the old one.
+   */
+  @Test
+  void answersUnderItsNewDiskIdentityWhatIsSentToTheLostOne() {
+    MemberId self = new MemberId(M2, "new-disk");
+    ReplicationReducer replication =
+        new ReplicationReducer(
+            ReplicationSettings.of(self, List.of(M1, M2), true, 1), DurableState.empty(), 0);
+    MemberPart part = new MemberPart(self, replication, new Supervisor(), List.of());
+    ControlMessage sent =
+        new ControlMessage.Replication(
+            "disk-of-m1", "lost-disk", new ReplicationMessage.Discover("disk-of-m1"));
+
+    List<InstanceEffect> effects = part.receive(0, M1, sent);
+
+    assertThat(effects)
+        .filteredOn(e -> e instanceof InstanceEffect.SendMessage)
+        .extracting(e -> ((InstanceEffect.SendMessage) e).message())
+        .filteredOn(m -> m instanceof ControlMessage.Replication)
+        .extracting(m -> ((ControlMessage.Replication) m).fromDisk())
+        .containsExactly("new-disk");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/daemon/TargetSend.java
@@ -0,0 +1,9 @@
+package io.coltsfootwheel.daemon;
+
+/** One send of a request to a target, with the ownership that its dispatcher saw. */
+record TargetSend(String requestId, String identity, int slot, long fence, long ownershipFence) {
+  /** Returns the caller's attempt, which the router may send several times. */
+  String attempt() {
+    return requestId.substring(0, requestId.lastIndexOf('/'));
+  }
+}
