--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/bench/UnavailableTimesTest.java
@@ -0,0 +1,37 @@
+package io.coltsfootwheel.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.bench.UnavailableTimes.Sample;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UnavailableTimesTest {
+  /** Guards against a loss that resends hide: the request is answered, but after 600 ms. */
+  @Test
+  void countsAnAnswerThatWaited() {
+    List<Sample> samples =
+        List.of(new Sample("a", 0, 5_000, true), new Sample("a", 10_000, 610_000, true));
+    assertThat(UnavailableTimes.of(samples).affectedMicros()).containsExactly(600_000L);
+  }
+
+  /** Guards against counting a lost request as unavailable until its deadline. */
+  @Test
+  void endsWithTheNextAnswerOfTheGroup() {
+    List<Sample> samples =
+        List.of(
+            new Sample("a", 0, 5_000_000, false),
+            new Sample("b", 100_000, 105_000, true),
+            new Sample("a", 200_000, 205_000, true));
+    assertThat(UnavailableTimes.of(samples).affectedMicros()).containsExactly(205_000L);
+  }
+
+  /** Guards against overlooking a group that is never served again. */
+  @Test
+  void lastsToTheEndOfTheRunWithoutAnswer() {
+    List<Sample> samples =
+        List.of(new Sample("a", 0, 300_000, false), new Sample("b", 0, 2_000_000, true));
+    assertThat(UnavailableTimes.of(samples).affectedMicros())
+        .containsExactly(2_000_000L, 2_000_000L);
+  }
+}
