Pass the link address in the simulated instances

Cause: the whole-system run and the subscription with an address were written at the same time. The run compiles again; behaviour is unchanged.

--- a/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
+++ b/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
@@ -140,10 +140,12 @@
           Optional.of(
               new MemberPart(memberId(), replication, new Supervisor(), List.of(World.SERVICE)));
     }
-    Optional<StateFollower> follower =
-        member ? Optional.empty() : Optional.of(new StateFollower(world.members(), id, nowNanos));
     AvailabilityZone zone = AvailabilityZone.of("z");
     Address address = Address.parse("127.0.0.1:9000");
+    Optional<StateFollower> follower =
+        member
+            ? Optional.empty()
+            : Optional.of(new StateFollower(world.members(), id, address, nowNanos));
     InstanceSpec spec = new InstanceSpec(id, zone, address, address, session);
     LeaseClient lease = new LeaseClient(spec, nowNanos);
     EntryRouter router = new EntryRouter(id, session, zone, EntrySettings.defaults(), seed);
