--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -6,7 +6,6 @@
 import io.coltsfootwheel.consensus.ReplicationReducer;
 import io.coltsfootwheel.consensus.Role;
 import io.coltsfootwheel.control.Command;
-import io.coltsfootwheel.control.CommandResult;
 import io.coltsfootwheel.control.ControlState;
 import io.coltsfootwheel.control.Supervisor;
 import io.coltsfootwheel.control.SupervisorEffect;
@@ -37,9 +36,7 @@
   private final Supervisor supervisor;
   private final List<ServiceSpec> services;
   private final Subscribers subscribers = new Subscribers();
-  private final Map<Long, Origin> originByProposal = new HashMap<>();
-  private final Map<Long, Long> proposalByIndex = new HashMap<>();
-  private final Map<Long, CommandResult> resultByIndex = new HashMap<>();
+  private final ProposalOrigins origins = new ProposalOrigins();
   private final Map<Long, Renewal> renewalByRequest = new HashMap<>();
   private final Map<InstanceId, Renewal> lastRenewals = new TreeMap<>();
   private ControlState state = ControlState.empty();
@@ -49,9 +46,6 @@
   private long nextNumber = 1;
   private int commandsSinceSnapshot;
 
-  /** Who asked for a proposal: an instance with its own number, or the supervisor. */
-  private record Origin(Optional<InstanceId> instance, long proposalId) {}
-
   MemberPart(
       MemberId self,
       ReplicationReducer replication,
@@ -170,25 +164,26 @@
       ControlMessage.Propose propose,
       List<InstanceEffect> effects) {
     if (isLeading()) {
-      propose(
-          nowNanos,
-          new Origin(Optional.of(from), propose.proposalId()),
-          propose.command(),
-          effects);
+      long number = nextNumber++;
+      origins.proposedBy(number, from, propose.proposalId());
+      propose(nowNanos, number, propose.command(), effects);
     }
   }
 
-  private void propose(
-      long nowNanos, Origin origin, Command command, List<InstanceEffect> effects) {
+  private void proposeForSupervisor(long nowNanos, Command command, List<InstanceEffect> effects) {
     long number = nextNumber++;
-    originByProposal.put(number, origin);
+    origins.proposedBySupervisor(number);
+    propose(nowNanos, number, command, effects);
+  }
+
+  private void propose(long nowNanos, long number, Command command, List<InstanceEffect> effects) {
     run(new ReplicationEvent.Propose(nowNanos, number, ControlCodec.encode(command)), effects);
   }
 
   private void supervise(long nowNanos, SupervisorEvent event, List<InstanceEffect> effects) {
     for (SupervisorEffect effect : supervisor.apply(event)) {
       if (effect instanceof SupervisorEffect.ProposeCommand proposal) {
-        propose(nowNanos, new Origin(Optional.empty(), 0), proposal.command(), effects);
+        proposeForSupervisor(nowNanos, proposal.command(), effects);
       } else if (effect instanceof SupervisorEffect.AllowRenewal allowed) {
         long request = nextNumber++;
         renewalByRequest.put(request, allowed.renewal());
@@ -223,10 +218,9 @@
     } else if (effect instanceof ReplicationEffect.InstallSnapshot snapshot) {
       install(nowNanos, snapshot, effects);
     } else if (effect instanceof ReplicationEffect.ProposalCommitted committed) {
-      proposalByIndex.put(committed.index(), committed.proposalId());
-      answerAt(committed.index(), effects);
+      origins.committed(committed.proposalId(), committed.index()).ifPresent(effects::add);
     } else if (effect instanceof ReplicationEffect.ProposalRejected rejected) {
-      originByProposal.remove(rejected.proposalId());
+      origins.rejected(rejected.proposalId());
     } else if (effect instanceof ReplicationEffect.LeadershipConfirmed confirmed) {
       acknowledge(confirmed.requestId(), effects);
     } else if (effect instanceof ReplicationEffect.LeadershipNotConfirmed refused) {
@@ -248,8 +242,7 @@
             nowNanos,
             new ControlMessage.StateDelta(previousIndex, committed.index(), committed.bytes())));
     if (isLeading()) {
-      resultByIndex.put(committed.index(), applied.result());
-      answerAt(committed.index(), effects);
+      origins.applied(committed.index(), applied.result()).ifPresent(effects::add);
       supervise(nowNanos, new SupervisorEvent.StateApplied(nowNanos, state), effects);
     }
     takeSnapshotWhenDue(nowNanos, committed.index(), effects);
@@ -271,21 +264,6 @@
     effects.add(new InstanceEffect.PublishState(state));
   }
 
-  private void answerAt(long index, List<InstanceEffect> effects) {
-    Long proposal = proposalByIndex.get(index);
-    CommandResult result = resultByIndex.get(index);
-    if (proposal == null || result == null) {
-      return;
-    }
-    proposalByIndex.remove(index);
-    resultByIndex.remove(index);
-    Origin origin = originByProposal.remove(proposal);
-    if (origin != null && origin.instance().isPresent()) {
-      ControlMessage answer = new ControlMessage.Proposed(origin.proposalId(), Optional.of(result));
-      effects.add(new InstanceEffect.SendMessage(origin.instance().get(), answer));
-    }
-  }
-
   private void acknowledge(long requestId, List<InstanceEffect> effects) {
     Renewal renewal = renewalByRequest.remove(requestId);
     if (renewal == null) {
@@ -327,20 +305,14 @@
     supervise(nowNanos, new SupervisorEvent.LeadershipGained(nowNanos, state), effects);
     for (ServiceSpec service : services) {
       if (state.service(service.name()).isEmpty()) {
-        propose(
-            nowNanos,
-            new Origin(Optional.empty(), 0),
-            new Command.RegisterService(service),
-            effects);
+        proposeForSupervisor(nowNanos, new Command.RegisterService(service), effects);
       }
     }
   }
 
   private void loseLeadership(long nowNanos, List<InstanceEffect> effects) {
     supervise(nowNanos, new SupervisorEvent.LeadershipLost(), effects);
-    originByProposal.clear();
-    proposalByIndex.clear();
-    resultByIndex.clear();
+    origins.clear();
     renewalByRequest.clear();
     lastRenewals.clear();
   }
