--- a/src/main/java/io/coltsfootwheel/tool/LoadCommand.java
+++ b/src/main/java/io/coltsfootwheel/tool/LoadCommand.java
@@ -13,7 +13,7 @@
 
 /** Sends load to a cluster and prints what became of it. */
 final class LoadCommand implements Command {
-  private static final int MAX_RATE = 20_000;
+  private static final int MAX_RATE = 40_000;
   private static final int MAX_DURATION_SECONDS = 3_600;
   private static final int MAX_REQUESTS = 5_000_000;
   private static final int MAX_KEYS = 1_000_000;
