End callers' connections during a shutdown before they are closed

Each response from the beginning of the shutdown now carries Connection: close, and after the listener is closed the server waits up to 1 s until callers have left. Ruled out: requests in flight (the instance reported 0 cut off). CallerShutdownTest failed before (the connection stayed open) and passes now.

--- a/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
@@ -4,9 +4,14 @@
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
 import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -24,12 +29,21 @@
   private static final long OVERLOAD_RETRY_MILLIS = 1_000;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
+  /**
+   * Time for callers to use and thereby end their warm connections: a request that arrives on a
+   * connection while it is closed would be reset, and its outcome unknown to the caller.
+   */
+  private static final long DRAIN_MILLIS = 1_000;
+
+  private static final long DRAIN_POLL_MILLIS = 20;
+
   private final CallerServerSettings settings;
   private final RequestHandler handler;
   private final ResponseWriter writer;
   private final AnnouncementEndpoint announcementEndpoint;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicLong lastRequestId = new AtomicLong();
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
   private volatile boolean refusing;
   private volatile DisposableServer server;
@@ -72,6 +86,7 @@
   @Override
   public void refuseNew(boolean refuse) {
     refusing = refuse;
+    writer.endConnections(refuse);
   }
 
   @Override
@@ -83,11 +98,21 @@
   public void close() {
     DisposableServer open = server;
     if (open != null) {
+      open.channel().close().syncUninterruptibly();
+      awaitCallersLeft();
       open.disposeNow(CLOSE_TIMEOUT);
     }
   }
 
-  private static void addChannelHandler(Channel channel) {
+  private void awaitCallersLeft() {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_MILLIS);
+    while (refusing && !connections.isEmpty() && System.nanoTime() - endNanos < 0) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DRAIN_POLL_MILLIS));
+    }
+  }
+
+  private void addChannelHandler(Channel channel) {
+    connections.add(channel);
     channel
         .pipeline()
         .addAfter(NettyPipeline.HttpCodec, CallerChannelHandler.NAME, new CallerChannelHandler());
--- a/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
+++ b/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
@@ -33,11 +33,17 @@
   private static final long MILLIS_PER_SECOND = 1000;
 
   private final Supplier<String> stamp;
+  private volatile boolean endingConnections;
 
   ResponseWriter(Supplier<String> stamp) {
     this.stamp = stamp;
   }
 
+  /** Makes each response the last one of its connection, so that callers move elsewhere. */
+  void endConnections(boolean end) {
+    endingConnections = end;
+  }
+
   Mono<Void> write(
       HttpServerRequest request,
       HttpServerResponse response,
@@ -73,6 +79,7 @@
   Mono<Void> json(HttpServerResponse response, int status, byte[] body) {
     stamp(response.responseHeaders());
     response.status(status);
+    endConnection(response);
     response
         .responseHeaders()
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
@@ -91,12 +98,19 @@
     return json(response, error.kind().httpStatus(), body);
   }
 
+  private void endConnection(HttpServerResponse response) {
+    if (endingConnections) {
+      response.keepAlive(false);
+    }
+  }
+
   private Mono<Void> relay(
       HttpServerRequest request,
       HttpServerResponse response,
       CallerResponse.Relayed relayed,
       Exchange exchange) {
     response.status(relayed.status());
+    endConnection(response);
     HttpHeaders headers = response.responseHeaders();
     for (Header header : relayed.headers()) {
       headers.add(header.name(), header.value());
