--- a/src/main/java/io/coltsfootwheel/daemon/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/daemon/DecisionLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -31,6 +32,7 @@
   private final Scheduler.Worker worker = scheduler.createWorker();
   private final Queue<Runnable> tasks = Queues.<Runnable>unboundedMultiproducer().get();
   private final AtomicInteger pending = new AtomicInteger();
+  private volatile boolean closed;
 
   DecisionLoop(InstanceReducer reducer, Consumer<InstanceEffect> driver, Runnable onFailure) {
     this.reducer = reducer;
@@ -67,8 +69,9 @@
     return Mono.create(sink -> enqueue(() -> answer(question, sink)));
   }
 
-  /** Stops the decision thread. */
+  /** Stops the decision thread; events posted from now on are dropped. */
   void close() {
+    closed = true;
     worker.dispose();
     scheduler.dispose();
   }
@@ -84,7 +87,18 @@
   private void enqueue(Runnable task) {
     tasks.add(task);
     if (pending.getAndIncrement() == 0) {
+      scheduleDrain();
+    }
+  }
+
+  /** Answers of targets and links may still arrive while the loop closes; they are dropped. */
+  private void scheduleDrain() {
+    try {
       worker.schedule(this::drain);
+    } catch (RejectedExecutionException e) {
+      if (!closed) {
+        throw e;
+      }
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/daemon/Main.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Main.java
@@ -47,6 +47,9 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return EXIT_FAILED;
+    } catch (RuntimeException e) {
+      System.err.println("coltsfootwheeld: unexpected failure: " + e);
+      return EXIT_FAILED;
     }
   }
 
