Show each remedy once, print differences as results, skip equal lists

Seen when the tool was tried on a fleet of 5: errors carried code and remedy twice, 'lists diff' printed the difference to standard error, and the same 'lists apply' made a new revision each time. The detail of an error response is now the fault alone. A pending change is still sent again, since its first response tells whether it was applied.

--- a/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
+++ b/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
@@ -58,12 +58,13 @@
       ErrorKind kind = ErrorKind.INVARIANT_VIOLATED;
       return new CallerResponse.Error(kind, kind.outcome(), "unexpected error", 0);
     }
-    ErrorKind kind = ((ColtsfootwheelException) cause).kind();
+    ColtsfootwheelException known = (ColtsfootwheelException) cause;
+    ErrorKind kind = known.kind();
     if (kind == ErrorKind.BODY_TOO_LARGE) {
       // The rest of the body is not read, so the connection cannot carry another request.
       response.keepAlive(false);
     }
-    return new CallerResponse.Error(kind, kind.outcome(), cause.getMessage(), 0);
+    return new CallerResponse.Error(kind, kind.outcome(), known.fault(), 0);
   }
 
   Mono<Void> json(HttpServerResponse response, int status, byte[] body) {
--- a/src/main/java/io/coltsfootwheel/model/ColtsfootwheelException.java
+++ b/src/main/java/io/coltsfootwheel/model/ColtsfootwheelException.java
@@ -9,10 +9,12 @@
   private static final long serialVersionUID = 1L;
 
   private final ErrorKind kind;
+  private final String fault;
 
-  private ColtsfootwheelException(ErrorKind kind, String message, Throwable cause) {
-    super(message, cause);
+  private ColtsfootwheelException(ErrorKind kind, String fault, Throwable cause) {
+    super(message(kind, fault), cause);
     this.kind = kind;
+    this.fault = fault;
   }
 
   /**
@@ -23,7 +25,7 @@
    * @return the exception
    */
   public static ColtsfootwheelException of(ErrorKind kind, String fault) {
-    return new ColtsfootwheelException(kind, message(kind, fault), null);
+    return new ColtsfootwheelException(kind, fault, null);
   }
 
   /**
@@ -35,7 +37,7 @@
    * @return the exception
    */
   public static ColtsfootwheelException of(ErrorKind kind, String fault, Throwable cause) {
-    return new ColtsfootwheelException(kind, message(kind, fault), cause);
+    return new ColtsfootwheelException(kind, fault, cause);
   }
 
   private static String message(ErrorKind kind, String fault) {
@@ -50,4 +52,13 @@
   public ErrorKind kind() {
     return kind;
   }
+
+  /**
+   * Returns what is wrong, for responses that carry code and remedy in fields of their own.
+   *
+   * @return the fault without code and remedy
+   */
+  public String fault() {
+    return fault;
+  }
 }
--- a/src/main/java/io/coltsfootwheel/tool/ListsCommand.java
+++ b/src/main/java/io/coltsfootwheel/tool/ListsCommand.java
@@ -94,7 +94,7 @@
       console.out().println(ToolJson.pretty(new Difference(lists.revision(), difference)));
     } else {
       console.out().println("difference from revision " + lists.revision() + ":");
-      printDifference(console, difference);
+      console.out().println(differenceText(difference));
     }
     return ExitCode.OK;
   }
@@ -106,15 +106,24 @@
     int base = ServerOptions.integer(line, BASE_REVISION, -1, 0, Integer.MAX_VALUE);
     ListsState based = base < 0 ? state : state.withBase(base);
     OperatorClient client = ServerOptions.client(line);
-    ListContents inForce = ListContents.of(current(client));
-    printDifference(console, inForce.differenceTo(wanted));
+    OperatorApi.Lists lists = current(client);
+    List<String> difference = ListContents.of(lists).differenceTo(wanted);
+    printDifference(console, difference);
     ListsApplier applier =
         new ListsApplier(client, console, stateFile, () -> UUID.randomUUID().toString());
-    long revision = applier.apply(based, wanted, files);
+    // A pending change is sent again even so: its first response tells whether it was applied.
+    boolean inForce =
+        difference.isEmpty()
+            && based.pending().isEmpty()
+            && lists.revision() == based.baseRevision()
+            && lists.revision() > 0;
+    long revision = inForce ? lists.revision() : applier.apply(based, wanted, files);
     if (line.hasOption(ServerOptions.JSON)) {
       console.out().println(ToolJson.pretty(new OperatorApi.ListsAccepted(revision)));
     } else {
-      console.out().println("revision " + revision + " accepted");
+      console
+          .out()
+          .println("revision " + revision + (inForce ? " is in force already" : " accepted"));
     }
     if (!line.hasOption(WAIT)) {
       return ExitCode.OK;
@@ -128,10 +137,11 @@
   }
 
   static void printDifference(Console console, List<String> difference) {
-    if (difference.isEmpty()) {
-      console.err().println("no difference");
-    }
-    difference.forEach(console.err()::println);
+    console.err().println(differenceText(difference));
+  }
+
+  private static String differenceText(List<String> difference) {
+    return difference.isEmpty() ? "no difference" : String.join(System.lineSeparator(), difference);
   }
 
   private static void writeFiles(Path folder, long revision, ListContents contents) {
