Measure the request path through processes

There was no figure for the cost of a request. bin/measure-path compares a direct call, a bare Reactor Netty pass-through, one daemon and a hop between two daemons: closed-loop throughput, processor time of the proxies for each request, and latency of an open loop.

--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/bench/MeasurePath.java
@@ -0,0 +1,135 @@
+package io.coltsfootwheel.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Compares the cost of a request through daemons with a direct call and a bare pass-through.
+ *
+ * <p>Prints, for each path, the throughput of a closed loop, the processor time of the proxies for
+ * each request, and the latency of an open loop at a fixed rate. Usage: {@code bin/measure-path
+ * [CONNECTIONS [RATE [REPEATS]]]}.
+ */
+public final class MeasurePath {
+  private static final int TARGETS = 4;
+  private static final int SLOTS = 64;
+  private static final int KEYS = 256;
+  private static final double WARM_SECONDS = 6;
+  private static final double CLOSED_SECONDS = 5;
+  private static final double OPEN_SECONDS = 2;
+
+  private final int connections;
+  private final double rate;
+  private double passThroughPerCore;
+  private Histogram direct;
+
+  private MeasurePath(int connections, double rate) {
+    this.connections = connections;
+    this.rate = rate;
+  }
+
+  /**
+   * Runs the measurement.
+   *
+   * @param arguments number of connections (64), rate of the open loop (1000), repeats (1)
+   * @throws Exception when a process does not start or a file cannot be written
+   */
+  public static void main(String[] arguments) throws Exception {
+    int connections = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 64;
+    double rate = arguments.length > 1 ? Double.parseDouble(arguments[1]) : 1_000;
+    int repeats = arguments.length > 2 ? Integer.parseInt(arguments[2]) : 1;
+    Path folder = Files.createTempDirectory("measure-path");
+    // Below the range of outgoing connections; differs between runs that overlap.
+    int port = 21_000 + (int) (ProcessHandle.current().pid() % 80) * 100;
+    try (TestFleet one = new TestFleet(folder.resolve("one"), 1, 1, TARGETS, port);
+        TestFleet two = new TestFleet(folder.resolve("two"), 2, 1, TARGETS, port + 30)) {
+      one.start(SLOTS);
+      two.start(SLOTS);
+      for (int i = 0; i < repeats; i++) {
+        new MeasurePath(connections, rate).run(folder, one, two, port + 90);
+      }
+    }
+    System.out.println("logs: " + folder);
+  }
+
+  private void run(Path folder, TestFleet one, TestFleet two, int passPort)
+      throws IOException, InterruptedException {
+    System.out.printf(
+        "%d connections, open loop at %.0f/s, load average %s%n",
+        connections, rate, Files.readString(Path.of("/proc/loadavg")).strip());
+    System.out.printf(
+        "%-14s %9s %7s %9s %11s %6s %7s %7s %7s %9s%n",
+        "path",
+        "req/s",
+        "failed",
+        "us/req",
+        "req/s/core",
+        "ratio",
+        "p50us",
+        "p99us",
+        "maxus",
+        "added p50");
+    String[] proxied = new String[TARGETS + 1];
+    proxied[0] = Integer.toString(passPort);
+    for (int i = 0; i < TARGETS; i++) {
+      proxied[i + 1] = "127.0.0.1:" + one.targetPort(i);
+    }
+    List<String> keys = one.keysOf(0, KEYS);
+    measure("direct", one.targetPort(0), keys, List.of());
+    try (ChildProcess pass =
+        ChildProcess.start(folder.resolve("pass.log"), PassThrough.class, proxied)) {
+      awaitPort(passPort);
+      measure("pass-through", passPort, keys, List.of(pass));
+    }
+    measure("one daemon", one.httpPort(0), keys, List.of(one.daemon(0)));
+    List<ChildProcess> both = List.of(two.daemon(0), two.daemon(1));
+    measure("hop", two.httpPort(1), two.keysOf(0, KEYS), both);
+  }
+
+  private void measure(String name, int port, List<String> keys, List<ChildProcess> proxies)
+      throws InterruptedException {
+    try (HttpLoad load = new HttpLoad(port, TestFleet.SERVICE, keys, connections)) {
+      load.closedLoop(WARM_SECONDS);
+      Duration before = cpu(proxies);
+      HttpLoad.Result closed = load.closedLoop(CLOSED_SECONDS);
+      double cpuSeconds = cpu(proxies).minus(before).toNanos() / 1e9;
+      HttpLoad.Result open = load.openLoop(OPEN_SECONDS, rate);
+      double perCore = cpuSeconds == 0 ? 0 : closed.completed() / cpuSeconds;
+      if (passThroughPerCore == 0) {
+        passThroughPerCore = perCore;
+      }
+      direct = direct == null ? open.latency() : direct;
+      System.out.printf(
+          "%-14s %9.0f %7d %9.1f %11.0f %6.2f %7d %7d %7d %9d%n",
+          name,
+          closed.perSecond(),
+          closed.failed() + open.failed(),
+          perCore == 0 ? 0 : 1e6 / perCore,
+          perCore,
+          passThroughPerCore == 0 ? 0 : perCore / passThroughPerCore,
+          open.latency().getValueAtPercentile(50),
+          open.latency().getValueAtPercentile(99),
+          open.latency().getMaxValue(),
+          open.latency().getValueAtPercentile(50) - direct.getValueAtPercentile(50));
+    }
+  }
+
+  private static Duration cpu(List<ChildProcess> processes) {
+    return processes.stream().map(ChildProcess::cpu).reduce(Duration.ZERO, Duration::plus);
+  }
+
+  private static void awaitPort(int port) throws InterruptedException {
+    for (int i = 0; i < 100; i++) {
+      try (java.net.Socket socket = new java.net.Socket("127.0.0.1", port)) {
+        return;
+      } catch (IOException e) {
+        Thread.sleep(50);
+      }
+    }
+    throw new IllegalStateException("nothing listens on port " + port);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/bench/TestFleet.java
@@ -0,0 +1,178 @@
+package io.coltsfootwheel.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.coltsfootwheel.daemon.Main;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Daemons on loopback with targets of one keyed service, for measurements. */
+final class TestFleet implements AutoCloseable {
+  static final String SERVICE = "ledger";
+
+  private static final String TOKEN = "measurement-operator-token-0123456789";
+  private static final long READY_NANOS = 20_000_000_000L;
+  private static final long POLL_MILLIS = 100;
+  private static final int PORTS_PER_DAEMON = 3;
+  private static final int TARGETS_PER_PROCESS = 32;
+
+  private final Path folder;
+  private final int daemons;
+  private final int members;
+  private final int firstPort;
+  private final int targets;
+  private final List<ChildProcess> processes = new ArrayList<>();
+  private String status = "";
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final ObjectMapper json = new ObjectMapper();
+
+  /** Ports from the first one on: link, HTTP and operator of each daemon, then the targets. */
+  TestFleet(Path folder, int daemons, int members, int targets, int firstPort) {
+    this.folder = folder;
+    this.daemons = daemons;
+    this.members = members;
+    this.targets = targets;
+    this.firstPort = firstPort;
+  }
+
+  /** Starts the processes and waits until each target has a dispatcher and each slot an owner. */
+  void start(int slots) throws IOException, InterruptedException {
+    Files.createDirectories(folder);
+    writeSecret("shared.key", "measurement-shared-key-0123456789abcdef");
+    writeSecret("operator.token", TOKEN);
+    for (int i = 0; i < daemons; i++) {
+      Path file = Files.writeString(folder.resolve("daemon-" + i + ".toml"), settings(i));
+      Path log = folder.resolve("daemon-" + i + ".log");
+      processes.add(ChildProcess.start(log, Main.class, "--config", file.toString()));
+    }
+    for (int first = 0; first < targets; first += TARGETS_PER_PROCESS) {
+      startTargets(first, Math.min(TARGETS_PER_PROCESS, targets - first), slots);
+    }
+    long endNanos = System.nanoTime() + READY_NANOS;
+    for (int i = 0; i < daemons; i++) {
+      while (!isReady(i)) {
+        if (System.nanoTime() - endNanos > 0) {
+          throw new IllegalStateException(
+              "daemon " + i + " is not ready; logs in " + folder + ", status " + status);
+        }
+        Thread.sleep(POLL_MILLIS);
+      }
+    }
+  }
+
+  ChildProcess daemon(int i) {
+    return processes.get(i);
+  }
+
+  int httpPort(int daemon) {
+    return firstPort + daemon * PORTS_PER_DAEMON + 1;
+  }
+
+  int targetPort(int target) {
+    return firstPort + daemons * PORTS_PER_DAEMON + target;
+  }
+
+  /** Returns those of some keys whose owner is dispatched to by a daemon. */
+  List<String> keysOf(int daemon, int candidates) throws IOException, InterruptedException {
+    List<String> keys = new ArrayList<>();
+    for (int i = 0; i < candidates; i++) {
+      String path = "/v1/owner?service=" + SERVICE + "&key=card-" + i;
+      JsonNode owner = json.readTree(get(0, path));
+      if (owner.path("dispatcher").asText().equals("daemon-" + daemon)) {
+        keys.add("card-" + i);
+      }
+    }
+    return keys;
+  }
+
+  /** Reads an operator endpoint of a daemon. */
+  String get(int daemon, String path) throws IOException, InterruptedException {
+    int port = firstPort + daemon * PORTS_PER_DAEMON + 2;
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .header("Authorization", "Bearer " + TOKEN)
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+  }
+
+  @Override
+  public void close() {
+    // Targets end first, so that daemons do not see their connections break during a request.
+    for (int i = processes.size() - 1; i >= 0; i--) {
+      processes.get(i).close();
+    }
+  }
+
+  private void writeSecret(String name, String text) throws IOException {
+    Path file = Files.writeString(folder.resolve(name), text);
+    Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-------"));
+  }
+
+  private boolean isReady(int daemon) throws InterruptedException {
+    try {
+      status = get(daemon, "/v1/status");
+      JsonNode fleet = json.readTree(status);
+      int dispatched = 0;
+      for (JsonNode target : fleet.path("targets")) {
+        dispatched += target.path("dispatcher").asText().startsWith("daemon-") ? 1 : 0;
+      }
+      JsonNode service = fleet.path("services").path(0);
+      boolean owned = targets == 0 || service.path("unownedHashSlots").asInt(1) == 0;
+      return dispatched == targets
+          && owned
+          && fleet.path("instances").size() == daemons
+          && fleet.path("leader").asText().startsWith("daemon-");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private void startTargets(int first, int count, int slots) {
+    List<String> arguments = new ArrayList<>();
+    arguments.add(SERVICE);
+    arguments.add(Integer.toString(slots));
+    arguments.add(Integer.toString(targetPort(first)));
+    arguments.add(Integer.toString(count));
+    for (int i = 0; i < daemons; i++) {
+      arguments.add("127.0.0.1:" + httpPort(i));
+    }
+    Path log = folder.resolve("targets-" + first + ".log");
+    processes.add(ChildProcess.start(log, TargetHost.class, arguments.toArray(String[]::new)));
+  }
+
+  private String settings(int daemon) {
+    Set<String> names =
+        IntStream.range(0, members)
+            .mapToObj(i -> "\"daemon-" + i + "\"")
+            .collect(Collectors.toSet());
+    StringBuilder text = new StringBuilder();
+    text.append("cluster-name = \"measurement\"\nshared-key-file = \"shared.key\"\n");
+    text.append("operator-token-file = \"operator.token\"\n");
+    text.append("initial-members = [" + String.join(", ", names) + "]\n");
+    if (daemon < members) {
+      text.append("data-folder = \"data-" + daemon + "\"\n");
+    }
+    int port = firstPort + daemon * PORTS_PER_DAEMON;
+    text.append("[instance]\nid = \"daemon-%d\"\n".formatted(daemon));
+    text.append("zone = \"zone-%d\"\n[listen]\n".formatted(daemon % 3));
+    text.append("link = \"127.0.0.1:%d\"\nhttp = \"127.0.0.1:%d\"\n".formatted(port, port + 1));
+    text.append("operator = \"127.0.0.1:%d\"\n".formatted(port + 2));
+    for (int i = 0; i < members; i++) {
+      text.append("[[control-members]]\ninstance-id = \"daemon-%d\"\n".formatted(i));
+      text.append("link-address = \"127.0.0.1:%d\"\n".formatted(firstPort + i * PORTS_PER_DAEMON));
+    }
+    text.append("[[services]]\nname = \"" + SERVICE + "\"\nkeyed = true\nhash-slots = 1024\n");
+    return text.append("move-policy = \"availability\"\n").toString();
+  }
+}
