Apply the settings of deadlines and queue length

Cause: limits.deadline-default-millis, limits.deadline-maximum-millis and limits.queue-factor were read and checked but had no effect. Change: they reach the caller server and the dispatchers. Tests: CallerServerTest runs with another maximum, and failed before.

--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -292,11 +292,18 @@
     EntryRouter router =
         new EntryRouter(
             self, session, settings.zone(), EntrySettings.defaults(), session.hashCode());
-    RequestPart requests =
-        new RequestPart(self, lease.session(), DispatchSettings.defaults(), router);
+    RequestPart requests = new RequestPart(self, lease.session(), dispatchSettings(), router);
     return new InstanceReducer(self, members, member, follower, lease, requests);
   }
 
+  private DispatchSettings dispatchSettings() {
+    DispatchSettings defaults = DispatchSettings.defaults();
+    return new DispatchSettings(
+        settings.limits().queueFactor(),
+        defaults.identityRecords(),
+        defaults.identityRetentionMillis());
+  }
+
   private void post(InstanceEvent event) {
     loop.post(event);
   }
@@ -333,7 +340,9 @@
         defaults.maxHeaderBytes(),
         defaults.maxUriBytes(),
         settings.limits().concurrentRequests(),
-        defaults.idleMillis());
+        defaults.idleMillis(),
+        settings.limits().deadlineDefaultMillis(),
+        settings.limits().deadlineMaximumMillis());
   }
 
   private static Map<InstanceId, Address> memberAddresses(DaemonSettings settings) {
--- a/src/main/java/io/coltsfootwheel/edge/CallerRequestParser.java
+++ b/src/main/java/io/coltsfootwheel/edge/CallerRequestParser.java
@@ -16,15 +16,15 @@
 
   private static final int MAX_KEY_BYTES = 256;
   private static final int MAX_IDENTITY_BYTES = 128;
-  private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
-  private static final long MAX_DEADLINE_MILLIS = 60_000;
   private static final Set<String> IDEMPOTENT_METHODS =
       Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
 
   private final List<String> faults = new ArrayList<>(0);
+  private final CallerServerSettings settings;
   private final HttpHeaders headers;
 
-  private CallerRequestParser(HttpHeaders headers) {
+  private CallerRequestParser(CallerServerSettings settings, HttpHeaders headers) {
+    this.settings = settings;
     this.headers = headers;
   }
 
@@ -34,10 +34,15 @@
    * @throws ColtsfootwheelException of kind UNKNOWN_SERVICE or INVALID_REQUEST
    */
   static CallerRequest parse(
-      long requestId, String method, String uri, HttpHeaders headers, long receivedNanos) {
+      CallerServerSettings settings,
+      long requestId,
+      String method,
+      String uri,
+      HttpHeaders headers,
+      long receivedNanos) {
     int end = serviceEnd(uri);
     ServiceName service = service(uri.substring(PREFIX.length(), end));
-    CallerRequestParser parser = new CallerRequestParser(headers);
+    CallerRequestParser parser = new CallerRequestParser(settings, headers);
     String rest = parser.targetUri(uri.substring(end));
     Optional<String> key = parser.text(HeaderNames.KEY, MAX_KEY_BYTES);
     Optional<CustomerId> customer = parser.customer();
@@ -138,7 +143,7 @@
   private long deadlineMillis() {
     String value = single(HeaderNames.DEADLINE_MILLIS);
     if (value == null) {
-      return DEFAULT_DEADLINE_MILLIS;
+      return settings.defaultDeadlineMillis();
     }
     long millis = 0;
     try {
@@ -146,8 +151,8 @@
     } catch (NumberFormatException e) {
       millis = 0;
     }
-    if (millis < 1 || millis > MAX_DEADLINE_MILLIS) {
-      faults.add(HeaderNames.DEADLINE_MILLIS + " must be 1 to " + MAX_DEADLINE_MILLIS);
+    if (millis < 1 || millis > settings.maxDeadlineMillis()) {
+      faults.add(HeaderNames.DEADLINE_MILLIS + " must be 1 to " + settings.maxDeadlineMillis());
     }
     return millis;
   }
--- a/src/main/java/io/coltsfootwheel/edge/CallerServerSettings.java
+++ b/src/main/java/io/coltsfootwheel/edge/CallerServerSettings.java
@@ -10,6 +10,8 @@
  * @param maxUriBytes longest request line (414 beyond)
  * @param maxRequests requests at the same time (503 beyond)
  * @param idleMillis time after which a connection without a request is closed
+ * @param defaultDeadlineMillis deadline of a request that names none
+ * @param maxDeadlineMillis latest deadline that a request may name (400 beyond)
  */
 public record CallerServerSettings(
     String host,
@@ -18,12 +20,16 @@
     int maxHeaderBytes,
     int maxUriBytes,
     int maxRequests,
-    long idleMillis) {
+    long idleMillis,
+    long defaultDeadlineMillis,
+    long maxDeadlineMillis) {
   private static final int DEFAULT_BODY_BYTES = 1024 * 1024;
   private static final int DEFAULT_HEADER_BYTES = 16 * 1024;
   private static final int DEFAULT_URI_BYTES = 8 * 1024;
   private static final int DEFAULT_REQUESTS = 4096;
   private static final long DEFAULT_IDLE_MILLIS = 75_000;
+  private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
+  private static final long DEFAULT_MAX_DEADLINE_MILLIS = 60_000;
 
   /**
    * Returns settings with the default limits.
@@ -40,6 +46,8 @@
         DEFAULT_HEADER_BYTES,
         DEFAULT_URI_BYTES,
         DEFAULT_REQUESTS,
-        DEFAULT_IDLE_MILLIS);
+        DEFAULT_IDLE_MILLIS,
+        DEFAULT_DEADLINE_MILLIS,
+        DEFAULT_MAX_DEADLINE_MILLIS);
   }
 }
--- a/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
@@ -161,6 +161,7 @@
     try {
       head =
           CallerRequestParser.parse(
+              settings,
               lastRequestId.incrementAndGet(),
               request.method().name(),
               request.uri(),
--- a/src/main/java/io/coltsfootwheel/settings/Setting.java
+++ b/src/main/java/io/coltsfootwheel/settings/Setting.java
@@ -46,7 +46,7 @@
   CHURN_PER_HOUR("services[].objectives", "churn-per-hour", "hash slots", "required", 1, 1_000_000),
 
   BODY_BYTES("limits", "body-bytes", "bytes", "1048576", 0, 4_194_304),
-  QUEUE_FACTOR("limits", "queue-factor", "multiple of slots", "32", 1, 1_024),
+  QUEUE_FACTOR("limits", "queue-factor", "multiple of slots", "8", 1, 1_024),
   CONCURRENT_REQUESTS("limits", "concurrent-requests", "requests", "4096", 1, 1_000_000),
   DEADLINE_DEFAULT_MILLIS("limits", "deadline-default-millis", "milliseconds", "10000", 1, 60_000),
   DEADLINE_MAXIMUM_MILLIS("limits", "deadline-maximum-millis", "milliseconds", "60000", 1, 60_000);
--- a/src/test/java/io/coltsfootwheel/edge/CallerServerTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/CallerServerTest.java
@@ -37,7 +37,7 @@
   private static final List<Header> HELLO_HEADERS =
       List.of(new Header("X-T", "1"), new Header("Content-Length", "5"));
   private static final CallerServerSettings SETTINGS =
-      new CallerServerSettings("127.0.0.1", 0, 1000, 2000, 500, 2, 60_000);
+      new CallerServerSettings("127.0.0.1", 0, 1000, 2000, 500, 2, 60_000, 400, 50_000);
 
   private final BlockingQueue<CallerRequest> handled = new LinkedBlockingQueue<>();
   private final BlockingQueue<CallerRequest> cancelled = new LinkedBlockingQueue<>();
@@ -116,10 +116,10 @@
         "GET /s/x|Coltsfootwheel-Key: 257 bytes;Idempotency-Key: 129 bytes|400"
             + "|Coltsfootwheel-Key must have 1 to 256 bytes; Idempotency-Key must have",
         "GET /s/x|Coltsfootwheel-Key: a;coltsfootwheel-key: b;Coltsfootwheel-Customer: a b;"
-            + "Coltsfootwheel-Idempotent: yes;Coltsfootwheel-Deadline-Millis: 60001|400"
+            + "Coltsfootwheel-Idempotent: yes;Coltsfootwheel-Deadline-Millis: 50001|400"
             + "|Coltsfootwheel-Key is given more than once; Coltsfootwheel-Customer must be a"
             + " customer name of 1 to 63 characters; Coltsfootwheel-Idempotent must be true or"
-            + " false; Coltsfootwheel-Deadline-Millis must be 1 to 60000"
+            + " false; Coltsfootwheel-Deadline-Millis must be 1 to 50000"
       })
   void refusesWithoutRunning(String line, String headers, int status, String text)
       throws Exception {
