--- a/src/main/java/io/coltsfootwheel/journal/Journal.java
+++ b/src/main/java/io/coltsfootwheel/journal/Journal.java
@@ -44,9 +44,11 @@
   String diskId();
 
   /**
-   * Returns what the folder contained when it was opened.
+   * Returns what the folder contained when it was opened. The first write releases it, so that the
+   * log is not kept in memory.
    *
    * @return promises, snapshot and entries
+   * @throws IllegalStateException after the first write
    */
   DurableState recovered();
 
--- a/src/main/java/io/coltsfootwheel/journal/JournalState.java
+++ b/src/main/java/io/coltsfootwheel/journal/JournalState.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-/** Content of the journal in memory, from which a new segment starts. */
+/** State that is rebuilt from the records of a folder when it is opened. */
 final class JournalState {
   private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
   private HardState hardState;
@@ -29,13 +29,10 @@
     effect.entries().forEach(e -> entries.put(e.index(), e));
   }
 
-  void apply(ReplicationEffect.PersistSnapshot effect) {
-    snapshot = Optional.of(effect.snapshot());
-    if (effect.replacesLog()) {
-      entries.clear();
-    } else {
-      entries.headMap(effect.firstRetainedIndex(), false).clear();
-    }
+  /** Sets the snapshot after all records were applied, and drops what it made unnecessary. */
+  void apply(StoredSnapshot stored) {
+    snapshot = Optional.of(stored.snapshot());
+    entries.headMap(stored.firstRetainedIndex(), false).clear();
   }
 
   DurableState content() {
--- a/src/main/java/io/coltsfootwheel/journal/SegmentedJournal.java
+++ b/src/main/java/io/coltsfootwheel/journal/SegmentedJournal.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.journal;
 
 import io.coltsfootwheel.consensus.DurableState;
+import io.coltsfootwheel.consensus.HardState;
 import io.coltsfootwheel.consensus.ReplicationEffect;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ControlCodec;
@@ -10,51 +11,58 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.UUID;
 
 /**
- * Journal of one segment file, which each snapshot replaces by a new one.
+ * Journal of a snapshot file and numbered segments of the log.
  *
- * <p>A segment starts with a record of the whole state, so a restart reads only what followed the
- * latest snapshot.
+ * <p>Each snapshot starts a segment, and segments that hold nothing after the retained entries are
+ * deleted. In memory are only the promises and the highest index of each segment.
  */
 final class SegmentedJournal implements Journal {
-  private static final String DISK_FILE = "disk-id";
-  private static final String SEGMENT = "segment";
-
   private final Path folder;
-  private final FileAccess files;
+  private final JournalFolder content;
   private final AutoCloseable lock;
   private final String diskId;
-  private final DurableState recovered;
-  private JournalState state;
+  private final TreeMap<Long, Long> lastIndexOfSegment;
+  private Optional<DurableState> recovered;
+  private HardState hardState;
   private FileAccess.AppendFile file;
   private boolean failed;
 
   private SegmentedJournal(Path folder, FileAccess files, AutoCloseable lock) throws IOException {
     this.folder = folder;
-    this.files = files;
     this.lock = lock;
-    List<String> names = files.list(folder);
-    if (!names.contains(DISK_FILE)) {
-      if (names.contains(SEGMENT)) {
+    content = new JournalFolder(folder, files);
+    diskId = readOrCreateDiskId();
+    JournalRecovery recovery = new JournalRecovery(content);
+    DurableState state = recovery.run();
+    recovered = Optional.of(state);
+    hardState = state.hardState();
+    lastIndexOfSegment = recovery.lastIndexOfSegment();
+    file = content.append(JournalFolder.segmentName(lastIndexOfSegment.lastKey()));
+    file.truncate(recovery.validBytes());
+    file.sync();
+  }
+
+  /**
+   * The log is created before the identity. A folder with an identity and no log has lost its
+   * promises, and a member that started from it could vote a second time in a term.
+   */
+  private String readOrCreateDiskId() throws IOException {
+    if (!content.names().contains(JournalFolder.DISK_ID)) {
+      if (content.isUsed()) {
         throw ColtsfootwheelException.of(
-            ErrorKind.JOURNAL_CORRUPT, folder.resolve(DISK_FILE) + " is missing at position 0");
+            ErrorKind.JOURNAL_CORRUPT,
+            content.path(JournalFolder.DISK_ID) + " is missing at position 0");
       }
+      content.createFirstSegment();
       byte[] id = UUID.randomUUID().toString().replace("-", "").getBytes(StandardCharsets.US_ASCII);
-      replace(DISK_FILE, id);
-    }
-    diskId = new String(files.read(folder.resolve(DISK_FILE)), StandardCharsets.US_ASCII);
-    if (!names.contains(SEGMENT)) {
-      replace(SEGMENT, SegmentFormat.header(new JournalState(DurableState.empty()).content()));
+      content.replace(JournalFolder.DISK_ID, id);
     }
-    Path segment = folder.resolve(SEGMENT);
-    SegmentFormat.Content content = SegmentFormat.read(segment, files.read(segment));
-    state = content.state();
-    recovered = state.content();
-    file = files.append(segment);
-    file.truncate(content.validBytes());
-    file.sync();
+    return new String(content.read(JournalFolder.DISK_ID), StandardCharsets.US_ASCII);
   }
 
   static SegmentedJournal open(Path folder, FileAccess files) {
@@ -80,41 +88,65 @@
 
   @Override
   public DurableState recovered() {
-    return recovered;
+    return recovered.orElseThrow(
+        () -> new IllegalStateException("the recovered state is released by the first write"));
   }
 
   @Override
   public void persist(List<ReplicationEffect.Persist> effects) {
     guarded(
         () -> {
-          for (ReplicationEffect.Persist effect : effects) {
-            file.write(ByteBuffer.wrap(SegmentFormat.record(ControlCodec.encode(effect))));
-            state.apply(effect);
-          }
+          byte[] record = RecordFormat.record(ControlCodec.encode(new Batch(effects)));
+          file.write(ByteBuffer.wrap(record));
           file.sync();
+          effects.forEach(this::note);
         });
   }
 
+  private void note(ReplicationEffect.Persist effect) {
+    effect.hardState().ifPresent(h -> hardState = h);
+    effect
+        .entries()
+        .forEach(e -> lastIndexOfSegment.merge(lastIndexOfSegment.lastKey(), e.index(), Math::max));
+  }
+
   @Override
   public void persistSnapshot(ReplicationEffect.PersistSnapshot effect) {
     guarded(
         () -> {
-          state.apply(effect);
-          file.close();
-          replace(SEGMENT, SegmentFormat.header(state.content()));
-          file = files.append(folder.resolve(SEGMENT));
+          startSegment();
+          long first =
+              effect.replacesLog()
+                  ? lastIndexOfSegment.lastKey()
+                  : firstNeededSegment(effect.firstRetainedIndex());
+          content.replaceSnapshot(
+              new StoredSnapshot(effect.snapshot(), effect.firstRetainedIndex(), first));
+          deleteSegmentsBefore(first);
         });
   }
 
-  private void replace(String name, byte[] bytes) throws IOException {
-    Path temporary = folder.resolve(name + ".tmp");
-    try (FileAccess.AppendFile output = files.append(temporary)) {
-      output.truncate(0);
-      output.write(ByteBuffer.wrap(bytes));
-      output.sync();
+  /** Starts the segment before the snapshot counts, because it carries on the promises. */
+  private void startSegment() throws IOException {
+    file.close();
+    long number = lastIndexOfSegment.lastKey() + 1;
+    content.createSegment(number, Batch.of(hardState));
+    file = content.append(JournalFolder.segmentName(number));
+    lastIndexOfSegment.put(number, 0L);
+  }
+
+  private long firstNeededSegment(long firstRetainedIndex) {
+    return lastIndexOfSegment.entrySet().stream()
+        .filter(s -> s.getValue() >= firstRetainedIndex)
+        .findFirst()
+        .orElseGet(lastIndexOfSegment::lastEntry)
+        .getKey();
+  }
+
+  private void deleteSegmentsBefore(long first) throws IOException {
+    while (lastIndexOfSegment.firstKey() < first) {
+      content.delete(JournalFolder.segmentName(lastIndexOfSegment.pollFirstEntry().getKey()));
     }
-    files.rename(temporary, folder.resolve(name));
-    files.syncFolder(folder);
+    content.sync();
   }
 
   private interface Operation {
@@ -126,6 +158,7 @@
       throw ColtsfootwheelException.of(
           ErrorKind.JOURNAL_FAILED, "an earlier write in " + folder + " failed");
     }
+    recovered = Optional.empty();
     failed = true;
     try {
       operation.run();
--- a/src/test/java/io/coltsfootwheel/journal/JournalTest.java
+++ b/src/test/java/io/coltsfootwheel/journal/JournalTest.java
@@ -1,42 +1,82 @@
 package io.coltsfootwheel.journal;
 
+import static io.coltsfootwheel.journal.JournalSamples.entries;
+import static io.coltsfootwheel.journal.JournalSamples.snapshot;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import io.coltsfootwheel.consensus.EntryKind;
+import io.coltsfootwheel.consensus.DurableState;
 import io.coltsfootwheel.consensus.HardState;
 import io.coltsfootwheel.consensus.LogEntry;
 import io.coltsfootwheel.consensus.ReplicationEffect;
+import io.coltsfootwheel.consensus.ReplicationSnapshot;
 import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.ControlCodec;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class JournalTest {
+  private static final String SEGMENT_1 = "log-000000000001";
+  private static final String SEGMENT_2 = "log-000000000002";
+  private static final int VERSION_BYTES = 4;
+
   @TempDir private Path folder;
 
-  private static ReplicationEffect.Persist entry(long index) {
-    LogEntry entry = new LogEntry(index, 1, EntryKind.COMMAND, new byte[] {1, 2, 3});
-    HardState state = new HardState(1, Optional.empty(), Optional.empty());
-    return new ReplicationEffect.Persist(index, Optional.of(state), 0, List.of(entry));
+  private void write(ReplicationEffect... effects) {
+    try (Journal journal = Journal.open(folder)) {
+      for (ReplicationEffect effect : effects) {
+        if (effect instanceof ReplicationEffect.Persist persist) {
+          journal.persist(List.of(persist));
+        } else {
+          journal.persistSnapshot((ReplicationEffect.PersistSnapshot) effect);
+        }
+      }
+    }
   }
 
-  private void writeTwo() {
+  private DurableState reopen() {
     try (Journal journal = Journal.open(folder)) {
-      journal.persist(List.of(entry(1), entry(2)));
+      return journal.recovered();
     }
   }
 
+  private List<Long> reopenedIndexes() {
+    return reopen().entries().stream().map(LogEntry::index).toList();
+  }
+
+  private List<String> files() throws IOException {
+    try (Stream<Path> paths = Files.list(folder)) {
+      return paths.map(p -> p.getFileName().toString()).sorted().toList();
+    }
+  }
+
+  /** Returns where each record starts, and the end of the last one. */
+  private static int[] recordStarts(byte[] file) {
+    return IntStream.iterate(VERSION_BYTES, p -> p <= file.length, p -> next(file, p)).toArray();
+  }
+
+  private static int next(byte[] file, int position) {
+    return position == file.length
+        ? file.length + 1
+        : position + 2 * Integer.BYTES + ByteBuffer.wrap(file).getInt(position);
+  }
+
   /** Guards against loss of synced entries, promises or the disk identity at a restart. */
   @Test
   void restoresWhatWasPersisted() {
-    writeTwo();
+    write(entries(1, 1, 1), entries(1, 2, 2));
     try (Journal journal = Journal.open(folder)) {
       assertThat(journal.recovered().entries()).extracting(LogEntry::index).containsExactly(1L, 2L);
       assertThat(journal.recovered().hardState().term()).isEqualTo(1);
@@ -44,58 +84,152 @@
     }
   }
 
-  /** Guards against a start that fails on, or keeps, a record cut by a crash. */
+  /** Guards against replaced entries that return at a restart, in one segment and over two. */
   @ParameterizedTest
-  @ValueSource(ints = {1, 5, 20})
-  void cutsTornTail(int lostBytes) throws Exception {
-    writeTwo();
-    Path segment = folder.resolve("segment");
-    byte[] bytes = Files.readAllBytes(segment);
-    Files.write(segment, Arrays.copyOf(bytes, bytes.length - lostBytes));
-    try (Journal journal = Journal.open(folder)) {
-      assertThat(journal.recovered().entries()).extracting(LogEntry::index).containsExactly(1L);
+  @ValueSource(booleans = {false, true})
+  void restoresTruncatedLog(boolean withSnapshot) {
+    ReplicationEffect.Persist replacing =
+        new ReplicationEffect.Persist(4, Optional.empty(), 2, entries(3, 2, 2).entries());
+    if (withSnapshot) {
+      write(entries(1, 1, 3), snapshot(1, 1, false), replacing);
+    } else {
+      write(entries(1, 1, 3), replacing);
     }
+    assertThat(reopen().entries()).extracting(LogEntry::term).containsExactly(1L, 3L);
   }
 
-  /** Guards against silent use of a damaged record. */
+  /** Guards against loss of promises or retained entries by a snapshot, and a log that grows. */
   @Test
-  void refusesDamage() throws Exception {
-    writeTwo();
-    Path segment = folder.resolve("segment");
-    byte[] bytes = Files.readAllBytes(segment);
-    bytes[14] ^= 1;
-    Files.write(segment, bytes);
-    assertThatThrownBy(() -> Journal.open(folder))
-        .isInstanceOf(ColtsfootwheelException.class)
-        .hasMessageContaining("segment is damaged at byte 4")
-        .hasMessageContaining("journal-corrupt");
+  void dropsWholeSegmentsBeforeTheRetainedEntries() throws IOException {
+    write(entries(7, 1, 4), snapshot(4, 3, false));
+    assertThat(files()).contains("snapshot", SEGMENT_1, SEGMENT_2);
+    assertThat(reopenedIndexes()).containsExactly(3L, 4L);
+    write(entries(7, 5, 8), snapshot(8, 7, false));
+    assertThat(files()).doesNotContain(SEGMENT_1).contains(SEGMENT_2);
+    DurableState state = reopen();
+    assertThat(state.entries()).extracting(LogEntry::index).containsExactly(7L, 8L);
+    assertThat(state.snapshot().map(ReplicationSnapshot::index)).contains(8L);
+    assertThat(state.hardState().term()).isEqualTo(7);
   }
 
-  /** Guards against cutting synced records when a length before the tail is damaged. */
+  /** Guards against entries of a diverged log that return after the leader's snapshot. */
   @Test
-  void refusesDamagedLength() throws Exception {
-    long firstRecordEnd;
-    try (Journal journal = Journal.open(folder)) {
-      firstRecordEnd = Files.size(folder.resolve("segment"));
-      journal.persist(List.of(entry(1), entry(2)));
-    }
-    Path segment = folder.resolve("segment");
+  void replacesTheLogBySnapshot() throws IOException {
+    write(entries(7, 1, 9), snapshot(5, 6, true), entries(8, 6, 7));
+    assertThat(files()).doesNotContain(SEGMENT_1);
+    assertThat(reopen().entries()).extracting(LogEntry::term).containsExactly(8L, 8L);
+    assertThat(reopen().hardState().term()).isEqualTo(8);
+  }
+
+  /** Guards against a start that fails on, or keeps, a record cut by a crash at any byte. */
+  @Test
+  void cutsTornTailOfEveryLength() throws IOException {
+    write(entries(1, 1, 1), entries(1, 2, 2));
+    Path segment = folder.resolve(SEGMENT_1);
     byte[] bytes = Files.readAllBytes(segment);
-    bytes[(int) firstRecordEnd] = 127;
-    Files.write(segment, bytes);
+    int[] starts = recordStarts(bytes);
+    for (int length = starts[2]; length < bytes.length; length++) {
+      Files.write(segment, Arrays.copyOf(bytes, length));
+      assertThat(reopenedIndexes()).as("length %d", length).containsExactly(1L);
+      assertThat(segment).hasSize(starts[2]);
+    }
+    write(entries(1, 2, 3));
+    assertThat(reopenedIndexes()).containsExactly(1L, 2L, 3L);
+  }
+
+  /** Guards against silent use, or cutting, of synced records after damage at any byte. */
+  @ParameterizedTest
+  @ValueSource(strings = {"snapshot", SEGMENT_1, SEGMENT_2})
+  void refusesEachFlippedByteBeforeTheLastRecord(String name) throws IOException {
+    write(entries(1, 1, 1), snapshot(1, 1, false), entries(1, 2, 2), entries(1, 3, 3));
+    Path file = folder.resolve(name);
+    byte[] bytes = Files.readAllBytes(file);
+    int[] starts = recordStarts(bytes);
+    int end = name.equals(SEGMENT_2) ? starts[starts.length - 2] : bytes.length;
+    for (int position = VERSION_BYTES; position < end; position++) {
+      byte[] damaged = bytes.clone();
+      damaged[position] ^= 64;
+      Files.write(file, damaged);
+      int at = position;
+      int start = Arrays.stream(starts).filter(s -> s <= at).max().getAsInt();
+      assertThatThrownBy(() -> Journal.open(folder))
+          .isInstanceOf(ColtsfootwheelException.class)
+          .hasMessageContaining(name + " is damaged at byte " + start)
+          .hasMessageContaining("journal-corrupt");
+    }
+  }
+
+  /** Guards against a start without a part of the log, whose promises would be forgotten. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void refusesMissingSegment(boolean withSnapshot) throws IOException {
+    write(entries(1, 1, 1));
+    if (withSnapshot) {
+      write(snapshot(1, 1, false));
+    }
+    Files.delete(folder.resolve(SEGMENT_1));
+    assertThatThrownBy(() -> Journal.open(folder)).hasMessageContaining(SEGMENT_1 + " is damaged");
+  }
+
+  /** Guards against a new identity for old promises, and a folder lost by a crash at creation. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void createsAnIdentityForEmptyLogsOnly(boolean used) throws IOException {
+    write(used ? new ReplicationEffect[] {entries(1, 1, 1)} : new ReplicationEffect[0]);
+    Files.delete(folder.resolve("disk-id"));
+    if (used) {
+      assertThatThrownBy(() -> Journal.open(folder)).hasMessageContaining("disk-id is missing");
+    } else {
+      assertThat(reopenedIndexes()).isEmpty();
+    }
+  }
+
+  /** Guards against misreading the format of another version. */
+  @ParameterizedTest
+  @CsvSource({
+    "snapshot, 0, journal-corrupt",
+    "snapshot, 3, unsupported-version",
+    SEGMENT_1 + ", 0, journal-corrupt",
+    SEGMENT_1 + ", 1, journal-corrupt",
+    SEGMENT_1 + ", 9, unsupported-version"
+  })
+  void refusesOtherVersions(String name, int version, String code) throws IOException {
+    write(entries(1, 1, 1), snapshot(1, 1, false));
+    byte[] bytes = Files.readAllBytes(folder.resolve(name));
+    Files.write(folder.resolve(name), ByteBuffer.wrap(bytes).putInt(0, version).array());
     assertThatThrownBy(() -> Journal.open(folder))
-        .hasMessageContaining("damaged at byte " + firstRecordEnd);
+        .hasMessageContaining(name)
+        .hasMessageContaining("format version " + version)
+        .hasMessageContaining(code);
   }
 
-  /** Guards against misreading the format of a newer version. */
+  /** Guards against an upgrade that loses the journal which an earlier version wrote. */
   @Test
-  void refusesNewerVersion() throws Exception {
-    writeTwo();
-    Path segment = folder.resolve("segment");
-    byte[] bytes = Files.readAllBytes(segment);
-    bytes[3] = 9;
-    Files.write(segment, bytes);
-    assertThatThrownBy(() -> Journal.open(folder)).hasMessageContaining("format version 9");
+  void convertsVersionOne() throws IOException {
+    write();
+    Files.delete(folder.resolve(SEGMENT_1));
+    DurableState start =
+        new DurableState(
+            new HardState(6, Optional.empty(), Optional.empty()),
+            Optional.of(JournalSamples.snapshot(2)),
+            entries(6, 2, 3).entries());
+    byte[] first = RecordFormat.record(ControlCodec.encode(start));
+    byte[] second = RecordFormat.record(ControlCodec.encode(entries(6, 4, 4)));
+    ByteBuffer file = ByteBuffer.allocate(VERSION_BYTES + first.length + second.length);
+    Files.write(folder.resolve("segment"), file.putInt(1).put(first).put(second).array());
+    assertThat(reopenedIndexes()).containsExactly(2L, 3L, 4L);
+    assertThat(files()).contains("snapshot", SEGMENT_1).doesNotContain("segment");
+    assertThat(reopen().hardState().term()).isEqualTo(6);
+    assertThat(reopen().snapshot().map(ReplicationSnapshot::index)).contains(2L);
+  }
+
+  /** Guards against a journal that holds the recovered log for as long as it is open. */
+  @Test
+  void releasesTheRecoveredState() {
+    try (Journal journal = Journal.open(folder)) {
+      journal.persist(List.of(entries(1, 1, 1)));
+      assertThatThrownBy(journal::recovered).isInstanceOf(IllegalStateException.class);
+    }
   }
 
   /** Guards against two processes that write one journal. */
