Serve hash slots in handover that cannot be released

A dispatcher that takes over the grant of a target without fence checks cannot release slots owned since before its grant, but it held their requests as soon as placement marked them for handover, until a new incarnation came. It now holds only what it may release, and goes on to serve the others. The set of held slots never shrinks, because a slot may have been reported as released. A cancellation by the leader after a time was ruled out, because placement would mark the same slots again.

HandoverAfterTakeoverTest failed before the change.

--- a/src/main/java/io/coltsfootwheel/dispatch/SlotTable.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/SlotTable.java
@@ -29,6 +29,7 @@
   private final boolean[] inHandover;
   private final int[] open;
   private final int[] sentSinceReport;
+  private long heldFrom = Long.MAX_VALUE;
 
   SlotTable(TargetId target, ServiceName service, int hashSlots) {
     this.target = target;
@@ -57,8 +58,19 @@
     return slot.isEmpty() ? ownershipFences.length == 0 : ownershipFence(slot) > 0;
   }
 
+  /**
+   * Holds requests for slots in handover that are owned since this fence or later; this never
+   * shrinks, because a slot may already have been reported as released.
+   */
+  void holdFrom(long ownershipFence) {
+    heldFrom = Math.min(heldFrom, ownershipFence);
+  }
+
+  /** Tells whether the dispatcher may release a slot to its next owner, so it sends nothing. */
   boolean isInHandover(OptionalInt slot) {
-    return slot.isPresent() && inHandover[slot.getAsInt()];
+    return slot.isPresent()
+        && inHandover[slot.getAsInt()]
+        && ownershipFences[slot.getAsInt()] >= heldFrom;
   }
 
   /** Returns the fence of the ownership, 0 when the slot is unkeyed, unknown or not owned. */
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -110,6 +110,7 @@
     outcomes.specChanged(spec);
     contact.viewChanged(spec, status);
     slots.update(nowNanos, view);
+    slots.holdFrom(releasableFrom());
     refuseIf(
         r -> !slots.isOwned(r.hashSlot()),
         ErrorKind.NO_OWNER,
@@ -253,8 +254,12 @@
     if (!contact.isClearOfOlder()) {
       return List.of();
     }
-    boolean pastKnown = spec.checksFences() || seenIncarnationBegin;
-    return slots.releasable(pastKnown ? 0 : fence.value());
+    return slots.releasable(releasableFrom());
+  }
+
+  /** Slots owned from before this grant need a target of which nothing older can run. */
+  private long releasableFrom() {
+    return spec.checksFences() || seenIncarnationBegin ? 0 : fence.value();
   }
 
   private Optional<DispatchEffect> check(long nowNanos, DispatchRequest request) {
