--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -260,7 +260,8 @@
                   id,
                   new ReplicationReducer(replication, j.recovered(), nowNanos),
                   new Supervisor(),
-                  settings.services());
+                  settings.services(),
+                  MemberPart.COMMANDS_BETWEEN_SNAPSHOTS);
             });
     Optional<StateFollower> follower =
         member.isPresent()
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -30,12 +30,13 @@
  * supervisor.
  */
 final class MemberPart {
-  private static final int COMMANDS_BETWEEN_SNAPSHOTS = 4_096;
+  static final int COMMANDS_BETWEEN_SNAPSHOTS = 4_096;
 
   private final MemberId self;
   private final ReplicationReducer replication;
   private final Supervisor supervisor;
   private final List<ServiceSpec> services;
+  private final int commandsBetweenSnapshots;
   private final Subscribers subscribers = new Subscribers();
   private final Map<Long, Origin> originByProposal = new HashMap<>();
   private final Map<Long, Long> proposalByIndex = new HashMap<>();
@@ -56,11 +57,13 @@
       MemberId self,
       ReplicationReducer replication,
       Supervisor supervisor,
-      List<ServiceSpec> services) {
+      List<ServiceSpec> services,
+      int commandsBetweenSnapshots) {
     this.self = self;
     this.replication = replication;
     this.supervisor = supervisor;
     this.services = List.copyOf(services);
+    this.commandsBetweenSnapshots = commandsBetweenSnapshots;
   }
 
   ControlState state() {
@@ -256,7 +259,7 @@
 
   private void takeSnapshotWhenDue(long nowNanos, long index, List<InstanceEffect> effects) {
     commandsSinceSnapshot++;
-    if (commandsSinceSnapshot >= COMMANDS_BETWEEN_SNAPSHOTS) {
+    if (commandsSinceSnapshot >= commandsBetweenSnapshots) {
       commandsSinceSnapshot = 0;
       run(new ReplicationEvent.SnapshotTaken(nowNanos, index, state.toSnapshot()), effects);
     }
--- a/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
@@ -26,7 +26,7 @@
     ReplicationReducer replication =
         new ReplicationReducer(
             ReplicationSettings.of(self, List.of(M1, M2), true, 1), DurableState.empty(), 0);
-    MemberPart part = new MemberPart(self, replication, new Supervisor(), List.of());
+    MemberPart part = new MemberPart(self, replication, new Supervisor(), List.of(), 1);
     ControlMessage sent =
         new ControlMessage.Replication(
             "disk-of-m1", "lost-disk", new ReplicationMessage.Discover("disk-of-m1"));
--- a/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
+++ b/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
@@ -31,6 +31,9 @@
 final class SimulatedInstance {
   private static final long MILLI = SimulationClock.MILLI;
 
+  /** A run commits too few commands for the snapshots of a daemon. */
+  private static final int SNAPSHOT_COMMANDS = 50;
+
   private final InstanceId id;
   private final World world;
   private final boolean member;
@@ -131,14 +134,15 @@
     long seed = world.random().nextLong();
     Optional<MemberPart> part = Optional.empty();
     if (member) {
-      replication =
-          new ReplicationReducer(
-              ReplicationSettings.of(memberId(), world.members(), true, seed),
-              disk.content(),
-              nowNanos);
+      replication = new ReplicationReducer(settings(seed), disk.content(), nowNanos);
       part =
           Optional.of(
-              new MemberPart(memberId(), replication, new Supervisor(), List.of(World.SERVICE)));
+              new MemberPart(
+                  memberId(),
+                  replication,
+                  new Supervisor(),
+                  List.of(World.SERVICE),
+                  SNAPSHOT_COMMANDS));
     }
     Optional<StateFollower> follower =
         member ? Optional.empty() : Optional.of(new StateFollower(world.members(), id, nowNanos));
@@ -152,6 +156,24 @@
     return new InstanceReducer(id, world.members(), part, follower, lease, requests);
   }
 
+  /** Keeps few entries and sends small chunks, so that repaired members install snapshots. */
+  private ReplicationSettings settings(long seed) {
+    ReplicationSettings usual = ReplicationSettings.of(memberId(), world.members(), true, seed);
+    return new ReplicationSettings(
+        usual.self(),
+        usual.initialMembers(),
+        usual.repairsReplacedDisks(),
+        seed,
+        usual.heartbeatNanos(),
+        usual.electionMinNanos(),
+        usual.electionMaxNanos(),
+        usual.maxBatchEntries(),
+        usual.maxBatchBytes(),
+        usual.maxUncommitted(),
+        2_048,
+        10);
+  }
+
   private void tick(int startedIn) {
     if (startedIn == run && running) {
       if (!paused) {
