Show and change the control group, count the burn of the whole fleet

Members: 'members' showed the configured instances without disk identity and match index. The leader's report now carries its replicated configuration with match index and recent contact. 'members remove' is refused when the voters that stay and answer make no quorum. A configured control member with an empty data folder did not join a running group (only replaced disks of voters did); it now asks every 200 ms, becomes a learner and then a voter. Burn: the report held the entry counts of the asked instance alone. It now gathers from all instances over the links and names those that do not answer within 1 s. Asking all instances from the tool was ruled out: the control state holds no operator addresses. Explain: unknown names are refused, lines are oldest first as the API page says.

--- a/src/main/java/io/coltsfootwheel/api/OperatorApi.java
+++ b/src/main/java/io/coltsfootwheel/api/OperatorApi.java
@@ -183,15 +183,25 @@
    * @param diskId identity of its disk
    * @param voter false for a learner
    * @param matchIndex log index that the leader knows it to hold, 0 when unknown
+   * @param heard true when it has answered the leader within 150 ms
    */
-  public record Member(String instance, String diskId, boolean voter, long matchIndex) {}
+  public record Member(
+      String instance, String diskId, boolean voter, long matchIndex, boolean heard) {}
 
   /**
    * Response to {@code GET /v1/burn}.
    *
    * @param services one element for each service
+   * @param instances instances whose counts are included
+   * @param missing instances that did not answer; their requests are not counted
    */
-  public record Burn(List<ServiceBurn> services) {}
+  public record Burn(List<ServiceBurn> services, List<String> instances, List<String> missing) {
+    /** Reads absent names as none. */
+    public Burn {
+      instances = instances == null ? List.of() : List.copyOf(instances);
+      missing = missing == null ? List.of() : List.copyOf(missing);
+    }
+  }
 
   /**
    * Measures of one service.
@@ -212,6 +222,7 @@
    * @param lost requests that got no response from a target
    * @param notRun lost requests that were not run
    * @param unknown lost requests whose outcome is unknown
+   * @param refused requests not run for a fault of their own or a limit of their plan
    * @param imbalance highest load of a target divided by the mean
    * @param churnSlots ownership changes of hash slots
    * @param unavailableMillis time during which some hash slot had no usable owner
@@ -223,6 +234,7 @@
       long lost,
       long notRun,
       long unknown,
+      long refused,
       double imbalance,
       long churnSlots,
       long unavailableMillis) {}
--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -92,11 +92,7 @@
 
   /** Tells whether a quorum of a configuration was heard within the minimum election timeout. */
   boolean hasQuorumContact(Configuration present) {
-    long span = core.settings.electionMinNanos();
-    long heard =
-        present.voters().stream()
-            .filter(m -> isSelf(m) || progress(m).isHeardWithin(core.now(), span))
-            .count();
+    long heard = present.voters().stream().filter(this::isHeard).count();
     return heard >= present.quorum();
   }
 
@@ -255,6 +251,18 @@
     return sorted.isEmpty() ? 0 : sorted.get(sorted.size() - configuration().quorum());
   }
 
+  List<MemberProgress> progress() {
+    Configuration present = configuration();
+    return present.members().stream()
+        .map(m -> new MemberProgress(m, present.hasVoter(m), matchOf(m), isHeard(m)))
+        .toList();
+  }
+
+  private boolean isHeard(MemberId member) {
+    return isSelf(member)
+        || progress(member).isHeardWithin(core.now(), core.settings.electionMinNanos());
+  }
+
   private void reportProposals() {
     while (!proposalAtIndex.isEmpty() && proposalAtIndex.firstKey() <= core.appliedIndex()) {
       Map.Entry<Long, Long> first = proposalAtIndex.pollFirstEntry();
--- a/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
@@ -85,6 +85,15 @@
     return core.commitIndex();
   }
 
+  /**
+   * Returns what this member knows of all members while it leads.
+   *
+   * @return one element for each member, empty on other members than the leader
+   */
+  public List<MemberProgress> progress() {
+    return leader.map(LeaderState::progress).orElse(List.of());
+  }
+
   private void handle(ReplicationEvent event) {
     if (event instanceof ReplicationEvent.Tick) {
       tick();
--- a/src/main/java/io/coltsfootwheel/daemon/BurnWindow.java
+++ b/src/main/java/io/coltsfootwheel/daemon/BurnWindow.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.daemon;
 
+import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,9 +12,10 @@
   private long lost;
   private long notRun;
   private long unknown;
+  private long refused;
   private long churnSlots;
   private long unavailableMillis;
-  private final Map<TargetId, Long> answeredByTarget = new HashMap<>();
+  private final Map<String, Long> answeredByTarget = new HashMap<>();
 
   void addAnswered(TargetId target, boolean isLate) {
     if (isLate) {
@@ -21,7 +23,7 @@
     } else {
       answered++;
     }
-    answeredByTarget.merge(target, 1L, Long::sum);
+    answeredByTarget.merge(target.value(), 1L, Long::sum);
   }
 
   void addLost() {
@@ -33,6 +35,10 @@
     lost++;
   }
 
+  void addRefused() {
+    refused++;
+  }
+
   void addUnknown() {
     unknown++;
     lost++;
@@ -57,11 +63,54 @@
     lost += other.lost;
     notRun += other.notRun;
     unknown += other.unknown;
+    refused += other.refused;
     churnSlots += other.churnSlots;
     unavailableMillis += other.unavailableMillis;
     other.answeredByTarget.forEach((t, count) -> answeredByTarget.merge(t, count, Long::sum));
   }
 
+  /**
+   * Returns the counts in the form that instances exchange.
+   *
+   * @param service the service
+   * @param windowSeconds length of the window
+   * @return the counts
+   */
+  BurnCounts counts(ServiceName service, int windowSeconds) {
+    return new BurnCounts(
+        service,
+        windowSeconds,
+        answered,
+        late,
+        lost,
+        notRun,
+        unknown,
+        refused,
+        churnSlots,
+        unavailableMillis,
+        answeredByTarget);
+  }
+
+  /**
+   * Adds the counts of an instance over the same window.
+   *
+   * <p>Requests are summed, since each is counted by its entry alone. All instances see the same
+   * ownership changes and mostly the same outages, so of these the highest value is kept.
+   *
+   * @param other the counts
+   */
+  void merge(BurnCounts other) {
+    answered += other.answered();
+    late += other.late();
+    lost += other.lost();
+    notRun += other.notRun();
+    unknown += other.unknown();
+    refused += other.refused();
+    churnSlots = Math.max(churnSlots, other.churnSlots());
+    unavailableMillis = Math.max(unavailableMillis, other.unavailableMillis());
+    other.answeredByTarget().forEach((t, count) -> answeredByTarget.merge(t, count, Long::sum));
+  }
+
   long answered() {
     return answered;
   }
@@ -82,6 +131,10 @@
     return unknown;
   }
 
+  long refused() {
+    return refused;
+  }
+
   long churnSlots() {
     return churnSlots;
   }
--- a/src/main/java/io/coltsfootwheel/daemon/ControlMessage.java
+++ b/src/main/java/io/coltsfootwheel/daemon/ControlMessage.java
@@ -9,6 +9,8 @@
 import io.coltsfootwheel.link.FrameKind;
 import io.coltsfootwheel.model.ControlCodec;
 import io.coltsfootwheel.model.CustomerId;
+import io.coltsfootwheel.model.InstanceId;
+import java.util.List;
 import java.util.Optional;
 
 /** Control message between two instances, carried by one frame. */
@@ -25,7 +27,12 @@
   @JsonSubTypes.Type(value = ControlMessage.TokensRequested.class, name = "tr"),
   @JsonSubTypes.Type(value = ControlMessage.TokensGranted.class, name = "tg"),
   @JsonSubTypes.Type(value = ControlMessage.ReportRequest.class, name = "lq"),
-  @JsonSubTypes.Type(value = ControlMessage.ReportAnswer.class, name = "la")
+  @JsonSubTypes.Type(value = ControlMessage.ReportAnswer.class, name = "la"),
+  @JsonSubTypes.Type(value = ControlMessage.Join.class, name = "j"),
+  @JsonSubTypes.Type(value = ControlMessage.RemoveMember.class, name = "mr"),
+  @JsonSubTypes.Type(value = ControlMessage.RemovalAnswer.class, name = "ma"),
+  @JsonSubTypes.Type(value = ControlMessage.BurnRequest.class, name = "bq"),
+  @JsonSubTypes.Type(value = ControlMessage.BurnAnswer.class, name = "ba")
 })
 sealed interface ControlMessage {
 
@@ -211,4 +218,67 @@
       return FrameKind.PROPOSED;
     }
   }
+
+  /**
+   * Request of a control member that belongs to no group yet.
+   *
+   * @param diskId identity of its disk
+   */
+  record Join(String diskId) implements ControlMessage {
+    @Override
+    public FrameKind frameKind() {
+      return FrameKind.PROPOSE;
+    }
+  }
+
+  /**
+   * Request to remove an instance from the control group.
+   *
+   * @param requestId number of the sender's choice, echoed in the answer
+   * @param instance the instance
+   */
+  record RemoveMember(long requestId, InstanceId instance) implements ControlMessage {
+    @Override
+    public FrameKind frameKind() {
+      return FrameKind.PROPOSE;
+    }
+  }
+
+  /**
+   * Result of a removal.
+   *
+   * @param requestId number from the request
+   * @param result the result
+   */
+  record RemovalAnswer(long requestId, CommandResult result) implements ControlMessage {
+    @Override
+    public FrameKind frameKind() {
+      return FrameKind.PROPOSED;
+    }
+  }
+
+  /**
+   * Request for the counts of one instance.
+   *
+   * @param requestId number of the sender's choice, echoed in the answer
+   */
+  record BurnRequest(long requestId) implements ControlMessage {
+    @Override
+    public FrameKind frameKind() {
+      return FrameKind.PROPOSE;
+    }
+  }
+
+  /**
+   * Counts of one instance.
+   *
+   * @param requestId number from the request
+   * @param counts one element for each service and window
+   */
+  record BurnAnswer(long requestId, List<BurnCounts> counts) implements ControlMessage {
+    @Override
+    public FrameKind frameKind() {
+      return FrameKind.PROPOSED;
+    }
+  }
 }
--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -65,6 +65,7 @@
   private final DispatchDriver dispatch;
   private final PendingAnswers answers;
   private final RequestRecorder recorder;
+  private final FleetBurn burn;
   private final Optional<JournalDriver> journal;
   private final DecisionLoop loop;
   private final CallerServer callers;
@@ -94,7 +95,14 @@
                 key));
     this.relay = ResponseRelay.of(link, RELAY_IDLE_MILLIS);
     this.pools = new TargetPools(self, targets);
-    this.recorder = new RequestRecorder(meters, System::nanoTime);
+    this.recorder = new RequestRecorder(meters, System::nanoTime, settings.objectives());
+    this.burn =
+        new FleetBurn(
+            self,
+            settings.objectives(),
+            () -> state,
+            recorder,
+            (to, message) -> link.send(to, message.toFrame()));
     this.answers = new PendingAnswers(this::post);
     this.entry = new EntryDriver(self, stamps, link, relay, this::post, recorder);
     this.dispatch = new DispatchDriver(self, stamps, targets, relay, entry, this::post);
@@ -108,7 +116,7 @@
             callerSettings(settings), entry, new TargetChanges(answers, () -> state), () -> stamp);
     ObjectMapper json = new ObjectMapper().registerModule(new Jdk8Module());
     OperatorRoutes routes =
-        new OperatorRoutes(settings, () -> state, () -> ready, answers, recorder, meters, json);
+        new OperatorRoutes(settings, () -> state, () -> ready, answers, burn, meters, json);
     this.operators =
         OperatorServer.of(
             settings.operatorAddress().host(),
@@ -191,7 +199,9 @@
   private void receiveControl(InstanceId from, Frame frame) {
     try {
       ControlMessage message = ControlMessage.decode(frame);
-      post(new InstanceEvent.MessageReceived(System.nanoTime(), from, message));
+      if (!burn.receive(from, message)) {
+        post(new InstanceEvent.MessageReceived(System.nanoTime(), from, message));
+      }
     } catch (ColtsfootwheelException e) {
       LOG.warn("control frame {} of {} refused: {}", frame.kind(), from, e.getMessage());
     }
@@ -260,7 +270,8 @@
                   id,
                   new ReplicationReducer(replication, j.recovered(), nowNanos),
                   new Supervisor(),
-                  settings.services());
+                  settings.services(),
+                  members);
             });
     Optional<StateFollower> follower =
         member.isPresent()
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceEvent.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceEvent.java
@@ -53,6 +53,10 @@
   /** An operator wants the leader's report on the fleet. */
   record ReportRequested(long nowNanos, long requestId) implements InstanceEvent {}
 
+  /** An operator wants an instance removed from the control group. */
+  record RemovalRequested(long nowNanos, long requestId, InstanceId instance)
+      implements InstanceEvent {}
+
   /** Graceful shutdown was asked for. */
   record ShutdownRequested(long nowNanos) implements InstanceEvent {}
 }
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -113,6 +113,10 @@
     } else if (event instanceof InstanceEvent.ReportRequested requested) {
       ControlMessage question = new ControlMessage.ReportRequest(requested.requestId());
       take(nowNanos, toLeader(nowNanos, question), effects);
+    } else if (event instanceof InstanceEvent.RemovalRequested requested) {
+      ControlMessage removal =
+          new ControlMessage.RemoveMember(requested.requestId(), requested.instance());
+      take(nowNanos, toLeader(nowNanos, removal), effects);
     } else if (event instanceof InstanceEvent.ShutdownRequested) {
       leaving = true;
       take(nowNanos, requests.apply(new DispatchEvent.ShutdownRequested(nowNanos)), effects);
@@ -178,6 +182,9 @@
           .ifPresent(effects::add);
     } else if (message instanceof ControlMessage.ReportAnswer answer) {
       effects.add(new InstanceEffect.AnswerReport(answer.requestId(), answer.report()));
+    } else if (message instanceof ControlMessage.RemovalAnswer answer) {
+      effects.add(
+          new InstanceEffect.AnswerProposal(answer.requestId(), Optional.of(answer.result())));
     } else if (message instanceof ControlMessage.StateDelta delta) {
       follower
           .flatMap(f -> f.apply(nowNanos, state, delta))
--- a/src/main/java/io/coltsfootwheel/daemon/LeaderReport.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LeaderReport.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.daemon;
 
+import io.coltsfootwheel.consensus.MemberProgress;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.Renewal;
 import java.util.List;
@@ -11,10 +12,17 @@
  * @param term its term
  * @param commitIndex index of the last command that it has applied
  * @param renewals last renewal of each instance that holds a lease
+ * @param members members of the control group
  */
-record LeaderReport(InstanceId leader, long term, long commitIndex, List<Renewal> renewals) {
-  /** Copies the renewals. */
+record LeaderReport(
+    InstanceId leader,
+    long term,
+    long commitIndex,
+    List<Renewal> renewals,
+    List<MemberProgress> members) {
+  /** Copies the lists. */
   LeaderReport {
     renewals = List.copyOf(renewals);
+    members = List.copyOf(members);
   }
 }
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.daemon;
 
 import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.MemberProgress;
 import io.coltsfootwheel.consensus.ReplicationEffect;
 import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.consensus.ReplicationReducer;
@@ -36,6 +37,7 @@
   private final ReplicationReducer replication;
   private final Supervisor supervisor;
   private final List<ServiceSpec> services;
+  private final MemberChanges changes;
   private final Subscribers subscribers = new Subscribers();
   private final Map<Long, Origin> originByProposal = new HashMap<>();
   private final Map<Long, Long> proposalByIndex = new HashMap<>();
@@ -56,11 +58,13 @@
       MemberId self,
       ReplicationReducer replication,
       Supervisor supervisor,
-      List<ServiceSpec> services) {
+      List<ServiceSpec> services,
+      List<InstanceId> controlMembers) {
     this.self = self;
     this.replication = replication;
     this.supervisor = supervisor;
     this.services = List.copyOf(services);
+    this.changes = new MemberChanges(controlMembers);
   }
 
   ControlState state() {
@@ -106,6 +110,11 @@
     run(new ReplicationEvent.Tick(nowNanos), effects);
     if (isLeading()) {
       supervise(nowNanos, new SupervisorEvent.Tick(nowNanos), effects);
+      changes
+          .due(nowNanos, replication.progress())
+          .ifPresent(step -> changeMembership(nowNanos, step, effects));
+    } else if (replication.configuration().isEmpty()) {
+      effects.addAll(changes.joinDue(nowNanos, self));
     }
     return effects;
   }
@@ -131,16 +140,45 @@
     } else if (message instanceof ControlMessage.ReportRequest request && isLeading()) {
       ControlMessage answer = new ControlMessage.ReportAnswer(request.requestId(), report());
       effects.add(new InstanceEffect.SendMessage(from, answer));
+    } else if (message instanceof ControlMessage.Join join && isLeading()) {
+      changes.joining(nowNanos, new MemberId(from, join.diskId()));
+    } else if (message instanceof ControlMessage.RemoveMember removal && isLeading()) {
+      removeMember(nowNanos, from, removal, effects);
     }
     return effects;
   }
 
+  private void removeMember(
+      long nowNanos,
+      InstanceId from,
+      ControlMessage.RemoveMember removal,
+      List<InstanceEffect> effects) {
+    List<MemberProgress> group = replication.progress();
+    Optional<InstanceEffect> refusal = changes.refuse(from, removal, group);
+    refusal.ifPresent(effects::add);
+    if (refusal.isEmpty()) {
+      for (MemberChanges.Step step : MemberChanges.removals(removal.instance(), group)) {
+        changes.begun(nextNumber, from, removal);
+        changeMembership(nowNanos, step, effects);
+      }
+    }
+  }
+
+  private void changeMembership(
+      long nowNanos, MemberChanges.Step step, List<InstanceEffect> effects) {
+    long number = nextNumber++;
+    run(
+        new ReplicationEvent.ChangeMembership(nowNanos, number, step.change(), step.member()),
+        effects);
+  }
+
   private LeaderReport report() {
     List<Renewal> present =
         lastRenewals.values().stream()
             .filter(r -> state.instance(r.instance()).filter(i -> isSameSession(i, r)).isPresent())
             .toList();
-    return new LeaderReport(self.instance(), term, state.appliedIndex(), present);
+    return new LeaderReport(
+        self.instance(), term, state.appliedIndex(), present, replication.progress());
   }
 
   private static boolean isSameSession(InstanceSpec instance, Renewal renewal) {
@@ -225,10 +263,14 @@
     } else if (effect instanceof ReplicationEffect.InstallSnapshot snapshot) {
       install(nowNanos, snapshot, effects);
     } else if (effect instanceof ReplicationEffect.ProposalCommitted committed) {
-      proposalByIndex.put(committed.index(), committed.proposalId());
-      answerAt(committed.index(), effects);
+      changes.committed(committed).ifPresent(effects::add);
+      if (originByProposal.containsKey(committed.proposalId())) {
+        proposalByIndex.put(committed.index(), committed.proposalId());
+        answerAt(committed.index(), effects);
+      }
     } else if (effect instanceof ReplicationEffect.ProposalRejected rejected) {
       originByProposal.remove(rejected.proposalId());
+      changes.rejected(rejected).ifPresent(effects::add);
     } else if (effect instanceof ReplicationEffect.LeadershipConfirmed confirmed) {
       acknowledge(confirmed.requestId(), effects);
     } else if (effect instanceof ReplicationEffect.LeadershipNotConfirmed refused) {
@@ -341,6 +383,7 @@
   private void loseLeadership(long nowNanos, List<InstanceEffect> effects) {
     supervise(nowNanos, new SupervisorEvent.LeadershipLost(), effects);
     originByProposal.clear();
+    changes.clear();
     proposalByIndex.clear();
     resultByIndex.clear();
     renewalByRequest.clear();
--- a/src/main/java/io/coltsfootwheel/daemon/OperatorRoutes.java
+++ b/src/main/java/io/coltsfootwheel/daemon/OperatorRoutes.java
@@ -5,27 +5,17 @@
 import io.coltsfootwheel.control.Command;
 import io.coltsfootwheel.control.CommandResult;
 import io.coltsfootwheel.control.ControlState;
-import io.coltsfootwheel.control.DispatchGrant;
-import io.coltsfootwheel.control.Explanation;
-import io.coltsfootwheel.control.SlotOwnership;
-import io.coltsfootwheel.control.TargetEntry;
-import io.coltsfootwheel.dispatch.HashSlots;
 import io.coltsfootwheel.edge.OperatorRequest;
 import io.coltsfootwheel.edge.OperatorResponse;
 import io.coltsfootwheel.edge.OperatorRoute;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.InstanceId;
-import io.coltsfootwheel.model.ServiceName;
-import io.coltsfootwheel.model.ServiceSpec;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.model.TargetStatus;
 import io.coltsfootwheel.settings.DaemonSettings;
-import io.coltsfootwheel.settings.Objective;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,14 +27,12 @@
 
 /** Routes of the operators' HTTP interface; docs/OPERATOR-API.md describes them. */
 final class OperatorRoutes {
-  private static final int[] BURN_WINDOWS_SECONDS = {300, 3_600, 21_600};
-
   private final DaemonSettings settings;
   private final Set<InstanceId> members;
   private final Supplier<ControlState> state;
   private final BooleanSupplier isReady;
   private final PendingAnswers answers;
-  private final RequestRecorder recorder;
+  private final FleetBurn burn;
   private final PrometheusMeterRegistry meters;
   private final ObjectMapper json;
 
@@ -53,7 +41,7 @@
       Supplier<ControlState> state,
       BooleanSupplier isReady,
       PendingAnswers answers,
-      RequestRecorder recorder,
+      FleetBurn burn,
       PrometheusMeterRegistry meters,
       ObjectMapper json) {
     this.settings = settings;
@@ -62,7 +50,7 @@
     this.state = state;
     this.isReady = isReady;
     this.answers = answers;
-    this.recorder = recorder;
+    this.burn = burn;
     this.meters = meters;
     this.json = json;
   }
@@ -84,10 +72,15 @@
         OperatorRoute.of("GET", "/v1/lists/applied", this::listsApplied),
         OperatorRoute.of("POST", "/v1/targets/{id}/gone", this::declareGone),
         OperatorRoute.of("POST", "/v1/targets/{id}/drain", this::drain),
-        OperatorRoute.of("GET", "/v1/owner", this::owner),
+        OperatorRoute.of(
+            "GET",
+            "/v1/owner",
+            r -> ok(ownership().owner(required(r, "service"), required(r, "key")))),
         OperatorRoute.of("GET", "/v1/explain", this::explain),
         OperatorRoute.of("GET", "/v1/members", request -> members()),
-        OperatorRoute.of("GET", "/v1/burn", request -> ok(burn())));
+        OperatorRoute.of("POST", "/v1/members/{id}/remove", this::removeMember),
+        OperatorRoute.of(
+            "GET", "/v1/burn", request -> burn.gather().map(OperatorRoutes::response)));
   }
 
   private Mono<OperatorResponse> ready() {
@@ -134,7 +127,7 @@
   }
 
   private Mono<OperatorResponse> listsApplied(OperatorRequest request) {
-    long revision = Long.parseLong(required(request, "revision"));
+    long revision = number(request, "revision");
     return answers
         .report()
         .map(
@@ -164,113 +157,44 @@
         .map(result -> accepted(result, Map.of("target", id.value(), "status", status.name())));
   }
 
-  private Mono<OperatorResponse> owner(OperatorRequest request) {
-    ServiceName name = ServiceName.of(required(request, "service"));
-    String key = required(request, "key");
-    ControlState present = state.get();
-    ServiceSpec service =
-        present
-            .service(name)
-            .filter(ServiceSpec::keyed)
-            .orElseThrow(
-                () ->
-                    ColtsfootwheelException.of(
-                        ErrorKind.UNKNOWN_SERVICE, name + " is not a keyed service"));
-    int slot = HashSlots.of(key.getBytes(StandardCharsets.UTF_8), service.hashSlots());
-    Optional<SlotOwnership> ownership = present.ownership(name, slot);
-    Optional<DispatchGrant> grant =
-        ownership.flatMap(o -> present.target(o.owner())).flatMap(TargetEntry::grant);
+  private Mono<OperatorResponse> explain(OperatorRequest request) {
     return ok(
-        new OperatorApi.Owner(
-            name.value(),
-            slot,
-            ownership.map(o -> o.owner().value()).orElse(""),
-            ownership.map(o -> o.fence().value()).orElse(0L),
-            grant.map(g -> g.holder().value()).orElse("")));
+        request
+            .queryValue("key")
+            .map(key -> ownership().explainKey(required(request, "service"), key))
+            .or(() -> request.queryValue("subject").map(ownership()::explainSubject))
+            .orElseGet(ownership()::explainAll));
   }
 
-  private Mono<OperatorResponse> explain(OperatorRequest request) {
-    ControlState present = state.get();
-    List<Explanation> found = new ArrayList<>();
-    request
-        .queryValue("subject")
-        .ifPresent(
-            subject -> {
-              found.addAll(present.explainTarget(TargetId.of(subject)));
-              found.addAll(present.explainInstance(InstanceId.of(subject)));
-            });
-    request
-        .queryValue("key")
-        .ifPresent(
-            key -> {
-              ServiceName name = ServiceName.of(required(request, "service"));
-              present
-                  .service(name)
-                  .filter(ServiceSpec::keyed)
-                  .ifPresent(
-                      service ->
-                          found.addAll(
-                              present.explainSlot(
-                                  name,
-                                  HashSlots.of(
-                                      key.getBytes(StandardCharsets.UTF_8), service.hashSlots()))));
-            });
-    return ok(
-        new OperatorApi.Explanation(
-            found.stream()
-                .map(
-                    e ->
-                        new OperatorApi.ExplanationLine(e.index(), e.subject() + ": " + e.reason()))
-                .toList()));
+  private OwnershipView ownership() {
+    return new OwnershipView(state.get());
   }
 
   private Mono<OperatorResponse> members() {
+    return answers.report().map(report -> response(members(report)));
+  }
+
+  private static OperatorApi.Members members(LeaderReport report) {
+    return new OperatorApi.Members(
+        report.leader().value(),
+        report.term(),
+        report.members().stream()
+            .map(
+                m ->
+                    new OperatorApi.Member(
+                        m.member().instance().value(),
+                        m.member().diskId(),
+                        m.voter(),
+                        m.matchIndex(),
+                        m.heard()))
+            .toList());
+  }
+
+  private Mono<OperatorResponse> removeMember(OperatorRequest request) {
+    InstanceId instance = InstanceId.of(request.parameters().get("id"));
     return answers
-        .report()
-        .map(
-            report ->
-                response(
-                    new OperatorApi.Members(
-                        report.leader().value(),
-                        report.term(),
-                        members.stream()
-                            .sorted()
-                            .map(m -> new OperatorApi.Member(m.value(), "", true, 0))
-                            .toList())));
-  }
-
-  private OperatorApi.Burn burn() {
-    return new OperatorApi.Burn(
-        state.get().services().stream().map(ServiceSpec::name).map(this::serviceBurn).toList());
-  }
-
-  private OperatorApi.ServiceBurn serviceBurn(ServiceName service) {
-    List<OperatorApi.BurnWindow> windows = new ArrayList<>();
-    for (int seconds : BURN_WINDOWS_SECONDS) {
-      BurnWindow w = recorder.window(service, seconds);
-      windows.add(
-          new OperatorApi.BurnWindow(
-              seconds,
-              w.answered(),
-              w.late(),
-              w.lost(),
-              w.notRun(),
-              w.unknown(),
-              w.imbalance(),
-              w.churnSlots(),
-              w.unavailableMillis()));
-    }
-    Optional<Objective> objective = Optional.ofNullable(settings.objectives().get(service));
-    return new OperatorApi.ServiceBurn(
-        service.value(),
-        windows,
-        objective.map(
-            o ->
-                new OperatorApi.Objectives(
-                    o.answeredInTimeShare(),
-                    o.inTimeMillis(),
-                    o.unavailableSecondsPerDay(),
-                    o.churnSlotsPerHour())));
+        .removeMember(instance)
+        .map(result -> accepted(result, Map.of("removed", instance.value())));
   }
 
   private OperatorResponse accepted(CommandResult result, Object content) {
@@ -304,6 +228,16 @@
                     ErrorKind.INVALID_REQUEST, "query parameter '" + name + "' is missing"));
   }
 
+  private static long number(OperatorRequest request, String name) {
+    String text = required(request, name);
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      throw ColtsfootwheelException.of(
+          ErrorKind.INVALID_REQUEST, name + " '" + text + "' is not an integer", e);
+    }
+  }
+
   private static OperatorResponse response(Object content) {
     return new OperatorResponse(200, content);
   }
--- a/src/main/java/io/coltsfootwheel/daemon/PendingAnswers.java
+++ b/src/main/java/io/coltsfootwheel/daemon/PendingAnswers.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.control.CommandResult;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.model.InstanceId;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -43,6 +44,25 @@
         });
   }
 
+  /**
+   * Has an instance removed from the control group.
+   *
+   * @param instance the instance
+   * @return the result, or an error with {@link ErrorKind#CHANGE_OUTCOME_UNKNOWN}
+   */
+  Mono<CommandResult> removeMember(InstanceId instance) {
+    return Mono.defer(
+        () -> {
+          long id = nextId.getAndIncrement();
+          Sinks.One<CommandResult> sink = Sinks.one();
+          proposals.put(id, sink);
+          events.accept(new InstanceEvent.RemovalRequested(System.nanoTime(), id, instance));
+          return sink.asMono()
+              .timeout(REPORT_TIMEOUT, Mono.error(PendingAnswers::unknown))
+              .doFinally(signal -> proposals.remove(id));
+        });
+  }
+
   /**
    * Asks the leader what it knows of the fleet.
    *
--- a/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
@@ -8,10 +8,12 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.ServiceSpec;
 import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.settings.Objective;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.EnumSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -27,6 +29,7 @@
 final class RequestRecorder {
   private static final long INTERVAL_MILLIS = 10_000;
   private static final long RETAINED_INTERVALS = 6 * 360;
+  private static final int FIRST_SERVER_ERROR = 500;
   private static final long SLICE_MILLIS = 100;
   private static final Set<ErrorKind> UNAVAILABLE =
       EnumSet.of(
@@ -34,6 +37,7 @@
 
   private final MeterRegistry meters;
   private final LongSupplier clockNanos;
+  private final Map<ServiceName, Objective> objectives;
   private final Map<ServiceName, ServiceCounts> countsByService = new ConcurrentHashMap<>();
 
   /** Intervals of one service by their number. */
@@ -60,9 +64,11 @@
     }
   }
 
-  RequestRecorder(MeterRegistry meters, LongSupplier clockNanos) {
+  RequestRecorder(
+      MeterRegistry meters, LongSupplier clockNanos, Map<ServiceName, Objective> objectives) {
     this.meters = meters;
     this.clockNanos = clockNanos;
+    this.objectives = Map.copyOf(objectives);
   }
 
   /**
@@ -73,7 +79,7 @@
    */
   void answered(CallerRequest request, TargetId target) {
     long elapsedNanos = clockNanos.getAsLong() - request.receivedNanos();
-    boolean isLate = elapsedNanos > TimeUnit.MILLISECONDS.toNanos(request.deadlineMillis());
+    boolean isLate = elapsedNanos > TimeUnit.MILLISECONDS.toNanos(inTimeMillis(request));
     ServiceCounts counts = counts(request.service());
     synchronized (counts) {
       counts.at(interval()).addAnswered(target, isLate);
@@ -95,7 +101,9 @@
     ServiceCounts counts = counts(request.service());
     synchronized (counts) {
       BurnWindow window = counts.at(interval());
-      if (kind.outcome() == Outcome.NOT_RUN) {
+      if (kind.outcome() == Outcome.NOT_RUN && kind.httpStatus() < FIRST_SERVER_ERROR) {
+        window.addRefused();
+      } else if (kind.outcome() == Outcome.NOT_RUN) {
         window.addNotRun();
       } else {
         window.addUnknown();
@@ -150,6 +158,13 @@
     return counts(service).sum(interval() - intervals + 1);
   }
 
+  /** A service without an objective has its answers in time until the caller's deadline. */
+  private long inTimeMillis(CallerRequest request) {
+    return Optional.ofNullable(objectives.get(request.service()))
+        .map(objective -> (long) objective.inTimeMillis())
+        .orElse(request.deadlineMillis());
+  }
+
   private static long movedSlots(ServiceSpec service, ControlState before, ControlState after) {
     long moved = 0;
     for (int slot = 0; slot < service.hashSlots(); slot++) {
--- a/src/main/java/io/coltsfootwheel/model/ErrorKind.java
+++ b/src/main/java/io/coltsfootwheel/model/ErrorKind.java
@@ -12,6 +12,8 @@
   UNKNOWN_SERVICE(404, Outcome.NOT_RUN, "use a configured service name"),
   NOT_FOUND(404, Outcome.NOT_RUN, "check the name with 'coltsfootwheel status'"),
   CONFLICT(409, Outcome.NOT_RUN, "read the current lists, merge and apply again"),
+  MEMBERSHIP_REFUSED(
+      409, Outcome.NOT_RUN, "do as the detail says; 'coltsfootwheel members' shows the group"),
   IDENTITY_IN_USE(409, Outcome.UNKNOWN, "wait for the first request with this identity to end"),
   IDENTITY_TOO_OLD(
       409,
--- a/src/main/java/io/coltsfootwheel/tool/BurnReport.java
+++ b/src/main/java/io/coltsfootwheel/tool/BurnReport.java
@@ -26,7 +26,14 @@
   String text() {
     return burn.services().stream()
         .map(service -> service.service() + "\n" + table(service))
-        .collect(Collectors.joining("\n\n"));
+        .collect(Collectors.joining("\n\n", counted() + "\n\n", ""));
+  }
+
+  private String counted() {
+    String text = "counted by " + String.join(", ", burn.instances());
+    return burn.missing().isEmpty()
+        ? text
+        : text + "; NOT COUNTED, no answer: " + String.join(", ", burn.missing());
   }
 
   /** Returns a page that refers to no other file; plots are embedded PNG images. */
@@ -39,9 +46,10 @@
         <style>body{font-family:sans-serif}pre{background:#f4f4f4;padding:1em}</style></head>
         <body><h1>Service-level burn</h1>
         <p>A burn rate of 1 uses the budget exactly; above 1 the objective is missed if it lasts.</p>
+        <p>%s</p>
         %s</body></html>
         """
-        .formatted(sections);
+        .formatted(escape(counted()), sections);
   }
 
   private static String section(OperatorApi.ServiceBurn service) {
@@ -67,6 +75,7 @@
             "LOST",
             "NOT-RUN",
             "UNKNOWN",
+            "REFUSED",
             "IMBALANCE",
             "CHURN",
             "UNAVAILABLE-MS",
@@ -82,6 +91,7 @@
           window.lost(),
           window.notRun(),
           window.unknown(),
+          window.refused(),
           window.imbalance(),
           window.churnSlots(),
           window.unavailableMillis(),
--- a/src/main/java/io/coltsfootwheel/tool/CommandLineTool.java
+++ b/src/main/java/io/coltsfootwheel/tool/CommandLineTool.java
@@ -31,7 +31,7 @@
             new TargetCommand(),
             owner(),
             explain(),
-            members(),
+            new MembersCommand(),
             new ListsCommand(),
             new BurnCommand(),
             new LoadCommand(),
@@ -142,17 +142,6 @@
         Render::explanation);
   }
 
-  private static Command members() {
-    return new ReadCommand<>(
-        "members",
-        "Shows the members of the control group.",
-        "",
-        new Options(),
-        line -> "/v1/members",
-        OperatorApi.Members.class,
-        Render::members);
-  }
-
   private static String ownerPath(CommandLine line) {
     if (!line.hasOption("service") || line.getArgList().size() != 1) {
       throw ToolException.usage("owner takes --service S and one KEY");
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/tool/MembersCommand.java
@@ -0,0 +1,69 @@
+package io.coltsfootwheel.tool;
+
+import io.coltsfootwheel.api.OperatorApi;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.InstanceId;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Shows the control group or removes a member from it. */
+final class MembersCommand implements Command {
+  private static final String REMOVE = "remove";
+
+  private final Options options =
+      ServerOptions.add(new Options())
+          .addOption(ServerOptions.flag(ServerOptions.JSON, "print the response as JSON"));
+
+  @Override
+  public String name() {
+    return "members";
+  }
+
+  @Override
+  public String summary() {
+    return "Shows the members of the control group or removes one.";
+  }
+
+  @Override
+  public String arguments() {
+    return "[remove INSTANCE]";
+  }
+
+  @Override
+  public List<String> subcommands() {
+    return List.of(REMOVE);
+  }
+
+  @Override
+  public Options options() {
+    return options;
+  }
+
+  @Override
+  public ExitCode run(CommandLine line, Console console) {
+    List<String> words = line.getArgList();
+    OperatorClient client = ServerOptions.client(line);
+    if (words.isEmpty()) {
+      OperatorApi.Members members = client.get("/v1/members", OperatorApi.Members.class);
+      boolean json = line.hasOption(ServerOptions.JSON);
+      console.out().println(json ? ToolJson.pretty(members) : Render.members(members));
+      return ExitCode.OK;
+    }
+    if (words.size() != 2 || !words.get(0).equals(REMOVE)) {
+      throw ToolException.usage("members takes no argument or 'remove INSTANCE'");
+    }
+    InstanceId instance = parse(words.get(1));
+    OperatorClient.requireSuccess(client.post("/v1/members/" + instance + "/remove", ""));
+    console.out().println(instance + " is removed from the control group");
+    return ExitCode.OK;
+  }
+
+  private static InstanceId parse(String text) {
+    try {
+      return InstanceId.of(text);
+    } catch (ColtsfootwheelException e) {
+      throw ToolException.usage(e.getMessage());
+    }
+  }
+}
--- a/src/main/java/io/coltsfootwheel/tool/Render.java
+++ b/src/main/java/io/coltsfootwheel/tool/Render.java
@@ -63,11 +63,17 @@
   }
 
   static String members(OperatorApi.Members members) {
-    TextTable table = TextTable.of("INSTANCE", "ROLE", "DISK", "MATCHED");
+    TextTable table = TextTable.of("INSTANCE", "ROLE", "ANSWERS", "MATCHED", "DISK");
     members
         .members()
         .forEach(
-            m -> table.row(m.instance(), role(m, members.leader()), m.diskId(), m.matchIndex()));
+            m ->
+                table.row(
+                    m.instance(),
+                    role(m, members.leader()),
+                    m.heard(),
+                    m.matchIndex(),
+                    m.diskId()));
     return "term " + members.term() + "\n" + table;
   }
 
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/daemon/OwnershipViewTest.java
@@ -0,0 +1,50 @@
+package io.coltsfootwheel.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.coltsfootwheel.control.Command;
+import io.coltsfootwheel.control.ControlState;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.MovePolicy;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.ServiceSpec;
+import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.model.TargetSpec;
+import io.coltsfootwheel.model.TargetStatus;
+import org.junit.jupiter.api.Test;
+
+class OwnershipViewTest {
+  private static final ServiceName LEDGER = ServiceName.of("ledger");
+  private static final TargetSpec TARGET =
+      new TargetSpec(
+          TargetId.of("t1"),
+          LEDGER,
+          Address.parse("127.0.0.1:1"),
+          AvailabilityZone.of("a"),
+          2,
+          120,
+          true,
+          false,
+          "x");
+
+  /** An unknown name got an empty answer, and "oldest first" was answered newest first. */
+  @Test
+  void explanationIsOldestFirstAndRefusesUnknownNames() {
+    ControlState state =
+        ControlState.empty()
+            .apply(
+                1, new Command.RegisterService(new ServiceSpec(LEDGER, false, 0, MovePolicy.CHURN)))
+            .state()
+            .apply(2, new Command.AnnounceTarget(TARGET))
+            .state();
+    Command drain = TargetChanges.status(state, TARGET.id(), TargetStatus.DRAINING, "by hand");
+    OwnershipView view = new OwnershipView(state.apply(3, drain).state());
+    assertThat(view.explainSubject("t1").lines())
+        .extracting(line -> line.index())
+        .containsExactly(2L, 3L);
+    assertThat(view.explainAll().lines()).hasSize(2);
+    assertThatThrownBy(() -> view.explainSubject("t9")).hasMessageContaining("not-found");
+  }
+}
