--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/scenarios/ScenarioSuite.java
@@ -0,0 +1,13 @@
+package io.coltsfootwheel.scenarios;
+
+import org.junit.platform.suite.api.ConfigurationParameter;
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectPackages;
+import org.junit.platform.suite.api.Suite;
+
+/** The scenarios as a JUnit suite, for tools that show each one. */
+@Suite
+@IncludeEngines("cucumber")
+@SelectPackages("features")
+@ConfigurationParameter(key = "cucumber.glue", value = "io.coltsfootwheel.scenarios")
+class ScenarioSuite {}
