--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -87,13 +87,12 @@
   }
 
   private boolean hasQuorumContact() {
-    return hasQuorumContact(configuration());
+    return heardVoters() >= configuration().quorum();
   }
 
-  /** Tells whether a quorum of a configuration was heard within the minimum election timeout. */
-  boolean hasQuorumContact(Configuration present) {
-    long heard = present.voters().stream().filter(this::isHeard).count();
-    return heard >= present.quorum();
+  /** Returns how many voters, with this member, were heard within the minimum election timeout. */
+  long heardVoters() {
+    return configuration().voters().stream().filter(this::isHeard).count();
   }
 
   private boolean isSelf(MemberId member) {
--- a/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
+++ b/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
@@ -18,6 +18,7 @@
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -32,11 +33,17 @@
   private static final long MILLIS_PER_SECOND = 1000;
 
   private final Supplier<String> stamp;
+  private volatile boolean endingConnections;
 
   ResponseWriter(Supplier<String> stamp) {
     this.stamp = stamp;
   }
 
+  /** Makes each response the last one of its connection, so that callers move elsewhere. */
+  void endConnections(boolean end) {
+    endingConnections = end;
+  }
+
   Mono<Void> write(
       HttpServerRequest request,
       HttpServerResponse response,
@@ -54,7 +61,10 @@
   /** Converts an exception to an error response. */
   static CallerResponse.Error asError(HttpServerResponse response, Throwable cause) {
     if (!(cause instanceof ColtsfootwheelException)) {
-      LOGGER.error("request failed after an unexpected error", cause);
+      // A caller that disconnects while its request is read is counted as lost, not logged.
+      if (!AbortedException.isConnectionReset(cause)) {
+        LOGGER.error("request failed after an unexpected error", cause);
+      }
       ErrorKind kind = ErrorKind.INVARIANT_VIOLATED;
       return new CallerResponse.Error(kind, kind.outcome(), "unexpected error", 0);
     }
@@ -70,6 +80,7 @@
   Mono<Void> json(HttpServerResponse response, int status, byte[] body) {
     stamp(response.responseHeaders());
     response.status(status);
+    endConnection(response);
     response
         .responseHeaders()
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
@@ -88,12 +99,19 @@
     return json(response, error.kind().httpStatus(), body);
   }
 
+  private void endConnection(HttpServerResponse response) {
+    if (endingConnections) {
+      response.keepAlive(false);
+    }
+  }
+
   private Mono<Void> relay(
       HttpServerRequest request,
       HttpServerResponse response,
       CallerResponse.Relayed relayed,
       Exchange exchange) {
     response.status(relayed.status());
+    endConnection(response);
     HttpHeaders headers = response.responseHeaders();
     for (Header header : relayed.headers()) {
       headers.add(header.name(), header.value());
