--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -92,10 +92,7 @@
 
   /** Returns how many voters, with this member, were heard within the minimum election timeout. */
   long heardVoters() {
-    long span = core.settings.electionMinNanos();
-    return configuration().voters().stream()
-        .filter(m -> isSelf(m) || progress(m).isHeardWithin(core.now(), span))
-        .count();
+    return configuration().voters().stream().filter(this::isHeard).count();
   }
 
   private boolean isSelf(MemberId member) {
@@ -253,6 +250,18 @@
     return sorted.isEmpty() ? 0 : sorted.get(sorted.size() - configuration().quorum());
   }
 
+  List<MemberProgress> progress() {
+    Configuration present = configuration();
+    return present.members().stream()
+        .map(m -> new MemberProgress(m, present.hasVoter(m), matchOf(m), isHeard(m)))
+        .toList();
+  }
+
+  private boolean isHeard(MemberId member) {
+    return isSelf(member)
+        || progress(member).isHeardWithin(core.now(), core.settings.electionMinNanos());
+  }
+
   private void reportProposals() {
     while (!proposalAtIndex.isEmpty() && proposalAtIndex.firstKey() <= core.appliedIndex()) {
       Map.Entry<Long, Long> first = proposalAtIndex.pollFirstEntry();
--- a/src/main/java/io/coltsfootwheel/daemon/ProposalOrigins.java
+++ b/src/main/java/io/coltsfootwheel/daemon/ProposalOrigins.java
@@ -57,6 +57,10 @@
    * @return the answer to send, when it is due
    */
   Optional<InstanceEffect> committed(long proposal, long index) {
+    // Membership changes have no origin here and no result, so they would never be forgotten.
+    if (!originByProposal.containsKey(proposal)) {
+      return Optional.empty();
+    }
     proposalByIndex.put(index, proposal);
     return answer(index);
   }
--- a/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
+++ b/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
@@ -142,6 +142,7 @@
                   replication,
                   new Supervisor(),
                   List.of(World.SERVICE),
+                  world.members(),
                   SNAPSHOT_COMMANDS));
     }
     AvailabilityZone zone = AvailabilityZone.of("z");
