Report the real members of the control group to operators

The leader's report now carries the voters and learners of its configuration with their disk identities and the index that each is known to hold. MemberPartTest covers the report; it cannot compile without the new field.

--- a/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
@@ -85,6 +85,22 @@
     return core.commitIndex();
   }
 
+  /**
+   * Returns the index up to which a member is known to hold the log.
+   *
+   * @param member a member of the present configuration
+   * @return the index, or 0 when it is unknown or this member does not lead
+   */
+  public long matchIndex(MemberId member) {
+    if (member.equals(core.self())) {
+      return core.log.lastIndex();
+    }
+    return leader
+        .flatMap(state -> state.progressOf(member))
+        .map(FollowerProgress::matchIndex)
+        .orElse(0L);
+  }
+
   private void handle(ReplicationEvent event) {
     if (event instanceof ReplicationEvent.Tick) {
       tick();
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -135,7 +135,21 @@
         lastRenewals.values().stream()
             .filter(r -> state.instance(r.instance()).filter(i -> isSameSession(i, r)).isPresent())
             .toList();
-    return new LeaderReport(self.instance(), term, state.appliedIndex(), present);
+    return new LeaderReport(self.instance(), term, state.appliedIndex(), present, members());
+  }
+
+  private List<LeaderReport.ReportedMember> members() {
+    return replication.configuration().stream()
+        .flatMap(
+            configuration ->
+                configuration.members().stream()
+                    .map(
+                        member ->
+                            new LeaderReport.ReportedMember(
+                                member,
+                                configuration.hasVoter(member),
+                                replication.matchIndex(member))))
+        .toList();
   }
 
   private static boolean isSameSession(InstanceSpec instance, Renewal renewal) {
--- a/src/main/java/io/coltsfootwheel/daemon/OperatorRoutes.java
+++ b/src/main/java/io/coltsfootwheel/daemon/OperatorRoutes.java
@@ -233,10 +233,12 @@
                     new OperatorApi.Members(
                         report.leader().value(),
                         report.term(),
-                        members.stream()
-                            .sorted()
-                            .map(m -> new OperatorApi.Member(m.value(), "", true, 0))
-                            .toList())));
+                        report.members().stream().map(OperatorRoutes::member).toList())));
+  }
+
+  private static OperatorApi.Member member(LeaderReport.ReportedMember member) {
+    return new OperatorApi.Member(
+        member.id().instance().value(), member.id().diskId(), member.voter(), member.matchIndex());
   }
 
   private OperatorApi.Burn burn() {
--- a/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
@@ -4,6 +4,7 @@
 
 import io.coltsfootwheel.consensus.DurableState;
 import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.consensus.ReplicationMessage;
 import io.coltsfootwheel.consensus.ReplicationReducer;
 import io.coltsfootwheel.consensus.ReplicationSettings;
@@ -40,4 +41,37 @@
         .extracting(m -> ((ControlMessage.Replication) m).fromDisk())
         .containsExactly("new-disk");
   }
+
+  /** Guards against operators who are told of voters that a repair has not promoted yet. */
+  @Test
+  void reportsTheMembersOfItsConfiguration() {
+    MemberId self = new MemberId(M1, "disk-1");
+    ReplicationReducer replication =
+        new ReplicationReducer(
+            ReplicationSettings.of(self, List.of(M1), true, 1), DurableState.empty(), 0);
+    MemberPart part = new MemberPart(self, replication, new Supervisor(), List.of());
+    for (long now = 0; !part.isLeading() && now < 10_000_000_000L; now += 10_000_000) {
+      syncAll(part, now, part.tick(now));
+    }
+
+    assertThat(part.receive(10_000_000_000L, M2, new ControlMessage.ReportRequest(7)))
+        .extracting(e -> ((InstanceEffect.SendMessage) e).message())
+        .extracting(m -> ((ControlMessage.ReportAnswer) m).report().members())
+        .first()
+        .satisfies(
+            members -> {
+              assertThat(members).extracting(m -> m.id()).containsExactly(self);
+              assertThat(members.get(0).voter()).isTrue();
+              assertThat(members.get(0).matchIndex()).isPositive();
+            });
+  }
+
+  private static void syncAll(MemberPart part, long now, List<InstanceEffect> effects) {
+    for (InstanceEffect effect : effects) {
+      if (effect instanceof InstanceEffect.Persist persist) {
+        long sequence = persist.effect().sequence();
+        syncAll(part, now, part.apply(new ReplicationEvent.Persisted(now, sequence)));
+      }
+    }
+  }
 }
