Tell remote entries when the connection to a target breaks

Cause: the driver dropped the content of a request as soon as its connection broke, before the dispatcher's refusal arrived, so the refusal was not sent to an entry on another instance. The caller waited until its deadline and got deadline-exceeded; an idempotent request was never retried. Refusals now remove the content. Ruled out: a hanging connection (the log shows its reset at the time of the kill) and a deadline missed in the queue (that is not-run). DispatchDriverTest failed before (no response was relayed) and passes now.

--- a/src/main/java/io/coltsfootwheel/daemon/DispatchDriver.java
+++ b/src/main/java/io/coltsfootwheel/daemon/DispatchDriver.java
@@ -232,13 +232,10 @@
   }
 
   private void refuse(DispatchEffect.RefuseRequest refusal) {
-    Offered offered = offeredById.get(refusal.requestId());
+    Offered offered = offeredById.remove(refusal.requestId());
     if (offered == null || !offered.responded().compareAndSet(false, true)) {
       return;
     }
-    if (refusal.kind().outcome().isRetrySafe()) {
-      offeredById.remove(refusal.requestId());
-    }
     offered
         .origin()
         .instance()
@@ -291,10 +288,9 @@
             : new DispatchEvent.ProbeFailed(nowNanos, target));
   }
 
+  /** Only a completed request needs no refusal, which removes it and tells its entry. */
   private void reply(String requestId, TargetReply reply) {
-    if (!(reply instanceof TargetReply.NotSent
-        || reply instanceof TargetReply.RefusedFence
-        || reply instanceof TargetReply.RefusedShedding)) {
+    if (reply instanceof TargetReply.Completed) {
       offeredById.remove(requestId);
     }
     post(new DispatchEvent.TargetReplied(System.nanoTime(), requestId, reply));
