Read the body before a refusal during shutdown

The body is now read, up to the limit, before the refusal. CallerShutdownTest failed before (connection reset) and passes now.

--- a/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
@@ -132,7 +132,7 @@
 
   private Mono<Void> serve(HttpServerRequest request, HttpServerResponse response) {
     if (refusing) {
-      return writer.error(response, refusal(ErrorKind.SHUTTING_DOWN, "instance is shutting down"));
+      return refuseWhileShuttingDown(request, response);
     }
     if (inFlight.incrementAndGet() > settings.maxRequests()) {
       inFlight.decrementAndGet();
@@ -154,6 +154,17 @@
             });
   }
 
+  /** Reads the body first: closing with unread bytes resets the connection and the refusal. */
+  private Mono<Void> refuseWhileShuttingDown(
+      HttpServerRequest request, HttpServerResponse response) {
+    CallerResponse.Error refusal = refusal(ErrorKind.SHUTTING_DOWN, "instance is shutting down");
+    Mono<Void> bodyRead =
+        BodyReader.hasBody(request.requestHeaders())
+            ? BodyReader.read(request, settings.maxBodyBytes()).then().onErrorComplete()
+            : Mono.empty();
+    return bodyRead.then(Mono.defer(() -> writer.error(response, refusal)));
+  }
+
   private Mono<Void> exchange(
       HttpServerRequest request, HttpServerResponse response, Exchange exchange) {
     CallerRequest head;
--- a/src/test/java/io/coltsfootwheel/edge/CallerShutdownTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/CallerShutdownTest.java
@@ -40,6 +40,26 @@
     }
   }
 
+  /**
+   * Guards against a refusal that the caller cannot read: a connection that is closed with an
+   * unread body is reset, and the caller takes the outcome for unknown.
+   */
+  @Test
+  void refusalDuringShutdownFollowsTheBody() throws Exception {
+    Address address = server.start();
+    server.refuseNew(true);
+    try (Socket socket = new Socket(address.host(), address.port())) {
+      socket.setSoTimeout(10_000);
+      int length = 512 * 1024;
+      String head = "POST /s/x HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(new byte[length]);
+      assertThat(readToEnd(socket)).startsWith("HTTP/1.1 503").contains("shutting-down");
+    } finally {
+      server.close();
+    }
+  }
+
   @Override
   public Mono<CallerResponse> handle(CallerRequest request) {
     handled.countDown();
