Keep the meters of a service instead of looking them up for each request

Each answer built a timer and a counter name with sorted tags in the registry. In a JFR profile of one daemon the recorder was in 4.4% of the samples (864 samples, 64 connections). The meters are now kept with the counts of the service; a service with only refused requests now also shows a timer of zero.

The effect could not be measured: at a load average of 36 on 10 cores the old and new classes in one run took 275.7 and 337.8 us for each request, a difference that depends on the order in which the paths are warmed up.

--- a/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
@@ -8,6 +8,7 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.ServiceSpec;
 import io.coltsfootwheel.model.TargetId;
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.EnumSet;
@@ -36,11 +37,34 @@
   private final LongSupplier clockNanos;
   private final Map<ServiceName, ServiceCounts> countsByService = new ConcurrentHashMap<>();
 
-  /** Intervals of one service by their number. */
+  /**
+   * Intervals of one service by their number, and its meters.
+   *
+   * <p>The meters are kept because a lookup in the registry builds a name and sorted tags each
+   * time.
+   */
   private static final class ServiceCounts {
     private final TreeMap<Long, BurnWindow> windows = new TreeMap<>();
+    private final Map<String, Counter> counterByResult = new ConcurrentHashMap<>();
+    private final MeterRegistry meters;
+    private final String service;
+    private final Timer duration;
     private long unavailableSlice = Long.MIN_VALUE;
 
+    private ServiceCounts(MeterRegistry meters, ServiceName service) {
+      this.meters = meters;
+      this.service = service.value();
+      this.duration = meters.timer("coltsfootwheel.request.duration", "service", this.service);
+    }
+
+    private void count(String result) {
+      counterByResult.computeIfAbsent(result, this::counter).increment();
+    }
+
+    private Counter counter(String result) {
+      return meters.counter("coltsfootwheel.requests", "service", service, "result", result);
+    }
+
     private synchronized BurnWindow at(long interval) {
       windows.headMap(interval - RETAINED_INTERVALS).clear();
       return windows.computeIfAbsent(interval, i -> new BurnWindow());
@@ -78,11 +102,8 @@
     synchronized (counts) {
       counts.at(interval()).addAnswered(target, isLate);
     }
-    count(request.service(), isLate ? "late" : "answered");
-    Timer.builder("coltsfootwheel.request.duration")
-        .tag("service", request.service().value())
-        .register(meters)
-        .record(elapsedNanos, TimeUnit.NANOSECONDS);
+    counts.count(isLate ? "late" : "answered");
+    counts.duration.record(elapsedNanos, TimeUnit.NANOSECONDS);
   }
 
   /**
@@ -104,7 +125,7 @@
     if (UNAVAILABLE.contains(kind)) {
       counts.unavailable(interval(), nowMillis() / SLICE_MILLIS);
     }
-    count(request.service(), kind.code());
+    counts.count(kind.code());
   }
 
   /**
@@ -117,7 +138,7 @@
     synchronized (counts) {
       counts.at(interval()).addLost();
     }
-    count(service, "lost");
+    counts.count("lost");
   }
 
   /**
@@ -166,13 +187,7 @@
   }
 
   private ServiceCounts counts(ServiceName service) {
-    return countsByService.computeIfAbsent(service, s -> new ServiceCounts());
-  }
-
-  private void count(ServiceName service, String result) {
-    meters
-        .counter("coltsfootwheel.requests", "service", service.value(), "result", result)
-        .increment();
+    return countsByService.computeIfAbsent(service, s -> new ServiceCounts(meters, s));
   }
 
   private long interval() {
