--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -77,7 +77,7 @@
   private final CountDownLatch failed = new CountDownLatch(1);
   private volatile ControlState state = ControlState.empty();
   private volatile String stamp = "";
-  private volatile boolean ready;
+  private volatile InstanceReading reading = InstanceReading.NONE;
 
   Daemon(DaemonSettings settings) {
     this.settings = settings;
@@ -104,7 +104,12 @@
     this.dispatch = new DispatchDriver(self, stamps, targets, relay, entry, this::post);
     Optional<Journal> opened = settings.dataFolder().map(Journal::open);
     this.journal =
-        opened.map(j -> new JournalDriver(j, e -> post(new InstanceEvent.Replication(e))));
+        opened.map(
+            j ->
+                new JournalDriver(
+                    j,
+                    meters.timer("coltsfootwheel.journal.persist"),
+                    e -> post(new InstanceEvent.Replication(e))));
     InstanceReducer reducer = reducer(opened, session);
     this.loop = new DecisionLoop(reducer, effect -> execute(effect, stamps), failed::countDown);
     this.callers =
@@ -112,13 +117,15 @@
             callerSettings(settings), entry, new TargetChanges(answers, () -> state), () -> stamp);
     ObjectMapper json = new ObjectMapper().registerModule(new Jdk8Module());
     OperatorRoutes routes =
-        new OperatorRoutes(settings, () -> state, () -> ready, answers, recorder, meters, json);
+        new OperatorRoutes(
+            settings, () -> state, () -> reading.ready(), answers, recorder, meters, json);
     this.operators =
         OperatorServer.of(
             settings.operatorAddress().host(),
             settings.operatorAddress().port(),
             new String(readBytes(settings.operatorTokenFile()), StandardCharsets.UTF_8).strip(),
             routes.routes());
+    bindMetrics(new DaemonMetrics(meters));
   }
 
   /** Starts the servers and the decisions. */
@@ -307,7 +314,7 @@
    * @return the period between readings
    */
   Duration refreshReadiness() {
-    loop.ask(reducer -> reducer.isReady(System.nanoTime())).subscribe(value -> ready = value);
+    loop.ask(reducer -> reducer.reading(System.nanoTime())).subscribe(value -> reading = value);
     return Duration.ofMillis(100);
   }
 
@@ -323,6 +330,16 @@
     }
   }
 
+  private void bindMetrics(DaemonMetrics metrics) {
+    metrics.bind(link);
+    metrics.bind(loop);
+    metrics.gauge("coltsfootwheel.applied.index", () -> state.appliedIndex());
+    metrics.gauge("coltsfootwheel.term", () -> reading.term());
+    metrics.gauge("coltsfootwheel.leading", () -> reading.leading() ? 1 : 0);
+    metrics.gauge("coltsfootwheel.leased", () -> reading.leased() ? 1 : 0);
+    metrics.gauge("coltsfootwheel.requests.in.flight", callers::inFlight);
+  }
+
   private static CallerServerSettings callerSettings(DaemonSettings settings) {
     CallerServerSettings defaults =
         CallerServerSettings.of(settings.httpAddress().host(), settings.httpAddress().port());
--- a/src/main/java/io/coltsfootwheel/daemon/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/daemon/DecisionLoop.java
@@ -4,6 +4,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
@@ -31,6 +32,8 @@
   private final Scheduler.Worker worker = scheduler.createWorker();
   private final Queue<Runnable> tasks = Queues.<Runnable>unboundedMultiproducer().get();
   private final AtomicInteger pending = new AtomicInteger();
+  private final LongAdder handledEvents = new LongAdder();
+  private final LongAdder decidingNanos = new LongAdder();
 
   DecisionLoop(InstanceReducer reducer, Consumer<InstanceEffect> driver, Runnable onFailure) {
     this.reducer = reducer;
@@ -67,6 +70,19 @@
     return Mono.create(sink -> enqueue(() -> answer(question, sink)));
   }
 
+  long handledEvents() {
+    return handledEvents.sum();
+  }
+
+  /** Returns the time for which the decision thread was busy. */
+  long decidingNanos() {
+    return decidingNanos.sum();
+  }
+
+  int queuedEvents() {
+    return pending.get();
+  }
+
   /** Stops the decision thread. */
   void close() {
     worker.dispose();
@@ -89,6 +105,7 @@
   }
 
   private void drain() {
+    long startNanos = System.nanoTime();
     int handled = 0;
     do {
       handled = pending.get();
@@ -100,6 +117,10 @@
         }
         task.run();
       }
+      long nowNanos = System.nanoTime();
+      decidingNanos.add(nowNanos - startNanos);
+      handledEvents.add(handled);
+      startNanos = nowNanos;
     } while (pending.addAndGet(-handled) != 0);
   }
 
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -76,6 +76,20 @@
     return lease.isLeased(nowNanos) && !lease.isStale(nowNanos) && !leaving;
   }
 
+  /**
+   * Returns the present state for readiness and metrics.
+   *
+   * @param nowNanos monotonic time
+   * @return the state
+   */
+  InstanceReading reading(long nowNanos) {
+    return new InstanceReading(
+        isReady(nowNanos),
+        lease.isLeased(nowNanos),
+        member.filter(MemberPart::isLeading).isPresent(),
+        member.map(MemberPart::term).orElse(0L));
+  }
+
   /**
    * Returns the member part for reports to operators.
    *
--- a/src/main/java/io/coltsfootwheel/daemon/JournalDriver.java
+++ b/src/main/java/io/coltsfootwheel/daemon/JournalDriver.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.journal.Journal;
 import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.micrometer.core.instrument.Timer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -16,12 +17,14 @@
   private static final Logger LOG = LogManager.getLogger(JournalDriver.class);
 
   private final Journal journal;
+  private final Timer persistTime;
   private final Consumer<ReplicationEvent> events;
   private final LinkedBlockingQueue<ReplicationEffect> queue = new LinkedBlockingQueue<>();
   private final Thread thread = new Thread(this::run, "journal");
 
-  JournalDriver(Journal journal, Consumer<ReplicationEvent> events) {
+  JournalDriver(Journal journal, Timer persistTime, Consumer<ReplicationEvent> events) {
     this.journal = journal;
+    this.persistTime = persistTime;
     this.events = events;
   }
 
@@ -74,7 +77,7 @@
     if (appends.isEmpty()) {
       return;
     }
-    journal.persist(appends);
+    persistTime.record(() -> journal.persist(appends));
     for (ReplicationEffect.Persist persist : appends) {
       events.accept(new ReplicationEvent.Persisted(System.nanoTime(), persist.sequence()));
     }
--- a/src/main/java/io/coltsfootwheel/link/InboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/InboundHandler.java
@@ -18,6 +18,7 @@
   private final LinkSettings settings;
   private final LinkListener listener;
   private final FailureLog log;
+  private final LinkTraffic traffic;
   private final FrameDecoder decoder;
   private final Handshake handshake;
 
@@ -26,10 +27,15 @@
   private InstanceId peer;
 
   InboundHandler(
-      LinkSettings settings, LinkListener listener, FailureLog log, FrameDecoder decoder) {
+      LinkSettings settings,
+      LinkListener listener,
+      FailureLog log,
+      LinkTraffic traffic,
+      FrameDecoder decoder) {
     this.settings = settings;
     this.listener = listener;
     this.log = log;
+    this.traffic = traffic;
     this.decoder = decoder;
     this.handshake = new Handshake(settings);
   }
@@ -75,6 +81,7 @@
     if (frame.kind() == FrameKind.HELLO || frame.kind().channel() != opening.channel()) {
       throw new BadFrameException(LinkFailure.BAD_FRAME);
     }
+    traffic.count(frame, LinkDirection.RECEIVED);
     listener.received(peer, opening.session(), frame);
   }
 
--- a/src/main/java/io/coltsfootwheel/link/LinkContext.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkContext.java
@@ -8,6 +8,8 @@
 
   FailureLog log();
 
+  LinkTraffic traffic();
+
   /** Starts an attempt; its end is reported to {@link Outbound#closed}. */
   void connect(Outbound outbound);
 
--- a/src/main/java/io/coltsfootwheel/link/LinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkTransport.java
@@ -60,6 +60,25 @@
    */
   long failures(LinkFailure failure);
 
+  /**
+   * Returns how many frames were sent or received after the handshakes.
+   *
+   * @param kind kind of the frames
+   * @param direction sent or received
+   * @return the number since the start
+   */
+  long frames(FrameKind kind, LinkDirection direction);
+
+  /**
+   * Returns the bytes of the frames that {@link #frames} counts, with their headers but without
+   * those of TCP.
+   *
+   * @param kind kind of the frames
+   * @param direction sent or received
+   * @return the bytes since the start
+   */
+  long bytes(FrameKind kind, LinkDirection direction);
+
   /** Closes all connections and stops to listen. */
   @Override
   void close();
--- a/src/main/java/io/coltsfootwheel/link/Outbound.java
+++ b/src/main/java/io/coltsfootwheel/link/Outbound.java
@@ -189,6 +189,7 @@
     while (!queue.isEmpty() && bytes < BATCH_BYTES) {
       Frame frame = queue.poll();
       batch.add(frame);
+      context.traffic().count(frame, LinkDirection.SENT);
       bytes += cost(frame);
     }
     queuedBytes -= bytes;
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -44,6 +44,7 @@
 
   private final LinkSettings settings;
   private final FailureLog log = new FailureLog();
+  private final LinkTraffic traffic = new LinkTraffic();
   private final LoopResources loops = LoopResources.create("link", THREADS, true);
   private final TcpClient client;
   private final Random jitter;
@@ -143,6 +144,16 @@
     return log.total(failure);
   }
 
+  @Override
+  public long frames(FrameKind kind, LinkDirection direction) {
+    return traffic.frames(kind, direction);
+  }
+
+  @Override
+  public long bytes(FrameKind kind, LinkDirection direction) {
+    return traffic.bytes(kind, direction);
+  }
+
   @Override
   public void close() {
     Map<InstanceId, Peer> ended;
@@ -179,6 +190,11 @@
     return log;
   }
 
+  @Override
+  public LinkTraffic traffic() {
+    return traffic;
+  }
+
   @Override
   public void connect(Outbound outbound) {
     Address address = outbound.address();
@@ -223,7 +239,7 @@
     connection.onDispose(() -> forget(connection));
     FrameDecoder decoder = new FrameDecoder(HANDSHAKE_FRAME_BYTES);
     connection.addHandlerLast(decoder);
-    connection.addHandlerLast(new InboundHandler(settings, listener, log, decoder));
+    connection.addHandlerLast(new InboundHandler(settings, listener, log, traffic, decoder));
     connection.channel().config().setAutoRead(true);
   }
 
--- a/src/test/java/io/coltsfootwheel/bench/ChildProcess.java
+++ b/src/test/java/io/coltsfootwheel/bench/ChildProcess.java
@@ -29,11 +29,16 @@
    * @param arguments its arguments
    */
   static ChildProcess start(Path log, Class<?> main, String... arguments) {
+    return start(log, System.getProperty("java.class.path"), main, arguments);
+  }
+
+  /** Starts a main class on another class path. */
+  static ChildProcess start(Path log, String classPath, Class<?> main, String... arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     String flags = System.getProperty("bench.flags", "-Xmx192m -XX:+UseSerialGC");
     command.addAll(List.of(flags.split(" ")));
-    command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
+    command.addAll(List.of("-cp", classPath, main.getName()));
     command.addAll(List.of(arguments));
     File output = log.toFile();
     try {
--- a/src/test/java/io/coltsfootwheel/bench/MeasurePath.java
+++ b/src/test/java/io/coltsfootwheel/bench/MeasurePath.java
@@ -4,8 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
-import org.HdrHistogram.Histogram;
 
 /**
  * Compares the cost of a request through daemons with a direct call and a bare pass-through.
@@ -18,14 +18,16 @@
   private static final int TARGETS = 4;
   private static final int SLOTS = 64;
   private static final int KEYS = 256;
-  private static final double WARM_SECONDS = 6;
-  private static final double CLOSED_SECONDS = 5;
-  private static final double OPEN_SECONDS = 2;
+  private static final double WARM_SECONDS = 5;
+  private static final double ROUND_SECONDS = 1;
+  private static final int ROUNDS = 3;
+  private static final double OPEN_SECONDS = 1.5;
+
+  /** Classes of an earlier commit that one more daemon runs, to compare them in one run. */
+  private static final String BASELINE = System.getProperty("bench.baseline");
 
   private final int connections;
   private final double rate;
-  private double passThroughPerCore;
-  private Histogram direct;
 
   private MeasurePath(int connections, double rate) {
     this.connections = connections;
@@ -46,23 +48,28 @@
     // Below the range of outgoing connections; differs between runs that overlap.
     int port = 21_000 + (int) (ProcessHandle.current().pid() % 80) * 100;
     try (TestFleet one = new TestFleet(folder.resolve("one"), 1, 1, TARGETS, port);
+        TestFleet old = new TestFleet(folder.resolve("old"), 1, 1, TARGETS, port + 60);
         TestFleet two = new TestFleet(folder.resolve("two"), 2, 1, TARGETS, port + 30)) {
       one.start(SLOTS);
       two.start(SLOTS);
+      if (BASELINE != null) {
+        old.preferClasses(BASELINE);
+        old.start(SLOTS);
+      }
       for (int i = 0; i < repeats; i++) {
-        new MeasurePath(connections, rate).run(folder, one, two, port + 90);
+        new MeasurePath(connections, rate).run(folder, one, two, old, port + 90);
       }
     }
     System.out.println("logs: " + folder);
   }
 
-  private void run(Path folder, TestFleet one, TestFleet two, int passPort)
+  private void run(Path folder, TestFleet one, TestFleet two, TestFleet old, int passPort)
       throws IOException, InterruptedException {
     System.out.printf(
         "%d connections, open loop at %.0f/s, load average %s%n",
         connections, rate, Files.readString(Path.of("/proc/loadavg")).strip());
     System.out.printf(
-        "%-14s %9s %7s %9s %11s %6s %7s %7s %7s %9s%n",
+        "%-14s %9s %7s %9s %11s %6s %7s %7s %7s%n",
         "path",
         "req/s",
         "failed",
@@ -79,42 +86,79 @@
       proxied[i + 1] = "127.0.0.1:" + one.targetPort(i);
     }
     List<String> keys = one.keysOf(0, KEYS);
-    measure("direct", one.targetPort(0), keys, List.of());
     try (ChildProcess pass =
         ChildProcess.start(folder.resolve("pass.log"), PassThrough.class, proxied)) {
       awaitPort(passPort);
-      measure("pass-through", passPort, keys, List.of(pass));
+      List<ChildProcess> both = List.of(two.daemon(0), two.daemon(1));
+      List<MeasuredPath> paths = new ArrayList<>();
+      paths.add(new MeasuredPath("direct", one.targetPort(0), keys, List.of()));
+      paths.add(new MeasuredPath("pass-through", passPort, keys, List.of(pass)));
+      paths.add(new MeasuredPath("one daemon", one.httpPort(0), keys, List.of(one.daemon(0))));
+      // The dispatchers of the targets are placed by the leader, so the entry is the other daemon.
+      int dispatcher = two.keysOf(0, KEYS).isEmpty() ? 1 : 0;
+      List<String> far = two.keysOf(dispatcher, KEYS);
+      paths.add(new MeasuredPath("hop", two.httpPort(1 - dispatcher), far, both));
+      if (BASELINE != null) {
+        paths.add(new MeasuredPath("baseline", old.httpPort(0), keys, List.of(old.daemon(0))));
+      }
+      for (MeasuredPath path : paths) {
+        path.load.closedLoop(WARM_SECONDS);
+      }
+      // Interleaved, because the load of a shared machine changes between rounds.
+      for (int round = 0; round < ROUNDS; round++) {
+        for (MeasuredPath path : paths) {
+          path.measure();
+        }
+      }
+      for (MeasuredPath path : paths) {
+        HttpLoad.Result open = path.load.openLoop(OPEN_SECONDS, rate);
+        path.print(paths.get(1), open);
+        path.load.close();
+      }
     }
-    measure("one daemon", one.httpPort(0), keys, List.of(one.daemon(0)));
-    List<ChildProcess> both = List.of(two.daemon(0), two.daemon(1));
-    measure("hop", two.httpPort(1), two.keysOf(0, KEYS), both);
   }
 
-  private void measure(String name, int port, List<String> keys, List<ChildProcess> proxies)
-      throws InterruptedException {
-    try (HttpLoad load = new HttpLoad(port, TestFleet.SERVICE, keys, connections)) {
-      load.closedLoop(WARM_SECONDS);
+  /** One way to the targets, with what has been measured on it. */
+  private final class MeasuredPath {
+    private final String name;
+    private final HttpLoad load;
+    private final List<ChildProcess> proxies;
+    private double cpuSeconds;
+    private double seconds;
+    private long completed;
+    private long failed;
+
+    private MeasuredPath(String name, int port, List<String> keys, List<ChildProcess> proxies) {
+      this.name = name;
+      this.load = new HttpLoad(port, TestFleet.SERVICE, keys, connections);
+      this.proxies = proxies;
+    }
+
+    private void measure() throws InterruptedException {
       Duration before = cpu(proxies);
-      HttpLoad.Result closed = load.closedLoop(CLOSED_SECONDS);
-      double cpuSeconds = cpu(proxies).minus(before).toNanos() / 1e9;
-      HttpLoad.Result open = load.openLoop(OPEN_SECONDS, rate);
-      double perCore = cpuSeconds == 0 ? 0 : closed.completed() / cpuSeconds;
-      if (passThroughPerCore == 0) {
-        passThroughPerCore = perCore;
-      }
-      direct = direct == null ? open.latency() : direct;
+      HttpLoad.Result closed = load.closedLoop(ROUND_SECONDS);
+      cpuSeconds += cpu(proxies).minus(before).toNanos() / 1e9;
+      seconds += closed.seconds();
+      completed += closed.completed();
+      failed += closed.failed();
+    }
+
+    private double perCore() {
+      return cpuSeconds == 0 ? 0 : completed / cpuSeconds;
+    }
+
+    private void print(MeasuredPath reference, HttpLoad.Result open) {
       System.out.printf(
-          "%-14s %9.0f %7d %9.1f %11.0f %6.2f %7d %7d %7d %9d%n",
+          "%-14s %9.0f %7d %9.1f %11.0f %6.2f %7d %7d %7d%n",
           name,
-          closed.perSecond(),
-          closed.failed() + open.failed(),
-          perCore == 0 ? 0 : 1e6 / perCore,
-          perCore,
-          passThroughPerCore == 0 ? 0 : perCore / passThroughPerCore,
+          completed / seconds,
+          failed + open.failed(),
+          1e6 * cpuSeconds / completed,
+          perCore(),
+          perCore() / reference.perCore(),
           open.latency().getValueAtPercentile(50),
           open.latency().getValueAtPercentile(99),
-          open.latency().getMaxValue(),
-          open.latency().getValueAtPercentile(50) - direct.getValueAtPercentile(50));
+          open.latency().getMaxValue());
     }
   }
 
--- a/src/test/java/io/coltsfootwheel/bench/TestFleet.java
+++ b/src/test/java/io/coltsfootwheel/bench/TestFleet.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.coltsfootwheel.daemon.Main;
+import java.io.File;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -33,6 +34,7 @@
   private final int firstPort;
   private final int targets;
   private final List<ChildProcess> processes = new ArrayList<>();
+  private String classPath = System.getProperty("java.class.path");
   private String status = "";
   private final HttpClient http = HttpClient.newHttpClient();
   private final ObjectMapper json = new ObjectMapper();
@@ -46,6 +48,11 @@
     this.firstPort = firstPort;
   }
 
+  /** Has the daemons run other classes, such as those of an earlier commit. */
+  void preferClasses(String folderOfClasses) {
+    classPath = folderOfClasses + File.pathSeparator + classPath;
+  }
+
   /** Starts the processes and waits until each target has a dispatcher and each slot an owner. */
   void start(int slots) throws IOException, InterruptedException {
     Files.createDirectories(folder);
@@ -54,7 +61,7 @@
     for (int i = 0; i < daemons; i++) {
       Path file = Files.writeString(folder.resolve("daemon-" + i + ".toml"), settings(i));
       Path log = folder.resolve("daemon-" + i + ".log");
-      processes.add(ChildProcess.start(log, Main.class, "--config", file.toString()));
+      processes.add(ChildProcess.start(log, classPath, Main.class, "--config", file.toString()));
     }
     for (int first = 0; first < targets; first += TARGETS_PER_PROCESS) {
       startTargets(first, Math.min(TARGETS_PER_PROCESS, targets - first), slots);
