Compare only changed blocks when counting moved hash slots

Each committed command made the recorder compare the owner of every hash slot on the decision thread, through two Optionals a slot. Slot tables share the blocks that a command did not change, so those are skipped.

--- a/src/main/java/io/coltsfootwheel/control/ControlState.java
+++ b/src/main/java/io/coltsfootwheel/control/ControlState.java
@@ -98,6 +98,19 @@
     return content.services().values().stream().map(ServiceState::spec).toList();
   }
 
+  /**
+   * Counts the hash slots of a service that had another owner in an earlier state.
+   *
+   * @param before the earlier state
+   * @param service the service
+   * @return the number; hash slots without an owner before are not counted
+   */
+  public int movedSlots(ControlState before, ServiceName service) {
+    Optional<SlotTable> from = before.content.services().get(service).map(ServiceState::slots);
+    Optional<SlotTable> to = content.services().get(service).map(ServiceState::slots);
+    return from.isPresent() && to.isPresent() ? to.get().movedSince(from.get()) : 0;
+  }
+
   /**
    * Explains a target.
    *
--- a/src/main/java/io/coltsfootwheel/control/SlotTable.java
+++ b/src/main/java/io/coltsfootwheel/control/SlotTable.java
@@ -92,6 +92,21 @@
         .map(o -> new SlotOwnership(o, Fence.of(fence(slot)), handover(slot).map(Handover::to)));
   }
 
+  /** Counts the hash slots that had another owner; blocks that both tables share are skipped. */
+  int movedSince(SlotTable before) {
+    int common = Math.min(size, before.size);
+    int moved = 0;
+    for (int start = 0; start < common; start += BLOCK) {
+      TargetId[] from = before.owners[start >> BLOCK_BITS];
+      TargetId[] to = owners[start >> BLOCK_BITS];
+      int length = from == to ? 0 : Math.min(BLOCK, common - start);
+      for (int i = 0; i < length; i++) {
+        moved += from[i] != null && !from[i].equals(to[i]) ? 1 : 0;
+      }
+    }
+    return moved;
+  }
+
   boolean owns(TargetId target) {
     for (int slot = 0; slot < size; slot++) {
       if (target.equals(ownerOrNull(slot))) {
--- a/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
@@ -1,7 +1,6 @@
 package io.coltsfootwheel.daemon;
 
 import io.coltsfootwheel.control.ControlState;
-import io.coltsfootwheel.control.SlotOwnership;
 import io.coltsfootwheel.edge.CallerRequest;
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.Outcome;
@@ -149,7 +148,7 @@
    */
   void observe(ControlState before, ControlState after) {
     for (ServiceSpec service : after.services()) {
-      long moved = movedSlots(service, before, after);
+      long moved = after.movedSlots(before, service.name());
       if (moved > 0) {
         ServiceCounts counts = counts(service.name());
         synchronized (counts) {
@@ -171,21 +170,6 @@
     return counts(service).sum(interval() - intervals + 1);
   }
 
-  private static long movedSlots(ServiceSpec service, ControlState before, ControlState after) {
-    long moved = 0;
-    for (int slot = 0; slot < service.hashSlots(); slot++) {
-      TargetId from = owner(before, service, slot);
-      if (from != null && !from.equals(owner(after, service, slot))) {
-        moved++;
-      }
-    }
-    return moved;
-  }
-
-  private static TargetId owner(ControlState state, ServiceSpec service, int slot) {
-    return state.ownership(service.name(), slot).map(SlotOwnership::owner).orElse(null);
-  }
-
   private ServiceCounts counts(ServiceName service) {
     return countsByService.computeIfAbsent(service, s -> new ServiceCounts(meters, s));
   }
