--- a/src/test/java/io/coltsfootwheel/bench/ChildProcess.java
+++ b/src/test/java/io/coltsfootwheel/bench/ChildProcess.java
@@ -19,6 +19,8 @@
   private ChildProcess(String name, Process process) {
     this.name = name;
     this.process = process;
+    // A measurement that is ended by a signal closes nothing, and its processes would run on.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroy));
   }
 
   /**
