--- a/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
@@ -1,7 +1,6 @@
 package io.coltsfootwheel.daemon;
 
 import io.coltsfootwheel.control.ControlState;
-import io.coltsfootwheel.control.SlotOwnership;
 import io.coltsfootwheel.edge.CallerRequest;
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.Outcome;
@@ -9,6 +8,7 @@
 import io.coltsfootwheel.model.ServiceSpec;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.settings.Objective;
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.EnumSet;
@@ -40,11 +40,34 @@
   private final Map<ServiceName, Objective> objectives;
   private final Map<ServiceName, ServiceCounts> countsByService = new ConcurrentHashMap<>();
 
-  /** Intervals of one service by their number. */
+  /**
+   * Intervals of one service by their number, and its meters.
+   *
+   * <p>The meters are kept because a lookup in the registry builds a name and sorted tags each
+   * time.
+   */
   private static final class ServiceCounts {
     private final TreeMap<Long, BurnWindow> windows = new TreeMap<>();
+    private final Map<String, Counter> counterByResult = new ConcurrentHashMap<>();
+    private final MeterRegistry meters;
+    private final String service;
+    private final Timer duration;
     private long unavailableSlice = Long.MIN_VALUE;
 
+    private ServiceCounts(MeterRegistry meters, ServiceName service) {
+      this.meters = meters;
+      this.service = service.value();
+      this.duration = meters.timer("coltsfootwheel.request.duration", "service", this.service);
+    }
+
+    private void count(String result) {
+      counterByResult.computeIfAbsent(result, this::counter).increment();
+    }
+
+    private Counter counter(String result) {
+      return meters.counter("coltsfootwheel.requests", "service", service, "result", result);
+    }
+
     private synchronized BurnWindow at(long interval) {
       windows.headMap(interval - RETAINED_INTERVALS).clear();
       return windows.computeIfAbsent(interval, i -> new BurnWindow());
@@ -84,11 +107,8 @@
     synchronized (counts) {
       counts.at(interval()).addAnswered(target, isLate);
     }
-    count(request.service(), isLate ? "late" : "answered");
-    Timer.builder("coltsfootwheel.request.duration")
-        .tag("service", request.service().value())
-        .register(meters)
-        .record(elapsedNanos, TimeUnit.NANOSECONDS);
+    counts.count(isLate ? "late" : "answered");
+    counts.duration.record(elapsedNanos, TimeUnit.NANOSECONDS);
   }
 
   /**
@@ -112,7 +132,7 @@
     if (UNAVAILABLE.contains(kind)) {
       counts.unavailable(interval(), nowMillis() / SLICE_MILLIS);
     }
-    count(request.service(), kind.code());
+    counts.count(kind.code());
   }
 
   /**
@@ -125,7 +145,7 @@
     synchronized (counts) {
       counts.at(interval()).addLost();
     }
-    count(service, "lost");
+    counts.count("lost");
   }
 
   /**
@@ -136,7 +156,7 @@
    */
   void observe(ControlState before, ControlState after) {
     for (ServiceSpec service : after.services()) {
-      long moved = movedSlots(service, before, after);
+      long moved = after.movedSlots(before, service.name());
       if (moved > 0) {
         ServiceCounts counts = counts(service.name());
         synchronized (counts) {
@@ -165,29 +185,8 @@
         .orElse(request.deadlineMillis());
   }
 
-  private static long movedSlots(ServiceSpec service, ControlState before, ControlState after) {
-    long moved = 0;
-    for (int slot = 0; slot < service.hashSlots(); slot++) {
-      TargetId from = owner(before, service, slot);
-      if (from != null && !from.equals(owner(after, service, slot))) {
-        moved++;
-      }
-    }
-    return moved;
-  }
-
-  private static TargetId owner(ControlState state, ServiceSpec service, int slot) {
-    return state.ownership(service.name(), slot).map(SlotOwnership::owner).orElse(null);
-  }
-
   private ServiceCounts counts(ServiceName service) {
-    return countsByService.computeIfAbsent(service, s -> new ServiceCounts());
-  }
-
-  private void count(ServiceName service, String result) {
-    meters
-        .counter("coltsfootwheel.requests", "service", service.value(), "result", result)
-        .increment();
+    return countsByService.computeIfAbsent(service, s -> new ServiceCounts(meters, s));
   }
 
   private long interval() {
