--- a/src/test/java/io/coltsfootwheel/bench/ProcessGroup.java
+++ b/src/test/java/io/coltsfootwheel/bench/ProcessGroup.java
@@ -12,11 +12,10 @@
 final class ProcessGroup implements AutoCloseable {
   private final Path folder;
   private final Map<String, Process> processes = new ConcurrentHashMap<>();
-  private final Thread onExit = new Thread(this::killAll, "end-processes");
 
   ProcessGroup(Path folder) {
     this.folder = folder;
-    Runtime.getRuntime().addShutdownHook(onExit);
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killAll, "end-processes"));
   }
 
   /** Starts a process whose output is appended to {@code NAME.log}. */
@@ -61,10 +60,10 @@
     return process.exitValue();
   }
 
+  /** Ends all processes; the shutdown hook does it when this process is ended itself. */
   @Override
   public void close() {
     killAll();
-    Runtime.getRuntime().removeShutdownHook(onExit);
   }
 
   /** SIGKILL also ends a process that is stopped by SIGSTOP. */
--- a/src/test/java/io/coltsfootwheel/bench/ProcessRun.java
+++ b/src/test/java/io/coltsfootwheel/bench/ProcessRun.java
@@ -50,11 +50,10 @@
         Math.min(
             MAX_SECONDS, Integer.parseInt(line.getOptionValue("seconds", "" + DEFAULT_SECONDS)));
     Path folder = Files.createTempDirectory("process-run-");
+    System.out.println("files are in " + folder);
     boolean clean = run(scenario, seconds, folder);
     if (clean && !line.hasOption("keep")) {
       DiskDamage.delete(folder);
-    } else {
-      System.out.println("logs are in " + folder);
     }
     System.exit(clean ? 0 : 1);
   }
