--- a/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationReducer.java
@@ -86,19 +86,12 @@
   }
 
   /**
-   * Returns the index up to which a member is known to hold the log.
+   * Returns what this member knows of all members while it leads.
    *
-   * @param member a member of the present configuration
-   * @return the index, or 0 when it is unknown or this member does not lead
+   * @return one element for each member, empty on other members than the leader
    */
-  public long matchIndex(MemberId member) {
-    if (member.equals(core.self())) {
-      return core.log.lastIndex();
-    }
-    return leader
-        .flatMap(state -> state.progressOf(member))
-        .map(FollowerProgress::matchIndex)
-        .orElse(0L);
+  public List<MemberProgress> progress() {
+    return leader.map(LeaderState::progress).orElse(List.of());
   }
 
   private void handle(ReplicationEvent event) {
--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -69,6 +69,7 @@
   private final DispatchDriver dispatch;
   private final PendingAnswers answers;
   private final RequestRecorder recorder;
+  private final FleetBurn burn;
   private final Optional<JournalDriver> journal;
   private final DecisionLoop loop;
   private final CallerServer callers;
@@ -98,7 +99,14 @@
                 key));
     this.relay = ResponseRelay.of(link, RELAY_IDLE_MILLIS);
     this.pools = new TargetPools(self, targets);
-    this.recorder = new RequestRecorder(meters, System::nanoTime);
+    this.recorder = new RequestRecorder(meters, System::nanoTime, settings.objectives());
+    this.burn =
+        new FleetBurn(
+            self,
+            settings.objectives(),
+            () -> state,
+            recorder,
+            (to, message) -> link.send(to, message.toFrame()));
     this.answers = new PendingAnswers(this::post);
     this.entry = new EntryDriver(self, stamps, link, relay, this::post, recorder);
     this.dispatch = new DispatchDriver(self, stamps, targets, relay, entry, this::post);
@@ -112,7 +120,7 @@
             callerSettings(settings), entry, new TargetChanges(answers, () -> state), () -> stamp);
     ObjectMapper json = new ObjectMapper().registerModule(new Jdk8Module());
     OperatorRoutes routes =
-        new OperatorRoutes(settings, () -> state, () -> ready, answers, recorder, meters, json);
+        new OperatorRoutes(settings, () -> state, () -> ready, answers, burn, meters, json);
     this.operators =
         OperatorServer.of(
             settings.operatorAddress().host(),
@@ -195,7 +203,9 @@
   private void receiveControl(InstanceId from, Frame frame) {
     try {
       ControlMessage message = ControlMessage.decode(frame);
-      post(new InstanceEvent.MessageReceived(System.nanoTime(), from, message));
+      if (!burn.receive(from, message)) {
+        post(new InstanceEvent.MessageReceived(System.nanoTime(), from, message));
+      }
     } catch (ColtsfootwheelException e) {
       LOG.warn("control frame {} of {} refused: {}", frame.kind(), from, e.getMessage());
     }
@@ -274,7 +284,9 @@
                   id,
                   new ReplicationReducer(replication, j.recovered(), nowNanos),
                   new Supervisor(),
-                  settings.services());
+                  settings.services(),
+                  members,
+                  MemberPart.COMMANDS_BETWEEN_SNAPSHOTS);
             });
     Optional<StateFollower> follower =
         member.isPresent()
@@ -292,11 +304,18 @@
     EntryRouter router =
         new EntryRouter(
             self, session, settings.zone(), EntrySettings.defaults(), session.hashCode());
-    RequestPart requests =
-        new RequestPart(self, lease.session(), DispatchSettings.defaults(), router);
+    RequestPart requests = new RequestPart(self, lease.session(), dispatchSettings(), router);
     return new InstanceReducer(self, members, member, follower, lease, requests);
   }
 
+  private DispatchSettings dispatchSettings() {
+    DispatchSettings defaults = DispatchSettings.defaults();
+    return new DispatchSettings(
+        settings.limits().queueFactor(),
+        defaults.identityRecords(),
+        defaults.identityRetentionMillis());
+  }
+
   private void post(InstanceEvent event) {
     loop.post(event);
   }
@@ -333,7 +352,9 @@
         defaults.maxHeaderBytes(),
         defaults.maxUriBytes(),
         settings.limits().concurrentRequests(),
-        defaults.idleMillis());
+        defaults.idleMillis(),
+        settings.limits().deadlineDefaultMillis(),
+        settings.limits().deadlineMaximumMillis());
   }
 
   private static Map<InstanceId, Address> memberAddresses(DaemonSettings settings) {
--- a/src/main/java/io/coltsfootwheel/daemon/LeaderReport.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LeaderReport.java
@@ -1,6 +1,6 @@
 package io.coltsfootwheel.daemon;
 
-import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.MemberProgress;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.Renewal;
 import java.util.List;
@@ -12,23 +12,14 @@
  * @param term its term
  * @param commitIndex index of the last command that it has applied
  * @param renewals last renewal of each instance that holds a lease
- * @param members voters and learners of the control group
+ * @param members members of the control group
  */
 record LeaderReport(
     InstanceId leader,
     long term,
     long commitIndex,
     List<Renewal> renewals,
-    List<ReportedMember> members) {
-  /**
-   * Member of the control group.
-   *
-   * @param id instance and disk identity
-   * @param voter false for a learner
-   * @param matchIndex log index that it is known to hold, 0 when unknown
-   */
-  record ReportedMember(MemberId id, boolean voter, long matchIndex) {}
-
+    List<MemberProgress> members) {
   /** Copies the lists. */
   LeaderReport {
     renewals = List.copyOf(renewals);
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.daemon;
 
 import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.MemberProgress;
 import io.coltsfootwheel.consensus.ReplicationEffect;
 import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.consensus.ReplicationReducer;
@@ -29,12 +30,14 @@
  * supervisor.
  */
 final class MemberPart {
-  private static final int COMMANDS_BETWEEN_SNAPSHOTS = 4_096;
+  static final int COMMANDS_BETWEEN_SNAPSHOTS = 4_096;
 
   private final MemberId self;
   private final ReplicationReducer replication;
   private final Supervisor supervisor;
   private final List<ServiceSpec> services;
+  private final int commandsBetweenSnapshots;
+  private final MemberChanges changes;
   private final Subscribers subscribers = new Subscribers();
   private final ProposalOrigins origins = new ProposalOrigins();
   private final Map<Long, Renewal> renewalByRequest = new HashMap<>();
@@ -50,11 +53,15 @@
       MemberId self,
       ReplicationReducer replication,
       Supervisor supervisor,
-      List<ServiceSpec> services) {
+      List<ServiceSpec> services,
+      List<InstanceId> controlMembers,
+      int commandsBetweenSnapshots) {
     this.self = self;
     this.replication = replication;
     this.supervisor = supervisor;
     this.services = List.copyOf(services);
+    this.commandsBetweenSnapshots = commandsBetweenSnapshots;
+    this.changes = new MemberChanges(controlMembers);
   }
 
   ControlState state() {
@@ -100,6 +107,11 @@
     run(new ReplicationEvent.Tick(nowNanos), effects);
     if (isLeading()) {
       supervise(nowNanos, new SupervisorEvent.Tick(nowNanos), effects);
+      changes
+          .due(nowNanos, replication.progress())
+          .ifPresent(step -> changeMembership(nowNanos, step, effects));
+    } else if (replication.configuration().isEmpty()) {
+      effects.addAll(changes.joinDue(nowNanos, self));
     }
     return effects;
   }
@@ -126,30 +138,45 @@
     } else if (message instanceof ControlMessage.ReportRequest request && isLeading()) {
       ControlMessage answer = new ControlMessage.ReportAnswer(request.requestId(), report());
       effects.add(new InstanceEffect.SendMessage(from, answer));
+    } else if (message instanceof ControlMessage.Join join && isLeading()) {
+      changes.joining(nowNanos, new MemberId(from, join.diskId()));
+    } else if (message instanceof ControlMessage.RemoveMember removal && isLeading()) {
+      removeMember(nowNanos, from, removal, effects);
     }
     return effects;
   }
 
+  private void removeMember(
+      long nowNanos,
+      InstanceId from,
+      ControlMessage.RemoveMember removal,
+      List<InstanceEffect> effects) {
+    List<MemberProgress> group = replication.progress();
+    Optional<InstanceEffect> refusal = changes.refuse(from, removal, group);
+    refusal.ifPresent(effects::add);
+    if (refusal.isEmpty()) {
+      for (MemberChanges.Step step : MemberChanges.removals(removal.instance(), group)) {
+        changes.begun(nextNumber, from, removal);
+        changeMembership(nowNanos, step, effects);
+      }
+    }
+  }
+
+  private void changeMembership(
+      long nowNanos, MemberChanges.Step step, List<InstanceEffect> effects) {
+    long number = nextNumber++;
+    run(
+        new ReplicationEvent.ChangeMembership(nowNanos, number, step.change(), step.member()),
+        effects);
+  }
+
   private LeaderReport report() {
     List<Renewal> present =
         lastRenewals.values().stream()
             .filter(r -> state.instance(r.instance()).filter(i -> isSameSession(i, r)).isPresent())
             .toList();
-    return new LeaderReport(self.instance(), term, state.appliedIndex(), present, members());
-  }
-
-  private List<LeaderReport.ReportedMember> members() {
-    return replication.configuration().stream()
-        .flatMap(
-            configuration ->
-                configuration.members().stream()
-                    .map(
-                        member ->
-                            new LeaderReport.ReportedMember(
-                                member,
-                                configuration.hasVoter(member),
-                                replication.matchIndex(member))))
-        .toList();
+    return new LeaderReport(
+        self.instance(), term, state.appliedIndex(), present, replication.progress());
   }
 
   private static boolean isSameSession(InstanceSpec instance, Renewal renewal) {
@@ -232,9 +259,11 @@
     } else if (effect instanceof ReplicationEffect.InstallSnapshot snapshot) {
       install(nowNanos, snapshot, effects);
     } else if (effect instanceof ReplicationEffect.ProposalCommitted committed) {
+      changes.committed(committed).ifPresent(effects::add);
       origins.committed(committed.proposalId(), committed.index()).ifPresent(effects::add);
     } else if (effect instanceof ReplicationEffect.ProposalRejected rejected) {
       origins.rejected(rejected.proposalId());
+      changes.rejected(rejected).ifPresent(effects::add);
     } else if (effect instanceof ReplicationEffect.LeadershipConfirmed confirmed) {
       acknowledge(confirmed.requestId(), effects);
     } else if (effect instanceof ReplicationEffect.LeadershipNotConfirmed refused) {
@@ -264,7 +293,7 @@
 
   private void takeSnapshotWhenDue(long nowNanos, long index, List<InstanceEffect> effects) {
     commandsSinceSnapshot++;
-    if (commandsSinceSnapshot >= COMMANDS_BETWEEN_SNAPSHOTS) {
+    if (commandsSinceSnapshot >= commandsBetweenSnapshots) {
       commandsSinceSnapshot = 0;
       run(new ReplicationEvent.SnapshotTaken(nowNanos, index, state.toSnapshot()), effects);
     }
@@ -327,6 +356,7 @@
   private void loseLeadership(long nowNanos, List<InstanceEffect> effects) {
     supervise(nowNanos, new SupervisorEvent.LeadershipLost(), effects);
     origins.clear();
+    changes.clear();
     renewalByRequest.clear();
     lastRenewals.clear();
   }
--- a/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/MemberPartTest.java
@@ -27,7 +27,8 @@
     ReplicationReducer replication =
         new ReplicationReducer(
             ReplicationSettings.of(self, List.of(M1, M2), true, 1), DurableState.empty(), 0);
-    MemberPart part = new MemberPart(self, replication, new Supervisor(), List.of());
+    MemberPart part =
+        new MemberPart(self, replication, new Supervisor(), List.of(), List.of(M1, M2), 1);
     ControlMessage sent =
         new ControlMessage.Replication(
             "disk-of-m1", "lost-disk", new ReplicationMessage.Discover("disk-of-m1"));
@@ -49,7 +50,8 @@
     ReplicationReducer replication =
         new ReplicationReducer(
             ReplicationSettings.of(self, List.of(M1), true, 1), DurableState.empty(), 0);
-    MemberPart part = new MemberPart(self, replication, new Supervisor(), List.of());
+    MemberPart part =
+        new MemberPart(self, replication, new Supervisor(), List.of(), List.of(M1), 1);
     for (long now = 0; !part.isLeading() && now < 10_000_000_000L; now += 10_000_000) {
       syncAll(part, now, part.tick(now));
     }
@@ -60,7 +62,7 @@
         .first()
         .satisfies(
             members -> {
-              assertThat(members).extracting(m -> m.id()).containsExactly(self);
+              assertThat(members).extracting(m -> m.member()).containsExactly(self);
               assertThat(members.get(0).voter()).isTrue();
               assertThat(members.get(0).matchIndex()).isPositive();
             });
--- a/src/test/java/io/coltsfootwheel/daemon/RejoinTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/RejoinTest.java
@@ -39,7 +39,9 @@
               DurableState.empty(),
               0),
           new Supervisor(),
-          List.of());
+          List.of(),
+          MEMBERS,
+          MemberPart.COMMANDS_BETWEEN_SNAPSHOTS);
   private final InstanceReducer member =
       reducer(MEMBER, Optional.of(part), Optional.empty(), lease(MEMBER));
   private final LeaseClient followerLease = lease(FOLLOWER);
