Confirm renewals in batches and bound the names of counted services

Change: one round every 25 ms confirms all renewals that arrived before it; an instance takes the leader for silent after 200 ms instead of 150. Cause 2: a service name that a caller made up created counters and a window; such requests are now counted under one name. Cause 3: a caller's disconnect was still logged as an unexpected error.

--- a/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
@@ -22,7 +22,9 @@
   private static final long RENEW_NANOS =
       TimeUnit.MILLISECONDS.toNanos(ControlTiming.RENEW_INTERVAL_MILLIS);
   private static final long REGISTER_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-  private static final long LEADER_SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** Two renewals and the wait for the leader's quorum round fit into this time. */
+  private static final long LEADER_SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final InstanceSpec spec;
   private final String processSession;
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -19,7 +19,6 @@
 import io.coltsfootwheel.model.RenewalAck;
 import io.coltsfootwheel.model.ServiceSpec;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,7 +39,7 @@
   private final MemberChanges changes;
   private final Subscribers subscribers = new Subscribers();
   private final ProposalOrigins origins = new ProposalOrigins();
-  private final Map<Long, Renewal> renewalByRequest = new HashMap<>();
+  private final RenewalBatches renewals = new RenewalBatches();
   private final Map<InstanceId, Renewal> lastRenewals = new TreeMap<>();
   private ControlState state = ControlState.empty();
   private Role role = Role.FOLLOWER;
@@ -107,6 +106,7 @@
     run(new ReplicationEvent.Tick(nowNanos), effects);
     if (isLeading()) {
       supervise(nowNanos, new SupervisorEvent.Tick(nowNanos), effects);
+      confirmRenewals(nowNanos, effects);
       changes
           .due(nowNanos, replication.progress())
           .ifPresent(step -> changeMembership(nowNanos, step, effects));
@@ -226,14 +226,20 @@
       if (effect instanceof SupervisorEffect.ProposeCommand proposal) {
         proposeForSupervisor(nowNanos, proposal.command(), effects);
       } else if (effect instanceof SupervisorEffect.AllowRenewal allowed) {
-        long request = nextNumber++;
-        renewalByRequest.put(request, allowed.renewal());
+        renewals.add(allowed.renewal());
         lastRenewals.put(allowed.renewal().instance(), allowed.renewal());
-        run(new ReplicationEvent.ConfirmLeadership(nowNanos, request), effects);
       }
     }
   }
 
+  private void confirmRenewals(long nowNanos, List<InstanceEffect> effects) {
+    if (renewals.isRoundDue(nowNanos)) {
+      long request = nextNumber++;
+      renewals.startRound(nowNanos, request);
+      run(new ReplicationEvent.ConfirmLeadership(nowNanos, request), effects);
+    }
+  }
+
   private void run(ReplicationEvent event, List<InstanceEffect> effects) {
     long nowNanos = event.nowNanos();
     for (ReplicationEffect effect : replication.apply(event)) {
@@ -265,9 +271,9 @@
       origins.rejected(rejected.proposalId());
       changes.rejected(rejected).ifPresent(effects::add);
     } else if (effect instanceof ReplicationEffect.LeadershipConfirmed confirmed) {
-      acknowledge(confirmed.requestId(), effects);
+      renewals.end(confirmed.requestId()).forEach(renewal -> acknowledge(renewal, effects));
     } else if (effect instanceof ReplicationEffect.LeadershipNotConfirmed refused) {
-      renewalByRequest.remove(refused.requestId());
+      renewals.end(refused.requestId());
     } else if (effect instanceof ReplicationEffect.RoleChanged changed) {
       changeRole(nowNanos, changed, effects);
     }
@@ -307,11 +313,7 @@
     effects.add(new InstanceEffect.PublishState(state));
   }
 
-  private void acknowledge(long requestId, List<InstanceEffect> effects) {
-    Renewal renewal = renewalByRequest.remove(requestId);
-    if (renewal == null) {
-      return;
-    }
+  private void acknowledge(Renewal renewal, List<InstanceEffect> effects) {
     RenewalAck ack =
         new RenewalAck(
             renewal.instance(),
@@ -357,7 +359,7 @@
     supervise(nowNanos, new SupervisorEvent.LeadershipLost(), effects);
     origins.clear();
     changes.clear();
-    renewalByRequest.clear();
+    renewals.clear();
     lastRenewals.clear();
   }
 }
--- a/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestRecorder.java
@@ -35,6 +35,8 @@
       EnumSet.of(
           ErrorKind.NO_OWNER, ErrorKind.NO_LEASE, ErrorKind.STALE_FENCE, ErrorKind.TARGET_FAILED);
 
+  private static final ServiceName UNKNOWN = ServiceName.of("unknown");
+
   private final MeterRegistry meters;
   private final LongSupplier clockNanos;
   private final Map<ServiceName, Objective> objectives;
@@ -118,7 +120,9 @@
    * @param kind kind of the error
    */
   void refused(CallerRequest request, ErrorKind kind) {
-    ServiceCounts counts = counts(request.service());
+    // Names that callers make up must not create counters.
+    ServiceName service = kind == ErrorKind.UNKNOWN_SERVICE ? UNKNOWN : request.service();
+    ServiceCounts counts = counts(service);
     synchronized (counts) {
       BurnWindow window = counts.at(interval());
       if (kind.outcome() == Outcome.NOT_RUN && kind.httpStatus() < FIRST_SERVER_ERROR) {
--- a/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
+++ b/src/main/java/io/coltsfootwheel/edge/ResponseWriter.java
@@ -62,7 +62,7 @@
   static CallerResponse.Error asError(HttpServerResponse response, Throwable cause) {
     if (!(cause instanceof ColtsfootwheelException)) {
       // A caller that disconnects while its request is read is counted as lost, not logged.
-      if (!AbortedException.isConnectionReset(cause)) {
+      if (!(cause instanceof AbortedException)) {
         LOGGER.error("request failed after an unexpected error", cause);
       }
       ErrorKind kind = ErrorKind.INVARIANT_VIOLATED;
