--- a/src/test/java/io/coltsfootwheel/bench/DiskDamage.java
+++ b/src/test/java/io/coltsfootwheel/bench/DiskDamage.java
@@ -49,7 +49,7 @@
   private static Path segment(Path folder) throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
       return files
-          .filter(file -> file.getFileName().toString().startsWith("segment"))
+          .filter(file -> file.getFileName().toString().startsWith("log-"))
           .max(Comparator.comparing(Path::getFileName))
           .orElseThrow();
     }
