Drop an unused query and the origins of proposals that nobody awaits

Cause: a read of the whole change. InstanceReducer.isBehind had no caller, and the leader stored an empty origin for each proposal of its supervisor only to find it empty again; a missing origin says the same.

--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -13,7 +13,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The one reducer over all events of an instance.
@@ -22,8 +21,6 @@
  * sends to itself without a link. It is not safe for use by several threads.
  */
 final class InstanceReducer {
-  private static final long LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
   private final InstanceId self;
   private final List<InstanceId> members;
   private final Optional<MemberPart> member;
@@ -269,14 +266,4 @@
       }
     }
   }
-
-  /**
-   * Tells whether the state lags behind the leader.
-   *
-   * @param nowNanos monotonic time
-   * @return true while newer commands are known to be missing
-   */
-  boolean isBehind(long nowNanos) {
-    return lease.isBehind(nowNanos, LAG_NANOS);
-  }
 }
--- a/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberPart.java
@@ -212,9 +212,7 @@
   }
 
   private void proposeForSupervisor(long nowNanos, Command command, List<InstanceEffect> effects) {
-    long number = nextNumber++;
-    origins.proposedBySupervisor(number);
-    propose(nowNanos, number, command, effects);
+    propose(nowNanos, nextNumber++, command, effects);
   }
 
   private void propose(long nowNanos, long number, Command command, List<InstanceEffect> effects) {
--- a/src/main/java/io/coltsfootwheel/daemon/ProposalOrigins.java
+++ b/src/main/java/io/coltsfootwheel/daemon/ProposalOrigins.java
@@ -17,8 +17,8 @@
   private final Map<Long, Long> proposalByIndex = new HashMap<>();
   private final Map<Long, CommandResult> resultByIndex = new HashMap<>();
 
-  /** Instance that asked, with the number that it chose; empty for the supervisor. */
-  private record Origin(Optional<InstanceId> instance, long number) {}
+  /** Instance that asked, with the number that it chose; proposals of the supervisor have none. */
+  private record Origin(InstanceId instance, long number) {}
 
   /**
    * Notes that an instance asked for a proposal.
@@ -28,16 +28,7 @@
    * @param number number of the proposal at the instance
    */
   void proposedBy(long proposal, InstanceId instance, long number) {
-    originByProposal.put(proposal, new Origin(Optional.of(instance), number));
-  }
-
-  /**
-   * Notes a proposal that nobody waits for.
-   *
-   * @param proposal number of the proposal at this leader
-   */
-  void proposedBySupervisor(long proposal) {
-    originByProposal.put(proposal, new Origin(Optional.empty(), 0));
+    originByProposal.put(proposal, new Origin(instance, number));
   }
 
   /**
@@ -91,10 +82,10 @@
     CommandResult result = resultByIndex.remove(index);
     Origin origin = originByProposal.remove(proposalByIndex.remove(index));
     return Optional.ofNullable(origin)
-        .flatMap(Origin::instance)
         .map(
-            to ->
+            asked ->
                 new InstanceEffect.SendMessage(
-                    to, new ControlMessage.Proposed(origin.number(), Optional.of(result))));
+                    asked.instance(),
+                    new ControlMessage.Proposed(asked.number(), Optional.of(result))));
   }
 }
