--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -29,6 +29,8 @@
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.InstanceSpec;
+import io.coltsfootwheel.runtime.DecisionLoop;
+import io.coltsfootwheel.runtime.JournalDriver;
 import io.coltsfootwheel.settings.ControlMember;
 import io.coltsfootwheel.settings.DaemonSettings;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -71,7 +73,8 @@
   private final RequestRecorder recorder;
   private final FleetBurn burn;
   private final Optional<JournalDriver> journal;
-  private final DecisionLoop loop;
+  private final InstanceReducer reducer;
+  private final DecisionLoop<InstanceEvent, InstanceEffect> loop;
   private final CallerServer callers;
   private final OperatorServer operators;
   private final CountDownLatch shutdownReady = new CountDownLatch(1);
@@ -118,8 +121,13 @@
                     j,
                     meters.timer("coltsfootwheel.journal.persist"),
                     e -> post(new InstanceEvent.Replication(e))));
-    InstanceReducer reducer = reducer(opened, session);
-    this.loop = new DecisionLoop(reducer, effect -> execute(effect, stamps), failed::countDown);
+    this.reducer = reducer(opened, session);
+    this.loop =
+        new DecisionLoop<>(
+            reducer::apply,
+            InstanceEvent.Tick::new,
+            effect -> execute(effect, stamps),
+            failed::countDown);
     this.callers =
         CallerServer.of(
             callerSettings(settings), entry, new TargetChanges(answers, () -> state), () -> stamp);
@@ -333,7 +341,7 @@
    * @return the period between readings
    */
   Duration refreshReadiness() {
-    loop.ask(reducer -> reducer.reading(System.nanoTime())).subscribe(value -> reading = value);
+    loop.ask(() -> reducer.reading(System.nanoTime())).subscribe(value -> reading = value);
     return Duration.ofMillis(100);
   }
 
--- a/src/main/java/io/coltsfootwheel/daemon/DaemonMetrics.java
+++ b/src/main/java/io/coltsfootwheel/daemon/DaemonMetrics.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.link.LinkDirection;
 import io.coltsfootwheel.link.LinkFailure;
 import io.coltsfootwheel.link.LinkTransport;
+import io.coltsfootwheel.runtime.DecisionLoop;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -35,7 +36,7 @@
   }
 
   /** Counts events and the time that they take on the decision thread. */
-  void bind(DecisionLoop loop) {
+  void bind(DecisionLoop<?, ?> loop) {
     FunctionCounter.builder("coltsfootwheel.decision.events", loop, DecisionLoop::handledEvents)
         .register(meters);
     FunctionCounter.builder(
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/keyspace/HeldRange.java
@@ -0,0 +1,11 @@
+package io.coltsfootwheel.keyspace;
+
+import io.coltsfootwheel.model.Fence;
+
+/**
+ * Range that a target holds or still works on.
+ *
+ * @param range the keys
+ * @param fence fence under which the range was granted
+ */
+public record HeldRange(KeyRange range, Fence fence) {}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
@@ -0,0 +1,121 @@
+package io.coltsfootwheel.keyspace;
+
+import io.coltsfootwheel.model.TargetId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Decides which ranges an overloaded target gives away, and which target receives a free range.
+ *
+ * <p>It answers two load patterns: a few neighbouring keys that suddenly receive most requests, and
+ * targets that differ in speed. A target gives when it is busier than {@link #BUSY_UTILISATION} and
+ * well above the mean, in parts as large as the room of the least busy targets.
+ */
+final class RangePlanner {
+  /** Below this utilisation requests rarely wait, so a move would cost more than it gains. */
+  static final double BUSY_UTILISATION = 0.55;
+
+  /** Hysteresis between the utilisation that starts moves and the one that they aim at. */
+  private static final double START_ABOVE_MEAN = 1.3;
+
+  private static final double AIM_ABOVE_MEAN = 1.1;
+
+  /** Most parts that one target gives away at once. */
+  private static final int MAX_PARTS = 12;
+
+  /** Rows of one target are bounded by the size of the answers to its reports. */
+  private static final int MAX_RANGES_PER_TARGET = 48;
+
+  /** Utilisation that a receiver may have more when it can take the range a second earlier. */
+  private static final double UTILISATION_PER_SECOND_OF_WAIT = 0.4;
+
+  private RangePlanner() {}
+
+  /** Returns the parts that a busy target should give away. */
+  static List<KeyRange> shed(
+      long nowNanos, TargetRecord target, List<OwnedRange> owned, ServiceLoad load, KeyLoad keys) {
+    double mean = load.meanUtilisation();
+    double present = load.utilisation(target);
+    if (present <= Math.max(BUSY_UTILISATION, START_ABOVE_MEAN * mean)) {
+      return List.of();
+    }
+    double aim = Math.max(mean * AIM_ABOVE_MEAN, 0);
+    double perSecondPerUtilisation = load.perSecond(target.id()) / present;
+    double excessPerSecond = (present - aim) * perSecondPerUtilisation;
+    List<KeyRange> rest = new ArrayList<>(owned.stream().map(OwnedRange::range).toList());
+    List<KeyRange> parts = new ArrayList<>();
+    for (double room : roomsPerSecond(target, load, aim)) {
+      if (excessPerSecond <= 0 || parts.size() >= MAX_PARTS) {
+        break;
+      }
+      Optional<RangeCut.Part> part =
+          bestPart(nowNanos, rest, keys, Math.min(room, excessPerSecond));
+      if (part.isPresent()) {
+        parts.add(part.get().range());
+        excessPerSecond -= part.get().perSecond();
+        take(rest, part.get().range());
+      }
+    }
+    return parts;
+  }
+
+  /** Returns half of the load of a target, or half of its keys while they have no load. */
+  static Optional<KeyRange> half(
+      long nowNanos, TargetRecord target, List<OwnedRange> owned, ServiceLoad load, KeyLoad keys) {
+    double wanted = load.perSecond(target.id()) / 2;
+    List<KeyRange> ranges = owned.stream().map(OwnedRange::range).toList();
+    Optional<KeyRange> byLoad = bestPart(nowNanos, ranges, keys, wanted).map(RangeCut.Part::range);
+    return byLoad.or(
+        () ->
+            ranges.stream()
+                .max(Comparator.comparingInt(KeyRange::width))
+                .filter(r -> r.width() > 1)
+                .map(r -> new KeyRange(r.from() + r.width() / 2, r.to())));
+  }
+
+  /** Chooses the receiver of a free range. */
+  static Optional<TargetRecord> receiver(
+      ServiceLoad load, FleetState state, ToDoubleFunction<TargetId> waitSeconds) {
+    return load.receivers().stream()
+        .filter(t -> state.table(t.service()).rangesOf(t.id()).size() < MAX_RANGES_PER_TARGET)
+        .min(
+            Comparator.comparingDouble(
+                t ->
+                    load.utilisation(t)
+                        + UTILISATION_PER_SECOND_OF_WAIT * waitSeconds.applyAsDouble(t.id())));
+  }
+
+  private static List<Double> roomsPerSecond(
+      TargetRecord giver, ServiceLoad load, double aimUtilisation) {
+    return load.receivers().stream()
+        .filter(t -> !t.id().equals(giver.id()))
+        .map(t -> load.roomPerSecond(t, aimUtilisation))
+        .filter(room -> room > 0)
+        .sorted(Comparator.reverseOrder())
+        .toList();
+  }
+
+  private static Optional<RangeCut.Part> bestPart(
+      long nowNanos, List<KeyRange> ranges, KeyLoad keys, double wantedPerSecond) {
+    if (wantedPerSecond <= 0) {
+      return Optional.empty();
+    }
+    return ranges.stream()
+        .flatMap(r -> RangeCut.best(nowNanos, keys, r, wantedPerSecond).stream())
+        .min(Comparator.comparingDouble(p -> p.distanceTo(wantedPerSecond)));
+  }
+
+  private static void take(List<KeyRange> ranges, KeyRange part) {
+    KeyRange whole = ranges.stream().filter(r -> r.overlaps(part)).findFirst().orElseThrow();
+    ranges.remove(whole);
+    if (whole.from() < part.from()) {
+      ranges.add(new KeyRange(whole.from(), part.from() - 1));
+    }
+    if (whole.to() > part.to()) {
+      ranges.add(new KeyRange(part.to() + 1, whole.to()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/keyspace/ServiceLoad.java
@@ -0,0 +1,79 @@
+package io.coltsfootwheel.keyspace;
+
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Utilisation of the targets of one keyed service as it will be once all moves are complete.
+ *
+ * <p>Usage: one instance for one decision; {@link #give} books what the decision moves.
+ */
+final class ServiceLoad {
+  private final long nowNanos;
+  private final LoadBook book;
+  private final Map<TargetId, TargetRecord> receivers = new LinkedHashMap<>();
+  private final Map<TargetId, Double> perSecond = new LinkedHashMap<>();
+
+  ServiceLoad(
+      long nowNanos,
+      LoadBook book,
+      ServiceName service,
+      FleetState state,
+      Collection<Move> moves,
+      List<TargetRecord> receivers) {
+    this.nowNanos = nowNanos;
+    this.book = book;
+    receivers.forEach(t -> this.receivers.put(t.id(), t));
+    for (OwnedRange owned : state.table(service).ranges()) {
+      perSecond.merge(
+          owned.owner(), book.keys(service).perSecond(nowNanos, owned.range()), Double::sum);
+    }
+    for (Move move : moves) {
+      if (move.service().equals(service)) {
+        perSecond.merge(
+            move.from(), -book.keys(service).perSecond(nowNanos, move.range()), Double::sum);
+      }
+    }
+  }
+
+  private ServiceLoad(ServiceLoad other, TargetId exceptReceiver) {
+    nowNanos = other.nowNanos;
+    book = other.book;
+    receivers.putAll(other.receivers);
+    receivers.remove(exceptReceiver);
+    perSecond.putAll(other.perSecond);
+  }
+
+  ServiceLoad without(TargetId receiver) {
+    return new ServiceLoad(this, receiver);
+  }
+
+  double perSecond(TargetId target) {
+    return Math.max(0, perSecond.getOrDefault(target, 0.0));
+  }
+
+  double utilisation(TargetRecord target) {
+    return book.utilisation(nowNanos, target, perSecond(target.id()));
+  }
+
+  /** Returns the requests per second that a target can take until it has a utilisation. */
+  double roomPerSecond(TargetRecord target, double aimUtilisation) {
+    return book.perSecondAtUtilisation(nowNanos, target, aimUtilisation) - perSecond(target.id());
+  }
+
+  double meanUtilisation() {
+    return receivers.values().stream().mapToDouble(this::utilisation).average().orElse(0);
+  }
+
+  Collection<TargetRecord> receivers() {
+    return receivers.values();
+  }
+
+  void give(TargetId target, double morePerSecond) {
+    perSecond.merge(target, morePerSecond, Double::sum);
+  }
+}
--- a/src/main/java/io/coltsfootwheel/link/FrameKind.java
+++ b/src/main/java/io/coltsfootwheel/link/FrameKind.java
@@ -39,7 +39,9 @@
   /** Permission to send further body bytes; {@link CreditFrame}. */
   CREDIT(LinkChannel.DATA),
   /** The caller has gone; {@link RequestIdFrame}. */
-  CANCEL(LinkChannel.DATA);
+  CANCEL(LinkChannel.DATA),
+  /** Message of a deployment whose targets hold keys by report. */
+  NODE(LinkChannel.CONTROL);
 
   private static final FrameKind[] KINDS = values();
 
--- a/src/main/java/io/coltsfootwheel/link/LinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkTransport.java
@@ -52,6 +52,14 @@
    */
   void peers(Map<InstanceId, Address> peers);
 
+  /**
+   * Replaces the control connection to a peer, for use when the peer has been silent although
+   * frames were sent: a connection that was cut without a reset would otherwise hang.
+   *
+   * @param peer the peer
+   */
+  void reconnect(InstanceId peer);
+
   /**
    * Returns how often connections and frames were refused.
    *
--- a/src/main/java/io/coltsfootwheel/link/Outbound.java
+++ b/src/main/java/io/coltsfootwheel/link/Outbound.java
@@ -137,6 +137,17 @@
     context.schedule(this::retry, context.backoffMillis(failedAttempts));
   }
 
+  /** Drops the present connection, which is then opened anew. */
+  void reset() {
+    Channel dropped;
+    synchronized (this) {
+      dropped = connection;
+    }
+    if (dropped != null) {
+      dropped.close();
+    }
+  }
+
   /** Ends this connection for good. */
   void shutdown() {
     Channel ended;
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -139,6 +139,14 @@
             : new Peer(id, address, this));
   }
 
+  @Override
+  public void reconnect(InstanceId peer) {
+    Peer known = peers.get(peer);
+    if (known != null) {
+      known.control.reset();
+    }
+  }
+
   @Override
   public long failures(LinkFailure failure) {
     return log.total(failure);
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -0,0 +1,320 @@
+package io.coltsfootwheel.node;
+
+import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.MemberProgress;
+import io.coltsfootwheel.consensus.MembershipChange;
+import io.coltsfootwheel.consensus.ReplicationEffect;
+import io.coltsfootwheel.consensus.ReplicationEvent;
+import io.coltsfootwheel.consensus.ReplicationReducer;
+import io.coltsfootwheel.consensus.Role;
+import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.keyspace.FleetCommand;
+import io.coltsfootwheel.keyspace.FleetState;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.ControlCodec;
+import io.coltsfootwheel.model.InstanceId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Decisions of one control process: its part in the replicated log, and the leader's work while it
+ * leads. Deterministic; the driver executes the effects in order.
+ */
+final class ControlReducer {
+  private static final int COMMANDS_BETWEEN_SNAPSHOTS = 2_000;
+  private static final long JOIN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private final ControlSettings settings;
+  private final MemberId self;
+  private final ReplicationReducer replication;
+  private final Subscribers subscribers = new Subscribers();
+  private final Deque<ReplicationEvent> pending = new ArrayDeque<>();
+  private final LeaderPort port = new Port();
+
+  /** Processes outside the group that have asked to join; links are kept to answer them. */
+  private final Set<InstanceId> joiners = new LinkedHashSet<>();
+
+  private List<InstanceId> seeds;
+  private List<ControlEffect> effects = new ArrayList<>();
+  private Optional<LeaderSession> session = Optional.empty();
+  private FleetState state = FleetState.empty();
+  private Role role = Role.FOLLOWER;
+  private long term;
+  private Optional<InstanceId> leader = Optional.empty();
+  private Set<InstanceId> linkedMembers = Set.of();
+  private Map<InstanceId, Address> linkedEntries = Map.of();
+  private long nextNumber = 1;
+  private long nowNanos;
+  private long nextJoinNanos;
+  private int commandsSinceSnapshot;
+
+  ControlReducer(
+      ControlSettings settings, MemberId self, ReplicationReducer replication, long nowNanos) {
+    this.settings = settings;
+    this.self = self;
+    this.replication = replication;
+    this.nowNanos = nowNanos;
+    this.nextJoinNanos = nowNanos;
+    this.seeds = settings.seeds();
+  }
+
+  /** Processes an event and returns what the driver executes, in order. */
+  List<ControlEffect> apply(ControlEvent event) {
+    effects = new ArrayList<>();
+    nowNanos = event.nowNanos();
+    session.ifPresent(s -> s.at(nowNanos));
+    handle(event);
+    drain();
+    updatePeers();
+    return effects;
+  }
+
+  /** Replaces the processes to ask when no group is known. */
+  void seeds(List<InstanceId> newSeeds) {
+    seeds = List.copyOf(newSeeds);
+  }
+
+  FleetState state() {
+    return state;
+  }
+
+  Role role() {
+    return role;
+  }
+
+  long term() {
+    return term;
+  }
+
+  private void handle(ControlEvent event) {
+    if (event instanceof ControlEvent.Tick) {
+      tick();
+    } else if (event instanceof ControlEvent.Journal journal) {
+      pending.add(journal.event());
+      if (journal.event() instanceof ReplicationEvent.PersistFailed) {
+        drain();
+        effects.add(new ControlEffect.JournalLost());
+      }
+    } else if (event instanceof ControlEvent.MessageReceived received) {
+      receive(received.from(), received.message());
+    } else if (event instanceof ControlEvent.ReportReceived report) {
+      asLeader(report.requestId(), s -> s.report(nowNanos, report.requestId(), report.report()));
+    } else if (event instanceof ControlEvent.LeaveReceived leave) {
+      asLeader(leave.requestId(), s -> s.leave(leave.requestId(), leave.target()));
+    } else if (event instanceof ControlEvent.ChangeRequested change) {
+      asLeader(change.requestId(), s -> s.change(change.requestId(), change.change()));
+    } else if (event instanceof ControlEvent.ReadRequested read) {
+      asLeader(read.requestId(), s -> s.read(read.requestId()));
+    }
+  }
+
+  private void asLeader(long requestId, Consumer<LeaderSession> action) {
+    if (session.isPresent()) {
+      action.accept(session.get());
+      drain();
+      session.ifPresent(LeaderSession::startRound);
+      return;
+    }
+    ControlAnswer answer =
+        leader
+            .filter(l -> !l.equals(self.instance()))
+            .<ControlAnswer>map(ControlAnswer.Redirect::new)
+            .orElse(new ControlAnswer.Unavailable("no leader is known"));
+    effects.add(new ControlEffect.Answer(requestId, answer));
+  }
+
+  private void tick() {
+    pending.add(new ReplicationEvent.Tick(nowNanos));
+    drain();
+    subscribers.forgetSilent(nowNanos);
+    session.ifPresent(s -> s.entries(subscribers.entries()));
+    List<MemberProgress> progress = replication.progress();
+    session.ifPresent(s -> s.tick(nowNanos, progress));
+    if (replication.configuration().isEmpty() && nowNanos - nextJoinNanos >= 0) {
+      nextJoinNanos = nowNanos + JOIN_INTERVAL_NANOS;
+      contacts().forEach(c -> port.send(c, new NodeMessage.Join(self.diskId())));
+    }
+  }
+
+  private void receive(InstanceId from, NodeMessage message) {
+    if (message instanceof NodeMessage.Replication replicated) {
+      MemberId sender = new MemberId(from, replicated.fromDisk());
+      pending.add(new ReplicationEvent.MessageReceived(nowNanos, sender, replicated.message()));
+    } else if (message instanceof NodeMessage.Join join) {
+      joining(from, join);
+    } else if (message instanceof NodeMessage.Subscribe subscribe) {
+      subscribers.heard(nowNanos, from, subscribe.linkAddress());
+      session.ifPresent(s -> s.entries(subscribers.entries()));
+      session.ifPresentOrElse(
+          s -> s.subscribe(nowNanos, from, subscribe),
+          () -> port.send(from, new NodeMessage.Directory(leader, memberNames())));
+    } else if (message instanceof NodeMessage.Directory directory) {
+      learnMembers(directory);
+    }
+  }
+
+  private void joining(InstanceId from, NodeMessage.Join join) {
+    if (session.isPresent()) {
+      session.get().joining(nowNanos, new MemberId(from, join.diskId()));
+      joiners.add(from);
+    } else {
+      joiners.add(from);
+      port.send(from, new NodeMessage.Directory(leader, memberNames()));
+    }
+  }
+
+  private void learnMembers(NodeMessage.Directory directory) {
+    Set<InstanceId> known = new LinkedHashSet<>(seeds);
+    known.addAll(directory.members());
+    directory.leader().ifPresent(known::add);
+    seeds = List.copyOf(known);
+  }
+
+  private List<InstanceId> memberNames() {
+    return replication.configuration().stream()
+        .flatMap(c -> c.members().stream())
+        .map(MemberId::instance)
+        .distinct()
+        .toList();
+  }
+
+  private Set<InstanceId> contacts() {
+    Set<InstanceId> all = new LinkedHashSet<>(seeds);
+    all.addAll(memberNames());
+    all.addAll(joiners);
+    all.remove(self.instance());
+    return all;
+  }
+
+  private void updatePeers() {
+    Set<InstanceId> members = contacts();
+    Map<InstanceId, Address> entries = subscribers.addresses();
+    if (!members.equals(linkedMembers) || !entries.equals(linkedEntries)) {
+      linkedMembers = members;
+      linkedEntries = entries;
+      effects.add(0, new ControlEffect.Peers(members, entries));
+    }
+  }
+
+  private void drain() {
+    while (!pending.isEmpty()) {
+      for (ReplicationEffect effect : replication.apply(pending.poll())) {
+        execute(effect);
+      }
+    }
+  }
+
+  private void execute(ReplicationEffect effect) {
+    if (effect instanceof ReplicationEffect.Send send) {
+      port.send(
+          send.to().instance(),
+          new NodeMessage.Replication(self.diskId(), send.to().diskId(), send.message()));
+    } else if (effect instanceof ReplicationEffect.Persist
+        || effect instanceof ReplicationEffect.PersistSnapshot) {
+      effects.add(new ControlEffect.Persist(effect));
+    } else if (effect instanceof ReplicationEffect.ApplyCommitted committed) {
+      applyCommitted(committed);
+    } else if (effect instanceof ReplicationEffect.InstallSnapshot snapshot) {
+      state = FleetState.fromSnapshot(snapshot.bytes());
+      commandsSinceSnapshot = 0;
+    } else if (effect instanceof ReplicationEffect.ProposalCommitted committed) {
+      session.ifPresent(s -> s.proposalEnded(committed.proposalId(), true));
+    } else if (effect instanceof ReplicationEffect.ProposalRejected rejected) {
+      session.ifPresent(s -> s.proposalEnded(rejected.proposalId(), false));
+    } else if (effect instanceof ReplicationEffect.LeadershipConfirmed confirmed) {
+      session.ifPresent(s -> s.confirmationEnded(confirmed.requestId(), true));
+    } else if (effect instanceof ReplicationEffect.LeadershipNotConfirmed refused) {
+      session.ifPresent(s -> s.confirmationEnded(refused.requestId(), false));
+    } else if (effect instanceof ReplicationEffect.RoleChanged changed) {
+      changeRole(changed);
+    }
+  }
+
+  private void applyCommitted(ReplicationEffect.ApplyCommitted committed) {
+    // Entries of the log itself, such as the no-op of a new term, carry no command.
+    if (committed.bytes().length > 0) {
+      FleetCommand command = ControlCodec.decode(committed.bytes(), FleetCommand.class);
+      state = state.apply(committed.index(), command);
+      session.ifPresent(s -> s.applied(command, state));
+      commandsSinceSnapshot++;
+    }
+    if (commandsSinceSnapshot >= COMMANDS_BETWEEN_SNAPSHOTS) {
+      commandsSinceSnapshot = 0;
+      pending.add(
+          new ReplicationEvent.SnapshotTaken(nowNanos, committed.index(), state.toSnapshot()));
+    }
+  }
+
+  private void changeRole(ReplicationEffect.RoleChanged changed) {
+    role = changed.role();
+    term = changed.term();
+    leader = changed.leader().map(MemberId::instance);
+    port.log(
+        LogEvent.of("role.changed")
+            .with("role", role)
+            .with("term", term)
+            .with("leader", leader.map(InstanceId::value).orElse("")));
+    if (session.isPresent() && role != Role.LEADER_READY) {
+      session.get().end();
+      session = Optional.empty();
+    } else if (session.isEmpty() && role == Role.LEADER_READY) {
+      LeaderSession started =
+          new LeaderSession(
+              self.instance(),
+              term,
+              port,
+              settings.ownership(),
+              settings.wantedVoters(),
+              state,
+              nowNanos);
+      started.at(nowNanos);
+      started.entries(subscribers.entries());
+      session = Optional.of(started);
+    }
+  }
+
+  /** Collects what the leader asks for. */
+  private final class Port implements LeaderPort {
+    @Override
+    public long propose(FleetCommand command) {
+      long number = nextNumber++;
+      pending.add(new ReplicationEvent.Propose(nowNanos, number, ControlCodec.encode(command)));
+      return number;
+    }
+
+    @Override
+    public long confirmLeadership() {
+      long number = nextNumber++;
+      pending.add(new ReplicationEvent.ConfirmLeadership(nowNanos, number));
+      return number;
+    }
+
+    @Override
+    public void changeMembership(MembershipChange change, MemberId member) {
+      pending.add(new ReplicationEvent.ChangeMembership(nowNanos, nextNumber++, change, member));
+    }
+
+    @Override
+    public void send(InstanceId to, NodeMessage message) {
+      effects.add(new ControlEffect.Send(to, message));
+    }
+
+    @Override
+    public void answer(long requestId, ControlAnswer answer) {
+      effects.add(new ControlEffect.Answer(requestId, answer));
+    }
+
+    @Override
+    public void log(LogEvent event) {
+      effects.add(new ControlEffect.Log(event));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/node/GroupMembership.java
@@ -0,0 +1,90 @@
+package io.coltsfootwheel.node;
+
+import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.MemberProgress;
+import io.coltsfootwheel.consensus.MembershipChange;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Growth of the control group: processes that ask to join become learners, learners become voters
+ * until the group bears the wanted losses, and a voter that stays silent makes room for a learner.
+ */
+final class GroupMembership {
+  private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long JOIN_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Longer than a restart takes, so that a restarted voter keeps its place. */
+  private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(12);
+
+  private final int wantedVoters;
+  private final Map<MemberId, Long> joiningNanos = new HashMap<>();
+  private final Map<MemberId, Long> heardNanos = new HashMap<>();
+  private long nextStepNanos;
+
+  /** One change of the group. */
+  record Step(MembershipChange change, MemberId member) {}
+
+  GroupMembership(int wantedVoters, long nowNanos) {
+    this.wantedVoters = wantedVoters;
+    this.nextStepNanos = nowNanos;
+  }
+
+  void joining(long nowNanos, MemberId member) {
+    joiningNanos.put(member, nowNanos);
+  }
+
+  Optional<Step> due(long nowNanos, List<MemberProgress> group) {
+    if (nowNanos - nextStepNanos < 0) {
+      return Optional.empty();
+    }
+    nextStepNanos = nowNanos + STEP_NANOS;
+    joiningNanos.values().removeIf(heard -> nowNanos - heard > JOIN_VALID_NANOS);
+    group.stream()
+        .filter(m -> m.heard() || !heardNanos.containsKey(m.member()))
+        .forEach(m -> heardNanos.put(m.member(), nowNanos));
+    return promotion(group).or(() -> admission(group)).or(() -> replacement(nowNanos, group));
+  }
+
+  private Optional<Step> promotion(List<MemberProgress> group) {
+    return voters(group) >= wantedVoters
+        ? Optional.empty()
+        : readyLearner(group).map(m -> new Step(MembershipChange.PROMOTE, m.member()));
+  }
+
+  private Optional<Step> admission(List<MemberProgress> group) {
+    return joiningNanos.keySet().stream()
+        .filter(j -> group.stream().noneMatch(m -> isSameInstance(m, j)))
+        .map(j -> new Step(MembershipChange.ADD_LEARNER, j))
+        .findFirst();
+  }
+
+  private Optional<Step> replacement(long nowNanos, List<MemberProgress> group) {
+    if (readyLearner(group).isEmpty()) {
+      return Optional.empty();
+    }
+    return group.stream()
+        .filter(m -> m.voter() && !m.heard())
+        .filter(m -> nowNanos - heardNanos.get(m.member()) > SILENT_NANOS)
+        .map(m -> new Step(MembershipChange.REMOVE, m.member()))
+        .findFirst();
+  }
+
+  private static Optional<MemberProgress> readyLearner(List<MemberProgress> group) {
+    return group.stream()
+        .filter(m -> !m.voter() && m.heard())
+        .filter(m -> group.stream().noneMatch(o -> o.voter() && isSameInstance(o, m.member())))
+        .findFirst();
+  }
+
+  private static long voters(List<MemberProgress> group) {
+    return group.stream().filter(MemberProgress::voter).count();
+  }
+
+  private static boolean isSameInstance(MemberProgress one, MemberId other) {
+    return one.member().instance().equals(other.instance());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/node/NodeLinks.java
@@ -0,0 +1,131 @@
+package io.coltsfootwheel.node;
+
+import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.link.Frame;
+import io.coltsfootwheel.link.FrameKind;
+import io.coltsfootwheel.link.LinkChannel;
+import io.coltsfootwheel.link.LinkListener;
+import io.coltsfootwheel.link.LinkSettings;
+import io.coltsfootwheel.link.LinkTransport;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.InstanceId;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * Links to other processes; control members are named by their IP number and listen on one port.
+ *
+ * <p>A link on which messages are sent but none arrive in return is opened anew, because a
+ * connection that was cut without a reset stays silent for good.
+ */
+final class NodeLinks implements LinkListener {
+  private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+  private final int memberPort;
+  private final LinkTransport transport;
+  private final BiConsumer<InstanceId, NodeMessage> receiver;
+  private final EventLog log;
+  private final Map<InstanceId, Traffic> trafficByPeer = new ConcurrentHashMap<>();
+
+  /** Times of one peer; written by several threads, where a lost update is harmless. */
+  private static final class Traffic {
+    private volatile long sentSinceNanos;
+    private volatile boolean awaits;
+  }
+
+  /**
+   * Makes links that are not started yet.
+   *
+   * @param cluster name that all processes of the system share
+   * @param self address of this process; its host is its name
+   * @param memberPort port on which control members listen
+   * @param receiver receives messages; called on network threads
+   * @param log structured log
+   */
+  NodeLinks(
+      String cluster,
+      Address self,
+      int memberPort,
+      BiConsumer<InstanceId, NodeMessage> receiver,
+      EventLog log) {
+    this.memberPort = memberPort;
+    this.receiver = receiver;
+    this.log = log;
+    String session = Long.toString(System.nanoTime(), Character.MAX_RADIX);
+    this.transport =
+        LinkTransport.of(
+            LinkSettings.of(
+                cluster,
+                InstanceId.of(self.host()),
+                session,
+                self.host(),
+                self.port(),
+                cluster.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  void start() {
+    transport.start(this);
+  }
+
+  void peers(Set<InstanceId> members, Map<InstanceId, Address> others) {
+    Map<InstanceId, Address> addresses = new HashMap<>(others);
+    members.forEach(m -> addresses.put(m, new Address(m.value(), memberPort)));
+    transport.peers(addresses);
+    trafficByPeer.keySet().retainAll(addresses.keySet());
+  }
+
+  void send(InstanceId to, NodeMessage message) {
+    if (!transport.send(to, message.toFrame())) {
+      return;
+    }
+    Traffic traffic = trafficByPeer.computeIfAbsent(to, p -> new Traffic());
+    long nowNanos = System.nanoTime();
+    if (!traffic.awaits) {
+      traffic.awaits = true;
+      traffic.sentSinceNanos = nowNanos;
+    } else if (nowNanos - traffic.sentSinceNanos > SILENT_NANOS) {
+      traffic.awaits = false;
+      log.write(LogEvent.of("link.silent").with("peer", to));
+      transport.reconnect(to);
+    }
+  }
+
+  void close() {
+    transport.close();
+  }
+
+  @Override
+  public void received(InstanceId from, String session, Frame frame) {
+    Traffic traffic = trafficByPeer.get(from);
+    if (traffic != null) {
+      traffic.awaits = false;
+    }
+    if (frame.kind() != FrameKind.NODE) {
+      log.write(LogEvent.of("link.frame.unexpected").with("peer", from).with("kind", frame.kind()));
+      return;
+    }
+    try {
+      receiver.accept(from, NodeMessage.decode(frame));
+    } catch (ColtsfootwheelException e) {
+      log.write(
+          LogEvent.of("link.frame.unreadable").with("peer", from).with("error", e.getMessage()));
+    }
+  }
+
+  @Override
+  public void connected(InstanceId peer, String session, LinkChannel channel) {
+    log.write(LogEvent.of("link.up").with("peer", peer));
+  }
+
+  @Override
+  public void disconnected(InstanceId peer, LinkChannel channel) {
+    log.write(LogEvent.of("link.down").with("peer", peer));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/ConfigurationJson.java
@@ -0,0 +1,184 @@
+package io.coltsfootwheel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.routing.ClientLimits;
+import io.coltsfootwheel.routing.Configuration;
+import io.coltsfootwheel.routing.ConfigurationChange;
+import io.coltsfootwheel.routing.ConfigurationItem;
+import io.coltsfootwheel.routing.ItemKey;
+import io.coltsfootwheel.routing.ItemType;
+import io.coltsfootwheel.routing.Route;
+import io.coltsfootwheel.routing.RouteKind;
+import io.coltsfootwheel.routing.ServicePolicy;
+import io.coltsfootwheel.routing.WeightedService;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/** Configurations of the platform's operators. */
+final class ConfigurationJson {
+  private static final char VERSION_PREFIX = 'r';
+  private static final int DEFAULT_MAX_ATTEMPTS = 1;
+  private static final int DEFAULT_MAX_CONNECTIONS = 64;
+
+  private ConfigurationJson() {}
+
+  static ConfigurationChange complete(String baseVersion, byte[] body) {
+    JsonNode root = JsonFields.parse(body);
+    return new ConfigurationChange(
+        version(baseVersion),
+        version(JsonFields.text(root, "version")),
+        fingerprint("put", baseVersion, body),
+        true,
+        items(JsonFields.list(root, "resources")),
+        List.of());
+  }
+
+  static ConfigurationChange patch(String baseVersion, byte[] body) {
+    JsonNode root = JsonFields.parse(body);
+    JsonNode upsert = root.path("upsert");
+    List<ItemKey> removals = new ArrayList<>();
+    Iterator<Map.Entry<String, JsonNode>> lists = root.path("remove").fields();
+    while (lists.hasNext()) {
+      Map.Entry<String, JsonNode> list = lists.next();
+      for (JsonNode name : list.getValue()) {
+        removals.add(new ItemKey(type(list.getKey()), name.asText()));
+      }
+    }
+    return new ConfigurationChange(
+        version(baseVersion),
+        version(JsonFields.text(root, "version")),
+        fingerprint("patch", baseVersion, body),
+        false,
+        upsert.has("resources") ? items(JsonFields.list(upsert, "resources")) : List.of(),
+        removals);
+  }
+
+  static ObjectNode write(Configuration configuration) {
+    ObjectNode root = JsonNodeFactory.instance.objectNode();
+    root.put("version", VERSION_PREFIX + Long.toString(configuration.version()));
+    ArrayNode resources = root.putArray("resources");
+    configuration.items().forEach(item -> resources.add(JsonFields.parse(item.document())));
+    return root;
+  }
+
+  static long version(String text) {
+    String digits = text.replace("\"", "").trim();
+    if (!digits.isEmpty() && digits.charAt(0) == VERSION_PREFIX) {
+      digits = digits.substring(1);
+    }
+    try {
+      return Long.parseLong(digits);
+    } catch (NumberFormatException e) {
+      throw JsonFields.invalid("version '" + text + "' is not r followed by a number");
+    }
+  }
+
+  private static String fingerprint(String call, String baseVersion, byte[] body) {
+    byte[] head = (call + " " + baseVersion + "\n").getBytes(StandardCharsets.UTF_8);
+    byte[] order = new byte[head.length + body.length];
+    System.arraycopy(head, 0, order, 0, head.length);
+    System.arraycopy(body, 0, order, head.length, body.length);
+    return DigestUtils.sha256Hex(order);
+  }
+
+  private static List<ConfigurationItem> items(JsonNode resources) {
+    List<ConfigurationItem> items = new ArrayList<>();
+    Set<ItemKey> keys = new HashSet<>();
+    for (JsonNode resource : resources) {
+      ConfigurationItem item = item(resource);
+      if (!keys.add(item.key())) {
+        throw JsonFields.invalid("item " + item.key().name() + " appears twice");
+      }
+      items.add(item);
+    }
+    return items;
+  }
+
+  private static ConfigurationItem item(JsonNode resource) {
+    String document = resource.toString();
+    JsonNode spec = resource.path("spec");
+    return switch (type(JsonFields.text(resource, "resourceType"))) {
+      case ROUTE -> ConfigurationItem.of(route(name(resource), spec), document);
+      case SERVICE -> ConfigurationItem.of(service(name(resource), spec), document);
+      case LIMITS -> ConfigurationItem.of(limits(spec), document);
+    };
+  }
+
+  private static String name(JsonNode resource) {
+    return JsonFields.text(resource.path("metadata"), "name");
+  }
+
+  private static ItemType type(String text) {
+    return switch (text) {
+      case "routes" -> ItemType.ROUTE;
+      case "services" -> ItemType.SERVICE;
+      case "limits" -> ItemType.LIMITS;
+      default -> throw JsonFields.invalid("resourceType " + text + " is not known");
+    };
+  }
+
+  private static Route route(String name, JsonNode spec) {
+    return new Route(
+        name,
+        JsonFields.text(spec, "hostname"),
+        JsonFields.text(spec, "pathPrefix"),
+        kind(JsonFields.text(spec, "kind")),
+        JsonFields.integer(spec, "timeoutMs"),
+        spec.has("targetLatencyMs")
+            ? JsonFields.integer(spec, "targetLatencyMs")
+            : JsonFields.integer(spec, "timeoutMs"),
+        spec.path("priority").asInt(0),
+        spec.path("maxAttempts").asInt(DEFAULT_MAX_ATTEMPTS),
+        destinations(spec));
+  }
+
+  private static RouteKind kind(String text) {
+    try {
+      return RouteKind.valueOf(text.toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      throw JsonFields.invalid("kind " + text + " is not known");
+    }
+  }
+
+  private static List<WeightedService> destinations(JsonNode spec) {
+    if (!spec.has("split")) {
+      return List.of(new WeightedService(serviceName(spec), 1));
+    }
+    List<WeightedService> services = new ArrayList<>();
+    for (JsonNode part : JsonFields.list(spec, "split")) {
+      services.add(new WeightedService(serviceName(part), JsonFields.number(part, "weight")));
+    }
+    return services;
+  }
+
+  private static ServiceName serviceName(JsonNode parent) {
+    return ServiceName.of(JsonFields.text(parent, "service"));
+  }
+
+  private static ServicePolicy service(String name, JsonNode spec) {
+    return new ServicePolicy(
+        ServiceName.of(name),
+        spec.path("sharded").asBoolean(false),
+        spec.path("maxConnections").asInt(DEFAULT_MAX_CONNECTIONS));
+  }
+
+  private static ClientLimits limits(JsonNode spec) {
+    ClientLimits defaults = ClientLimits.DEFAULT;
+    return new ClientLimits(
+        spec.path("maxHeaderBytes").asInt(defaults.maxHeaderBytes()),
+        spec.path("maxBodyBytes").asLong(defaults.maxBodyBytes()),
+        spec.path("headerTimeoutMs").asLong(defaults.headerTimeoutMillis()),
+        spec.path("idleTimeoutMs").asLong(defaults.idleTimeoutMillis()));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -0,0 +1,158 @@
+package io.coltsfootwheel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.node.ControlAnswer;
+import io.coltsfootwheel.node.ControlNode;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/** HTTP interface of a control process towards back ends and operators of the platform. */
+final class ControlEndpoint {
+  private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+  /** Callers go on to another process after a second without an answer. */
+  private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_500);
+
+  private static final String BASE_VERSION_WHEN_MISSING = "0";
+
+  private final Address address;
+  private final ControlNode node;
+  private final EventLog log;
+  private final LoopResources loops;
+
+  ControlEndpoint(Address address, ControlNode node, EventLog log, LoopResources loops) {
+    this.address = address;
+    this.node = node;
+    this.log = log;
+    this.loops = loops;
+  }
+
+  DisposableServer start() {
+    return HttpServer.create()
+        .runOn(loops, false)
+        .host(address.host())
+        .port(address.port())
+        .handle(this::handle)
+        .bindNow();
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+    if (!uri.path().equals(PlatformNames.CALL_PATH)) {
+      return send(response, 404, error("no such path"));
+    }
+    String call = parameter(uri, "call");
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .defaultIfEmpty(new byte[0])
+        .flatMap(body -> body.length > MAX_BODY_BYTES ? tooLarge() : call(call, uri, request, body))
+        .timeout(CALL_TIMEOUT, Mono.just(new ControlAnswer.Unavailable("no decision in time")))
+        .onErrorResume(
+            ColtsfootwheelException.class,
+            e -> Mono.just(new ControlAnswer.Invalid(e.getMessage())))
+        .flatMap(answer -> respond(call, uri, request, response, answer));
+  }
+
+  private Mono<ControlAnswer> call(
+      String call, QueryStringDecoder uri, HttpServerRequest request, byte[] body) {
+    String base = request.requestHeaders().get(HttpHeaderNames.IF_MATCH, BASE_VERSION_WHEN_MISSING);
+    return switch (call) {
+      case PlatformNames.REPORT_CALL -> node.report(ReportJson.parse(parameter(uri, "of"), body));
+      case PlatformNames.LEAVE_CALL -> node.leave(TargetId.of(parameter(uri, "of")));
+      case PlatformNames.PUT_CALL -> node.change(ConfigurationJson.complete(base, body));
+      case PlatformNames.PATCH_CALL -> node.change(ConfigurationJson.patch(base, body));
+      case PlatformNames.GET_CALL -> node.read();
+      default -> Mono.just(new ControlAnswer.Invalid("call " + call + " is not known"));
+    };
+  }
+
+  private static Mono<ControlAnswer> tooLarge() {
+    return Mono.just(new ControlAnswer.Invalid("the body is too large"));
+  }
+
+  private Mono<Void> respond(
+      String call,
+      QueryStringDecoder uri,
+      HttpServerRequest request,
+      HttpServerResponse response,
+      ControlAnswer answer) {
+    logAnswer(call, uri, answer);
+    if (answer instanceof ControlAnswer.Acknowledged acknowledged) {
+      return send(
+          response,
+          200,
+          ReportJson.answer(acknowledged.grant(), controlAddress(acknowledged.leader())));
+    }
+    if (answer instanceof ControlAnswer.Current current) {
+      return send(response, 200, ConfigurationJson.write(current.configuration()));
+    }
+    if (answer instanceof ControlAnswer.Accepted) {
+      return send(response, 200, JsonNodeFactory.instance.objectNode());
+    }
+    if (answer instanceof ControlAnswer.Conflict conflict) {
+      return send(response, 412, error("the current version is r" + conflict.currentVersion()));
+    }
+    if (answer instanceof ControlAnswer.Invalid invalid) {
+      return send(response, 400, error(invalid.reason()));
+    }
+    if (answer instanceof ControlAnswer.Redirect redirect) {
+      String location = "http://" + controlAddress(redirect.leader()) + request.uri();
+      response.header(HttpHeaderNames.LOCATION, location);
+      return send(response, 307, JsonNodeFactory.instance.objectNode());
+    }
+    return send(response, 503, error(((ControlAnswer.Unavailable) answer).reason()));
+  }
+
+  /** Successful reports are frequent and counted elsewhere; everything else has a line. */
+  private void logAnswer(String call, QueryStringDecoder uri, ControlAnswer answer) {
+    if (!(answer instanceof ControlAnswer.Acknowledged)) {
+      log.write(
+          LogEvent.of("call.answered")
+              .with("call", call)
+              .with("of", parameter(uri, "of"))
+              .with("answer", answer instanceof ControlAnswer.Current ? "Current" : answer));
+    }
+  }
+
+  /** All control processes use one port, so the leader's name is enough. */
+  private Address controlAddress(InstanceId member) {
+    return new Address(member.value(), address.port());
+  }
+
+  private static String parameter(QueryStringDecoder uri, String name) {
+    return uri.parameters().getOrDefault(name, List.of("")).get(0);
+  }
+
+  private static JsonNode error(String text) {
+    return JsonNodeFactory.instance.objectNode().put("error", text);
+  }
+
+  private static Mono<Void> send(HttpServerResponse response, int status, JsonNode body) {
+    byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+    return response
+        .status(status)
+        .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bytes.length))
+        .sendByteArray(Mono.just(bytes))
+        .then();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
@@ -0,0 +1,26 @@
+package io.coltsfootwheel.platform;
+
+import io.coltsfootwheel.relay.WireNames;
+
+/** Names that the platform gives to headers, paths and calls. */
+final class PlatformNames {
+  static final String SETTINGS_VARIABLE = "COLTSFOOTWHEEL_NODE_FILE";
+  static final String READINESS_PATH = "/api/readyz";
+  static final String CALL_PATH = "/api/rpc";
+  static final String REPORT_CALL = "instances.heartbeat";
+  static final String LEAVE_CALL = "instances.leave";
+  static final String PUT_CALL = "config.put";
+  static final String PATCH_CALL = "config.patch";
+  static final String GET_CALL = "config.get";
+
+  static final WireNames HEADERS =
+      new WireNames(
+          "X-Coltsfootwheel-Request-Id",
+          "X-Coltsfootwheel-Request-Deadline-Ms",
+          "X-Coltsfootwheel-Shard-Key",
+          "X-Coltsfootwheel-Expect-Instance",
+          "X-Coltsfootwheel-Response-Signature",
+          "X-Coltsfootwheel-Not-Executed");
+
+  private PlatformNames() {}
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -0,0 +1,147 @@
+package io.coltsfootwheel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.node.ControlNodeSettings;
+import io.coltsfootwheel.node.EntryNodeSettings;
+import io.coltsfootwheel.relay.RelaySettings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Settings file of the platform, read into the settings of the product.
+ *
+ * <p>Unknown fields are ignored, because the platform may add some at any time.
+ */
+final class PlatformSettings {
+  private static final String CLUSTER = "coltsfootwheel";
+  private static final int ENTRY_PORT_OFFSET = 1;
+
+  private final JsonNode root;
+  private final Map<String, Double> bounds = new HashMap<>();
+
+  private PlatformSettings(JsonNode root) {
+    this.root = root;
+    for (JsonNode bound : root.path("bounds")) {
+      String[] parts = bound.asText().split("=", 2);
+      if (parts.length == 2) {
+        putNumber(parts[0].trim(), parts[1].trim());
+      }
+    }
+  }
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file the file
+   * @return the settings
+   * @throws ColtsfootwheelException with INVALID_SETTINGS when the file cannot be read
+   */
+  static PlatformSettings read(Path file) {
+    try {
+      return new PlatformSettings(new TomlMapper().readTree(Files.readString(file)));
+    } catch (IOException e) {
+      throw ColtsfootwheelException.of(
+          ErrorKind.INVALID_SETTINGS, "settings file " + file + ": " + e.getMessage(), e);
+    }
+  }
+
+  String name() {
+    return text("nodeName");
+  }
+
+  String ip() {
+    return text("ip");
+  }
+
+  Address frontAddress() {
+    return Address.parse(text("listenAddrs", "front"));
+  }
+
+  Address readinessAddress() {
+    return Address.parse(text("listenAddrs", "ready"));
+  }
+
+  Address controlAddress() {
+    return Address.parse(text("listenAddrs", "control"));
+  }
+
+  long graceMillis() {
+    return (long) (1_000 * bound("graceS", 6));
+  }
+
+  List<InstanceId> seeds() {
+    List<InstanceId> seeds = new ArrayList<>();
+    root.path("seeds").forEach(s -> seeds.add(InstanceId.of(Address.parse(s.asText()).host())));
+    return seeds;
+  }
+
+  ControlNodeSettings control() {
+    return new ControlNodeSettings(
+        CLUSTER,
+        new Address(ip(), memberPort()),
+        seeds(),
+        root.path("bootstrap").asBoolean(false),
+        root.path("faultTolerance").path("machines").asInt(1),
+        OwnershipSettings.of(
+            root.path("heartbeatIntervalMs").asLong(1_000),
+            (long) bound("maxHoldMs", 10_000),
+            (long) bound("drainMs", 2_000)),
+        Path.of(text("dataDir")));
+  }
+
+  EntryNodeSettings entry() {
+    return new EntryNodeSettings(
+        CLUSTER, new Address(ip(), memberPort() + ENTRY_PORT_OFFSET), memberPort(), seeds());
+  }
+
+  RelaySettings relay() {
+    return new RelaySettings(
+        frontAddress(),
+        PlatformNames.HEADERS,
+        (long) bound("drainMs", 2_000),
+        bound("retryBudgetRatio", 0.1),
+        bound("retryBudgetSlack", 10),
+        (long) (1_000 * bound("budgetWindowS", 10)),
+        ip().hashCode() ^ System.nanoTime());
+  }
+
+  private int memberPort() {
+    return root.path("internalPortRange").path(0).asInt();
+  }
+
+  private double bound(String name, double otherwise) {
+    return bounds.getOrDefault(name, otherwise);
+  }
+
+  private void putNumber(String name, String value) {
+    try {
+      bounds.put(name, Double.parseDouble(value));
+    } catch (NumberFormatException e) {
+      // Some bounds are booleans; none of those is used here.
+      bounds.remove(name);
+    }
+  }
+
+  private String text(String... path) {
+    JsonNode node = root;
+    for (String name : path) {
+      node = node.path(name);
+    }
+    if (!node.isTextual()) {
+      throw ColtsfootwheelException.of(
+          ErrorKind.INVALID_SETTINGS, "setting " + String.join(".", path) + " is missing");
+    }
+    return node.asText();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/ReportJson.java
@@ -0,0 +1,114 @@
+package io.coltsfootwheel.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.coltsfootwheel.keyspace.HeartbeatReport;
+import io.coltsfootwheel.keyspace.HeldRange;
+import io.coltsfootwheel.keyspace.KeyRange;
+import io.coltsfootwheel.keyspace.LeaseGrant;
+import io.coltsfootwheel.keyspace.OwnedRange;
+import io.coltsfootwheel.keyspace.ReleasedRange;
+import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.TargetRecord;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.Fence;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Liveness reports of the platform's back ends and the answers to them. */
+final class ReportJson {
+  private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
+
+  private ReportJson() {}
+
+  static HeartbeatReport parse(String id, byte[] body) {
+    JsonNode root = JsonFields.parse(body);
+    JsonNode info = root.path("info");
+    JsonNode status = root.path("status");
+    TargetRecord target =
+        new TargetRecord(
+            TargetId.of(id),
+            JsonFields.integer(root, "born"),
+            ServiceName.of(JsonFields.text(info, "service")),
+            Address.parse(JsonFields.text(root, "address")),
+            AvailabilityZone.of(JsonFields.text(info, "zone")),
+            slots(info),
+            phase(JsonFields.text(status, "phase")));
+    long warmupLeftMillis =
+        status.path("warmupLeftMs").isNumber() ? status.path("warmupLeftMs").asLong() : 0;
+    return new HeartbeatReport(
+        target,
+        JsonFields.integer(status, "sequence"),
+        warmupLeftMillis,
+        held(root.path("holds")),
+        released(root.path("released")));
+  }
+
+  /** Writes the answer; the address names where later reports should go. */
+  static ObjectNode answer(Optional<LeaseGrant> grant, Address reportAddress) {
+    ObjectNode answer = JSON.objectNode();
+    answer.put("heartbeatUrl", reportAddress.toString());
+    grant.ifPresent(
+        g -> {
+          ArrayNode rows = answer.putArray("holds");
+          for (OwnedRange owned : g.ranges()) {
+            rows.addArray()
+                .add(owned.range().from())
+                .add(owned.range().to())
+                .add(owned.fence().value())
+                .add(owned.handover());
+          }
+          answer.put("holdMs", g.holdMillis());
+        });
+    return answer;
+  }
+
+  private static int slots(JsonNode info) {
+    int slots = JsonFields.integer32(info, "capacity");
+    if (slots < 1) {
+      throw JsonFields.invalid("field capacity must be at least 1");
+    }
+    return slots;
+  }
+
+  private static TargetPhase phase(String text) {
+    return switch (text) {
+      case "ready" -> TargetPhase.READY;
+      case "draining" -> TargetPhase.DRAINING;
+      default -> throw JsonFields.invalid("field phase must be ready or draining");
+    };
+  }
+
+  private static List<HeldRange> held(JsonNode rows) {
+    List<HeldRange> result = new ArrayList<>();
+    for (JsonNode row : rows) {
+      result.add(new HeldRange(range(row), Fence.of(row.path(2).asLong())));
+    }
+    return result;
+  }
+
+  private static List<ReleasedRange> released(JsonNode rows) {
+    List<ReleasedRange> result = new ArrayList<>();
+    for (JsonNode row : rows) {
+      result.add(new ReleasedRange(range(row), row.path(2).asText("")));
+    }
+    return result;
+  }
+
+  private static KeyRange range(JsonNode row) {
+    if (!row.path(0).isInt() || !row.path(1).isInt()) {
+      throw JsonFields.invalid("rows of keys must begin with two integers");
+    }
+    try {
+      return new KeyRange(row.path(0).asInt(), row.path(1).asInt());
+    } catch (IllegalArgumentException e) {
+      throw JsonFields.invalid(e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Adapter to the users' platform: names, formats and calls. */
+package io.coltsfootwheel.platform;
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/routing/Configuration.java
@@ -0,0 +1,145 @@
+package io.coltsfootwheel.routing;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Immutable configuration of routes, services and limits together with the orders that led to it.
+ *
+ * <p>Usage: {@code configuration.judge(change)}.
+ */
+public final class Configuration {
+  /** Orders that are recognised when they are sent again; a day has a few hundred. */
+  private static final int MAX_REMEMBERED_ORDERS = 4_096;
+
+  private static final Configuration EMPTY = new Configuration(0, List.of(), List.of());
+
+  private final long version;
+  private final Map<ItemKey, ConfigurationItem> items;
+  private final Set<String> acceptedFingerprints;
+
+  /**
+   * Restores a configuration.
+   *
+   * @param version version, 0 when nothing was configured yet
+   * @param items the items
+   * @param acceptedFingerprints digests of accepted orders, oldest first
+   */
+  @JsonCreator
+  public Configuration(
+      @JsonProperty("version") long version,
+      @JsonProperty("items") List<ConfigurationItem> items,
+      @JsonProperty("accepted") List<String> acceptedFingerprints) {
+    this(version, byKey(items), new LinkedHashSet<>(acceptedFingerprints));
+  }
+
+  private Configuration(
+      long version, Map<ItemKey, ConfigurationItem> items, Set<String> acceptedFingerprints) {
+    this.version = version;
+    this.items = Collections.unmodifiableMap(items);
+    this.acceptedFingerprints = Collections.unmodifiableSet(acceptedFingerprints);
+  }
+
+  /**
+   * Returns the configuration before the first order.
+   *
+   * @return version 0 without items
+   */
+  public static Configuration empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Returns the version.
+   *
+   * @return version, 0 when nothing was configured yet
+   */
+  @JsonProperty("version")
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Returns the items.
+   *
+   * @return the items in the order of their first appearance
+   */
+  @JsonProperty("items")
+  public List<ConfigurationItem> items() {
+    return List.copyOf(items.values());
+  }
+
+  /**
+   * Returns the digests of accepted orders.
+   *
+   * @return the digests, oldest first
+   */
+  @JsonProperty("accepted")
+  public List<String> acceptedFingerprints() {
+    return List.copyOf(acceptedFingerprints);
+  }
+
+  /**
+   * Returns the configuration without the memory of accepted orders, which entries do not need.
+   *
+   * @return same version and items
+   */
+  public Configuration withoutOrders() {
+    return new Configuration(version, items, Set.of());
+  }
+
+  /**
+   * Judges a change; the receiver stays as it is.
+   *
+   * @param change the change
+   * @return what becomes of it
+   */
+  public ChangeOutcome judge(ConfigurationChange change) {
+    if (acceptedFingerprints.contains(change.fingerprint())) {
+      return new ChangeOutcome.AlreadyAccepted();
+    }
+    if (change.baseVersion() != version) {
+      return new ChangeOutcome.Conflict(version);
+    }
+    if (change.version() <= version) {
+      return new ChangeOutcome.Invalid(
+          "version r" + change.version() + " is not above the current version r" + version);
+    }
+    Map<ItemKey, ConfigurationItem> next = changed(change);
+    Optional<String> violation = ConfigurationRules.firstViolation(next.values());
+    if (violation.isPresent()) {
+      return new ChangeOutcome.Invalid(violation.get());
+    }
+    return new ChangeOutcome.Applicable(
+        new Configuration(change.version(), next, remember(change.fingerprint())));
+  }
+
+  private Map<ItemKey, ConfigurationItem> changed(ConfigurationChange change) {
+    Map<ItemKey, ConfigurationItem> next =
+        change.complete() ? new LinkedHashMap<>() : new LinkedHashMap<>(items);
+    change.removals().forEach(next::remove);
+    change.items().forEach(item -> next.put(item.key(), item));
+    return next;
+  }
+
+  private Set<String> remember(String fingerprint) {
+    List<String> all = new ArrayList<>(acceptedFingerprints);
+    all.add(fingerprint);
+    int first = Math.max(0, all.size() - MAX_REMEMBERED_ORDERS);
+    return new LinkedHashSet<>(all.subList(first, all.size()));
+  }
+
+  private static Map<ItemKey, ConfigurationItem> byKey(List<ConfigurationItem> items) {
+    Map<ItemKey, ConfigurationItem> map = new LinkedHashMap<>();
+    items.forEach(item -> map.put(item.key(), item));
+    return map;
+  }
+}
--- a/src/main/java/io/coltsfootwheel/daemon/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
@@ -1,4 +1,4 @@
-package io.coltsfootwheel.daemon;
+package io.coltsfootwheel.runtime;
 
 import java.util.List;
 import java.util.Queue;
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
@@ -20,14 +22,18 @@
  * Feeds the events of all threads to the reducer on the decision thread, and its effects to a
  * driver on the same thread.
  *
- * <p>Usage: {@code loop.post(new InstanceEvent.Tick(System.nanoTime()))}.
+ * <p>Usage: {@code loop.post(event)}.
+ *
+ * @param <E> events
+ * @param <F> effects
  */
-final class DecisionLoop {
+public final class DecisionLoop<E, F> {
   private static final Logger LOG = LogManager.getLogger(DecisionLoop.class);
   private static final long TICK_MILLIS = 10;
 
-  private final InstanceReducer reducer;
-  private final Consumer<InstanceEffect> driver;
+  private final Function<E, List<F>> reducer;
+  private final LongFunction<E> tick;
+  private final Consumer<F> driver;
   private final Runnable onFailure;
   private final Scheduler scheduler = Schedulers.newSingle("decisions");
   private final Scheduler.Worker worker = scheduler.createWorker();
@@ -37,19 +43,26 @@
   private final LongAdder handledEvents = new LongAdder();
   private final LongAdder decidingNanos = new LongAdder();
 
-  DecisionLoop(InstanceReducer reducer, Consumer<InstanceEffect> driver, Runnable onFailure) {
+  /**
+   * Makes a loop that is not started yet.
+   *
+   * @param reducer decides on an event and returns the effects
+   * @param tick makes the event for the passage of time from monotonic nanoseconds
+   * @param driver executes one effect
+   * @param onFailure called when a decision fails
+   */
+  public DecisionLoop(
+      Function<E, List<F>> reducer, LongFunction<E> tick, Consumer<F> driver, Runnable onFailure) {
     this.reducer = reducer;
+    this.tick = tick;
     this.driver = driver;
     this.onFailure = onFailure;
   }
 
   /** Starts the periodic ticks. */
-  void start() {
+  public void start() {
     worker.schedulePeriodically(
-        () -> post(new InstanceEvent.Tick(System.nanoTime())),
-        TICK_MILLIS,
-        TICK_MILLIS,
-        TimeUnit.MILLISECONDS);
+        () -> post(tick.apply(System.nanoTime())), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -57,44 +70,58 @@
    *
    * @param event the event
    */
-  void post(InstanceEvent event) {
+  public void post(E event) {
     enqueue(() -> decide(event));
   }
 
   /**
-   * Reads from the reducer on the decision thread.
+   * Reads state of the reducer on the decision thread.
    *
    * @param question the reading
    * @param <T> type of the answer
    * @return the answer
    */
-  <T> Mono<T> ask(Function<InstanceReducer, T> question) {
+  public <T> Mono<T> ask(Supplier<T> question) {
     return Mono.create(sink -> enqueue(() -> answer(question, sink)));
   }
 
-  long handledEvents() {
+  /**
+   * Returns the events handled so far.
+   *
+   * @return the number since the start
+   */
+  public long handledEvents() {
     return handledEvents.sum();
   }
 
-  /** Returns the time for which the decision thread was busy. */
-  long decidingNanos() {
+  /**
+   * Returns the time for which the decision thread was busy.
+   *
+   * @return nanoseconds since the start
+   */
+  public long decidingNanos() {
     return decidingNanos.sum();
   }
 
-  int queuedEvents() {
+  /**
+   * Returns the events that wait.
+   *
+   * @return the number
+   */
+  public int queuedEvents() {
     return pending.get();
   }
 
   /** Stops the decision thread; events posted from now on are dropped. */
-  void close() {
+  public void close() {
     closed = true;
     worker.dispose();
     scheduler.dispose();
   }
 
-  private <T> void answer(Function<InstanceReducer, T> question, MonoSink<T> sink) {
+  private <T> void answer(Supplier<T> question, MonoSink<T> sink) {
     try {
-      sink.success(question.apply(reducer));
+      sink.success(question.get());
     } catch (RuntimeException e) {
       sink.error(e);
     }
@@ -139,10 +166,9 @@
   }
 
   /** A failed decision leaves the state in doubt, so the process stops instead of going on. */
-  private void decide(InstanceEvent event) {
+  private void decide(E event) {
     try {
-      List<InstanceEffect> effects = reducer.apply(event);
-      for (InstanceEffect effect : effects) {
+      for (F effect : reducer.apply(event)) {
         driver.accept(effect);
       }
     } catch (RuntimeException e) {
--- a/src/main/java/io/coltsfootwheel/daemon/JournalDriver.java
+++ b/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
@@ -1,4 +1,4 @@
-package io.coltsfootwheel.daemon;
+package io.coltsfootwheel.runtime;
 
 import io.coltsfootwheel.consensus.ReplicationEffect;
 import io.coltsfootwheel.consensus.ReplicationEvent;
@@ -13,7 +13,7 @@
 import org.apache.logging.log4j.Logger;
 
 /** Writes the replicated log on its own thread, so that a sync does not delay decisions. */
-final class JournalDriver {
+public final class JournalDriver {
   private static final Logger LOG = LogManager.getLogger(JournalDriver.class);
 
   private final Journal journal;
@@ -22,22 +22,40 @@
   private final LinkedBlockingQueue<ReplicationEffect> queue = new LinkedBlockingQueue<>();
   private final Thread thread = new Thread(this::run, "journal");
 
-  JournalDriver(Journal journal, Timer persistTime, Consumer<ReplicationEvent> events) {
+  /**
+   * Makes a driver that is not started yet.
+   *
+   * @param journal the journal
+   * @param persistTime records the time of each write with its sync
+   * @param events receives the outcome of the writes
+   */
+  public JournalDriver(Journal journal, Timer persistTime, Consumer<ReplicationEvent> events) {
     this.journal = journal;
     this.persistTime = persistTime;
     this.events = events;
   }
 
-  void start() {
+  /** Starts the writing thread. */
+  public void start() {
     thread.setDaemon(true);
     thread.start();
   }
 
-  void submit(ReplicationEffect effect) {
+  /**
+   * Queues a write.
+   *
+   * @param effect a {@link ReplicationEffect.Persist} or {@link ReplicationEffect.PersistSnapshot}
+   */
+  public void submit(ReplicationEffect effect) {
     queue.add(effect);
   }
 
-  void close() throws InterruptedException {
+  /**
+   * Stops the thread and closes the journal; writes that wait are dropped.
+   *
+   * @throws InterruptedException when the wait for the thread is interrupted
+   */
+  public void close() throws InterruptedException {
     thread.interrupt();
     thread.join();
     journal.close();
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Threads on which processes decide and write to disk. */
+package io.coltsfootwheel.runtime;
--- a/src/test/java/io/coltsfootwheel/daemon/DecisionLoopTest.java
+++ b/src/test/java/io/coltsfootwheel/runtime/DecisionLoopTest.java
@@ -1,15 +1,17 @@
-package io.coltsfootwheel.daemon;
+package io.coltsfootwheel.runtime;
 
 import static org.assertj.core.api.Assertions.assertThatCode;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class DecisionLoopTest {
   /** Late answers threw "Scheduler unavailable" into the log of each graceful shutdown. */
   @Test
   void eventAfterCloseIsDropped() {
-    DecisionLoop loop = new DecisionLoop(null, effect -> {}, () -> {});
+    DecisionLoop<Long, String> loop =
+        new DecisionLoop<>(event -> List.of(), nowNanos -> nowNanos, effect -> {}, () -> {});
     loop.close();
-    assertThatCode(() -> loop.post(new InstanceEvent.Tick(1))).doesNotThrowAnyException();
+    assertThatCode(() -> loop.post(1L)).doesNotThrowAnyException();
   }
 }
