--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -30,8 +30,11 @@
  * {@link #applied} for each applied command, and answers reports with {@link #grant}.
  */
 public final class OwnershipLeader {
-  /** Time for the targets of a new service to report before its keys are divided. */
-  private static final long FIRST_DIVISION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /**
+   * The keys of a new service are divided when no further target has registered for this many
+   * report intervals; a division among the first few would be followed by many moves.
+   */
+  private static final double FIRST_DIVISION_INTERVALS = 1.5;
 
   /** A target without keys receives some when it has been known for this long. */
   private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
@@ -55,7 +58,7 @@
 
   private final OwnershipSettings settings;
   private final Map<TargetId, Contact> contacts = new HashMap<>();
-  private final Map<ServiceName, Long> firstReportNanos = new HashMap<>();
+  private final Map<ServiceName, Long> lastRegistrationNanos = new HashMap<>();
   private final List<Move> moves = new ArrayList<>();
   private final Set<TargetId> removing = new HashSet<>();
   private final Set<ServiceName> assigningGaps = new HashSet<>();
@@ -107,10 +110,10 @@
         nowNanos,
         report.sequence(),
         nowNanos + TimeUnit.MILLISECONDS.toNanos(report.warmupLeftMillis()));
-    firstReportNanos.putIfAbsent(target.service(), nowNanos);
     List<FleetCommand> commands = new ArrayList<>();
     boolean changed = !known.equals(Optional.of(target));
     if (changed) {
+      lastRegistrationNanos.put(target.service(), nowNanos);
       commands.add(new FleetCommand.RegisterTarget(target));
     }
     commands.addAll(assignReleased(nowNanos, report));
@@ -338,6 +341,8 @@
     KeyLoad keys = book.keys(target.service());
     List<KeyRange> parts = RangePlanner.shed(nowNanos, target, owned, load, keys);
     parts.forEach(r -> move(target, contact, r, "target is busy"));
+    RangePlanner.relocate(nowNanos, target, settled(target), load, keys)
+        .ifPresent(r -> move(target, contact, r, "another target is much faster"));
     if (parts.isEmpty() && isBusiest(nowNanos, target, load)) {
       RangePlanner.half(nowNanos, target, owned, load, keys)
           .ifPresent(r -> move(target, contact, r, "another target has no keys"));
@@ -474,10 +479,11 @@
       KeyRange range,
       Optional<TargetId> except) {
     ServiceLoad candidates = except.isEmpty() ? load : load.without(except.get());
+    double perSecond = book.keys(service).perSecond(nowNanos, range);
     Optional<TargetId> chosen =
-        RangePlanner.receiver(candidates, state, id -> secondsToReport(nowNanos, id))
+        RangePlanner.receiver(candidates, state, perSecond, id -> secondsToReport(nowNanos, id))
             .map(TargetRecord::id);
-    chosen.ifPresent(id -> load.give(id, book.keys(service).perSecond(nowNanos, range)));
+    chosen.ifPresent(id -> load.give(id, perSecond));
     return chosen;
   }
 
@@ -554,8 +560,11 @@
       return Optional.empty();
     }
     boolean first = state.table(service).ranges().isEmpty();
-    long firstNanos = firstReportNanos.getOrDefault(service, nowNanos);
-    if (first && nowNanos - firstNanos < FIRST_DIVISION_NANOS) {
+    long registeredNanos = lastRegistrationNanos.getOrDefault(service, gainedNanos);
+    long calmNanos =
+        TimeUnit.MILLISECONDS.toNanos(
+            (long) (FIRST_DIVISION_INTERVALS * settings.reportIntervalMillis()));
+    if (first && nowNanos - registeredNanos < calmNanos) {
       return Optional.empty();
     }
     List<TargetRecord> receivers = receivers(nowNanos, service, null);
--- a/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
@@ -23,6 +23,11 @@
 
   private static final double AIM_ABOVE_MEAN = 1.1;
 
+  private static final double FULL_UTILISATION = 0.9;
+
+  /** Time per request, relative to the present owner, that justifies the gap of a move. */
+  private static final double MUCH_FASTER = 0.65;
+
   /** Most parts that one target gives away at once. */
   private static final int MAX_PARTS = 12;
 
@@ -62,6 +67,32 @@
     return parts;
   }
 
+  /**
+   * Returns a key that alone keeps its target busy, when a much faster target could serve it. No
+   * split helps such a key, so it belongs on one of the fastest targets.
+   */
+  static Optional<KeyRange> relocate(
+      long nowNanos, TargetRecord target, List<OwnedRange> owned, ServiceLoad load, KeyLoad keys) {
+    Optional<RangeCut.Part> hottest =
+        owned.stream()
+            .flatMap(r -> keys.keysOf(r.range()).entrySet().stream())
+            .map(
+                k ->
+                    new RangeCut.Part(
+                        new KeyRange(k.getKey(), k.getKey()), k.getValue().perSecond(nowNanos)))
+            .max(Comparator.comparingDouble(RangeCut.Part::perSecond));
+    return hottest
+        .filter(p -> load.utilisationOf(target, p.perSecond()) > FULL_UTILISATION)
+        .filter(
+            p ->
+                load.receivers().stream()
+                    .anyMatch(
+                        t ->
+                            load.utilisationOf(t, p.perSecond())
+                                < MUCH_FASTER * load.utilisationOf(target, p.perSecond())))
+        .map(RangeCut.Part::range);
+  }
+
   /** Returns half of the load of a target, or half of its keys while they have no load. */
   static Optional<KeyRange> half(
       long nowNanos, TargetRecord target, List<OwnedRange> owned, ServiceLoad load, KeyLoad keys) {
@@ -78,13 +109,16 @@
 
   /** Chooses the receiver of a free range. */
   static Optional<TargetRecord> receiver(
-      ServiceLoad load, FleetState state, ToDoubleFunction<TargetId> waitSeconds) {
+      ServiceLoad load,
+      FleetState state,
+      double rangePerSecond,
+      ToDoubleFunction<TargetId> waitSeconds) {
     return load.receivers().stream()
         .filter(t -> state.table(t.service()).rangesOf(t.id()).size() < MAX_RANGES_PER_TARGET)
         .min(
             Comparator.comparingDouble(
                 t ->
-                    load.utilisation(t)
+                    load.utilisation(t, rangePerSecond)
                         + UTILISATION_PER_SECOND_OF_WAIT * waitSeconds.applyAsDouble(t.id())));
   }
 
--- a/src/main/java/io/coltsfootwheel/keyspace/ServiceLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/ServiceLoad.java
@@ -57,7 +57,17 @@
   }
 
   double utilisation(TargetRecord target) {
-    return book.utilisation(nowNanos, target, perSecond(target.id()));
+    return utilisation(target, 0);
+  }
+
+  /** Returns the utilisation of a target once it has received more load. */
+  double utilisation(TargetRecord target, double morePerSecond) {
+    return utilisationOf(target, perSecond(target.id()) + morePerSecond);
+  }
+
+  /** Returns the utilisation that a load alone means for a target. */
+  double utilisationOf(TargetRecord target, double loadPerSecond) {
+    return book.utilisation(nowNanos, target, loadPerSecond);
   }
 
   /** Returns the requests per second that a target can take until it has a utilisation. */
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -3,11 +3,13 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.LoadReport;
+import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -21,7 +23,7 @@
  * <p>Usage: {@code node.start()}, then {@code node.seeds(...)} when the settings change.
  */
 public final class EntryNode implements AutoCloseable {
-  private static final long INTERVAL_MILLIS = 200;
+  private static final long INTERVAL_MILLIS = 100;
 
   private final EntryNodeSettings settings;
   private final Relay relay;
@@ -33,6 +35,7 @@
   private long configurationVersion;
   private long viewTerm;
   private long viewSequence;
+  private OwnershipView view = OwnershipView.empty();
 
   /**
    * Makes a process that is not started yet.
@@ -132,17 +135,26 @@
               configurationVersion = c.version();
               relay.configure(c);
             });
-    update
-        .view()
-        .filter(v -> isNewer(update))
+    nextView(update)
         .ifPresent(
-            v -> {
+            next -> {
               viewTerm = update.term();
               viewSequence = update.viewSequence();
-              relay.view(v);
+              view = next;
+              relay.view(next);
             });
   }
 
+  /** A change applies to the view just before it; after a gap the whole view is asked for. */
+  private Optional<OwnershipView> nextView(NodeMessage.Routing update) {
+    boolean follows = update.term() == viewTerm && update.viewSequence() == viewSequence + 1;
+    return update
+        .change()
+        .filter(c -> follows)
+        .map(view::with)
+        .or(() -> update.view().filter(v -> isNewer(update)));
+  }
+
   private boolean isNewer(NodeMessage.Routing update) {
     return update.term() > viewTerm
         || update.term() == viewTerm && update.viewSequence() > viewSequence;
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -187,7 +187,8 @@
         from,
         routing(
             isConfigured ? Optional.empty() : Optional.of(state.configuration().withoutOrders()),
-            isInView ? Optional.empty() : Optional.of(view)));
+            isInView ? Optional.empty() : Optional.of(view),
+            Optional.empty()));
   }
 
   void joining(long nowNanos, MemberId member) {
@@ -225,7 +226,11 @@
     ownership.applied(command, newState);
     logApplied(command);
     if (before.version() != newState.configuration().version()) {
-      broadcast(routing(Optional.of(newState.configuration().withoutOrders()), Optional.empty()));
+      broadcast(
+          routing(
+              Optional.of(newState.configuration().withoutOrders()),
+              Optional.empty(),
+              Optional.empty()));
     }
     publishView();
   }
@@ -258,21 +263,26 @@
 
   private void publishView() {
     if (ownership.takeViewChanged()) {
+      OwnershipView before = view;
       view = ownership.view(presentNanos);
       viewSequence++;
-      broadcast(routing(Optional.empty(), Optional.of(view)));
+      broadcast(
+          routing(Optional.empty(), Optional.empty(), Optional.of(view.changesSince(before))));
     }
   }
 
   private NodeMessage.Routing routing(
-      Optional<Configuration> configuration, Optional<OwnershipView> newView) {
+      Optional<Configuration> configuration,
+      Optional<OwnershipView> wholeView,
+      Optional<OwnershipView.Change> change) {
     return new NodeMessage.Routing(
         term,
         viewSequence,
         state.configuration().version(),
         configuration,
-        newView,
-        ownership.pressure(presentNanos),
+        wholeView,
+        change,
+        change.isPresent() ? Map.of() : ownership.pressure(presentNanos),
         entries.size(),
         group.stream().map(m -> m.member().instance()).distinct().toList());
   }
--- a/src/main/java/io/coltsfootwheel/node/NodeMessage.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeMessage.java
@@ -72,7 +72,8 @@
    * @param viewSequence number of the present view
    * @param configurationVersion version in force
    * @param configuration configuration, when the entry has another version
-   * @param view targets and owners, when the entry has another view
+   * @param view targets and owners, when the entry has neither this nor the previous view
+   * @param change difference to the previous view, sent when the view has changed
    * @param pressure how busy each target is over all entries
    * @param entries entries that reported lately
    * @param members the members of the group
@@ -83,6 +84,7 @@
       long configurationVersion,
       Optional<Configuration> configuration,
       Optional<OwnershipView> view,
+      Optional<OwnershipView.Change> change,
       Map<TargetId, TargetPressure> pressure,
       int entries,
       List<InstanceId> members)
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/platform/ArchiveRun.java
@@ -0,0 +1,185 @@
+package io.coltsfootwheel.platform;
+
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.ErrorKind;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
+
+/**
+ * Short run of both parts on loopback, in one process, during the build: the classes that it loads
+ * are written to a class-data archive, which halves the time that a small machine needs to start.
+ */
+final class ArchiveRun {
+  private static final String CONTROL_HOST = "127.0.0.1";
+  private static final String ENTRY_HOST = "127.0.0.2";
+  private static final String SERVICE = "archive";
+  private static final String HOST = "archive.example";
+  private static final int FIRST_PORT = 47_311;
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration PAUSE = Duration.ofMillis(200);
+  private static final int ATTEMPTS = 50;
+  private static final int REQUESTS = 20;
+
+  private final Path folder;
+  private final HttpClient client = HttpClient.create();
+
+  ArchiveRun(Path folder) {
+    this.folder = folder;
+  }
+
+  /** Writes the settings of the two processes and returns their files: control, then entry. */
+  Path[] settings() {
+    try {
+      Files.createDirectories(folder);
+      Path control = folder.resolve("control.toml");
+      Path entry = folder.resolve("entry.toml");
+      Files.writeString(control, settingsOf(CONTROL_HOST));
+      Files.writeString(entry, settingsOf(ENTRY_HOST));
+      return new Path[] {control, entry};
+    } catch (IOException e) {
+      throw ColtsfootwheelException.of(
+          ErrorKind.INVALID_SETTINGS, "folder " + folder + " cannot be written", e);
+    }
+  }
+
+  /** Configures the system, reports a target and sends requests to it. */
+  void play() {
+    DisposableServer target = target();
+    try {
+      post(PlatformNames.PUT_CALL, "", configuration());
+      for (int sequence = 1; sequence <= ATTEMPTS && !isServed(); sequence++) {
+        post(PlatformNames.REPORT_CALL, "&of=t-1", report(target.port(), sequence));
+        Mono.delay(PAUSE).block();
+      }
+      for (int i = 0; i < REQUESTS; i++) {
+        isServed();
+      }
+    } finally {
+      target.disposeNow();
+    }
+  }
+
+  private static DisposableServer target() {
+    return HttpServer.create()
+        .host(CONTROL_HOST)
+        .port(0)
+        .handle(
+            (request, response) ->
+                response
+                    .header(
+                        PlatformNames.HEADERS.requestId(),
+                        request.requestHeaders().get(PlatformNames.HEADERS.requestId()))
+                    .header(PlatformNames.HEADERS.signature(), "1")
+                    .sendString(Mono.just("answer")))
+        .bindNow();
+  }
+
+  private boolean isServed() {
+    Integer status =
+        client
+            .headers(this::requestHeaders)
+            .get()
+            .uri("http://" + ENTRY_HOST + ":" + (FIRST_PORT + 2) + "/a/1")
+            .response()
+            .map(r -> r.status().code())
+            .onErrorReturn(0)
+            .block(CALL_TIMEOUT);
+    return status != null && status == 200;
+  }
+
+  private void requestHeaders(HttpHeaders headers) {
+    headers.set("Host", HOST);
+    headers.set(PlatformNames.HEADERS.requestId(), "r-1");
+    headers.set(PlatformNames.HEADERS.deadlineMillis(), 1_000);
+    headers.set(PlatformNames.HEADERS.key(), 7);
+  }
+
+  private void post(String call, String parameters, String body) {
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      Integer status =
+          client
+              .post()
+              .uri(
+                  "http://"
+                      + CONTROL_HOST
+                      + ":"
+                      + (FIRST_PORT + 3)
+                      + PlatformNames.CALL_PATH
+                      + "?call="
+                      + call
+                      + parameters)
+              .send(
+                  (request, out) ->
+                      out.sendByteArray(Mono.just(body.getBytes(StandardCharsets.UTF_8))))
+              .response()
+              .map(r -> r.status().code())
+              .onErrorReturn(0)
+              .block(CALL_TIMEOUT);
+      if (status != null && status == 200) {
+        return;
+      }
+      Mono.delay(PAUSE).block();
+    }
+    throw ColtsfootwheelException.of(
+        ErrorKind.NO_QUORUM, "call " + call + " was not accepted during the archive run");
+  }
+
+  private String settingsOf(String host) {
+    return """
+        nodeName = "%1$s"
+        ip = "%1$s"
+        zone = "z"
+        internalPortRange = [%2$d, %3$d]
+        seeds = ["%4$s:%5$d"]
+        bootstrap = true
+        dataDir = "%6$s"
+        heartbeatIntervalMs = 300
+        bounds = ["graceS=3"]
+        [listenAddrs]
+        front = "%1$s:%7$d"
+        ready = "%1$s:%8$d"
+        control = "%1$s:%5$d"
+        [faultTolerance]
+        machines = 0
+        """
+        .formatted(
+            host,
+            FIRST_PORT,
+            FIRST_PORT + 1,
+            CONTROL_HOST,
+            FIRST_PORT + 3,
+            folder.resolve("data"),
+            FIRST_PORT + 2,
+            FIRST_PORT + 4);
+  }
+
+  private static String configuration() {
+    return """
+        {"version":"r1","resources":[
+        {"resourceType":"routes","metadata":{"name":"a"},"spec":{"hostname":"%s",
+        "pathPrefix":"/a/","kind":"safe","timeoutMs":1000,"targetLatencyMs":400,"priority":1,
+        "service":"%s","maxAttempts":2}},
+        {"resourceType":"services","metadata":{"name":"%s"},"spec":{"sharded":true,
+        "maxConnections":10}},
+        {"resourceType":"limits","metadata":{},"spec":{"idleTimeoutMs":15000}}]}
+        """
+        .formatted(HOST, SERVICE, SERVICE);
+  }
+
+  private static String report(int port, int sequence) {
+    return """
+        {"born":1,"address":"%s:%d","info":{"service":"%s","version":"v1","zone":"z",
+        "capacity":2},"status":{"phase":"ready","sequence":%d,"warmupLeftMs":0},
+        "holds":[],"released":[]}
+        """
+        .formatted(CONTROL_HOST, port, SERVICE, sequence);
+  }
+}
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -30,6 +30,7 @@
   static final int METRICS_PORT = 9464;
 
   private static final String METRICS_PATH = "/metrics";
+  private static final String ARCHIVE_ROLE = "archive";
   private static final int EXIT_FAILED = 1;
 
   /** The platform notices an instance that is not ready within two seconds. */
@@ -58,11 +59,44 @@
    * @param arguments the part that this process plays
    */
   public static void main(String[] arguments) {
+    if (arguments[0].equals(ARCHIVE_ROLE)) {
+      archive(Path.of(arguments[1]));
+    } else {
+      serve(arguments[0]);
+    }
+  }
+
+  /** Plays both parts for a moment and ends normally, so that the class-data archive is written. */
+  private static void archive(Path folder) {
+    ArchiveRun run = new ArchiveRun(folder);
+    Path[] files = run.settings();
+    start("control", files[0]);
+    start("entry", files[1]);
+    run.play();
+    System.exit(0);
+  }
+
+  private static void start(String role, Path file) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                new PlatformMain(PlatformSettings.read(file)).run(role);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            },
+            role);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void serve(String role) {
     Path file = Path.of(System.getenv(PlatformNames.SETTINGS_VARIABLE));
     PlatformMain process = new PlatformMain(PlatformSettings.read(file));
     int status = 0;
     try {
-      process.run(arguments[0]);
+      process.run(role);
     } catch (ColtsfootwheelException e) {
       LINES.error("the process ends: {}", e.getMessage(), e);
       status = EXIT_FAILED;
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.InstanceId;
@@ -108,6 +109,7 @@
   RelaySettings relay() {
     return new RelaySettings(
         frontAddress(),
+        AvailabilityZone.of(text("zone")),
         PlatformNames.HEADERS,
         (long) bound("drainMs", 2_000),
         bound("retryBudgetRatio", 0.1),
--- a/src/main/java/io/coltsfootwheel/relay/Exchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/Exchange.java
@@ -130,16 +130,13 @@
     }
     waits = false;
     long nowNanos = System.nanoTime();
-    long left = leftMillis();
-    ServiceName name = service.orElseThrow().name();
+    TargetChooser.Demand demand = demand(nowNanos);
     Decision decision =
-        service.get().keyed()
-            ? context
-                .chooser()
-                .chooseOwner(context.routing(), name, request.key().orElseThrow(), nowNanos, left)
-            : context.chooser().chooseAny(context.routing(), name, tried, nowNanos, left);
+        service.orElseThrow().keyed()
+            ? context.chooser().chooseOwner(context.routing(), request.key().orElseThrow(), demand)
+            : context.chooser().chooseAny(context.routing(), tried, demand);
     if (decision instanceof Decision.Send send) {
-      send(send.target(), left);
+      send(send.target(), demand.leftMillis());
     } else if (decision instanceof Decision.Wait wait) {
       await(wait, nowNanos);
     } else if (decision instanceof Decision.Refuse refusal) {
@@ -147,6 +144,18 @@
     }
   }
 
+  private TargetChooser.Demand demand(long nowNanos) {
+    Route present = route.orElseThrow();
+    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
+    return new TargetChooser.Demand(
+        service.orElseThrow().name(),
+        present.kind(),
+        present.priority(),
+        nowNanos,
+        leftMillis(),
+        present.targetLatencyMillis() - elapsedMillis);
+  }
+
   private void await(Decision.Wait wait, long nowNanos) {
     if (waitUntilNanos == 0) {
       waitUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(wait.millis());
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -45,7 +45,6 @@
   private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
   private static final int MAX_LINE_BYTES = 8 * 1024;
 
-  /** Bodies up to this size are taken before the configuration states its limit. */
   private static final int BACKLOG = 1_024;
 
   /** One of this many answered requests has a line in the log; all others are counted only. */
@@ -85,7 +84,7 @@
     this.log = log;
     this.meters = meters;
     this.random = RandomSource.SPLIT_MIX_64.create(settings.seed());
-    this.chooser = new TargetChooser(random, settings.drainMillis());
+    this.chooser = new TargetChooser(random, settings.zone(), settings.drainMillis());
     this.budget =
         new RetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
--- a/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
@@ -1,11 +1,13 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
 
 /**
  * Settings of the forwarding of requests.
  *
  * @param listen address for clients
+ * @param zone availability zone of this entry
  * @param names names of headers
  * @param drainMillis time for which a leaving target may still receive requests
  * @param retryRatio retries for each request that all entries together may make
@@ -15,6 +17,7 @@
  */
 public record RelaySettings(
     Address listen,
+    AvailabilityZone zone,
     WireNames names,
     long drainMillis,
     double retryRatio,
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -2,8 +2,10 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.RouteKind;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -14,9 +16,12 @@
  * Chooses the target of a request, or refuses the request at once when it cannot be served in time.
  *
  * <p>A keyed request has one owner. While the key moves, the request waits if it can still be
- * served afterwards. An unkeyed request goes to the target that is expected to answer first. Both
- * are refused when the requests ahead of them leave too little of their time; a client that comes
- * back later finds a shorter queue, while one that waits in vain has lost its time.
+ * served afterwards. An unkeyed request goes to the target that is expected to answer first.
+ *
+ * <p>It answers the load in which one target receives more than it can serve, such as all requests
+ * for one hot key. A queue then only makes every request late, so a request is refused at once when
+ * the requests ahead of it use up its latency objective; less urgent ones are refused earlier. The
+ * target stays busy with requests that are answered in time.
  */
 final class TargetChooser {
   /** Requests at a target beyond its slots that it still queues; it rejects more. */
@@ -25,6 +30,22 @@
   /** Part of the expected time that must remain; the expectation is an average. */
   private static final double NEEDED_SHARE = 0.6;
 
+  /** Requests beyond the slots that are taken even when the objective is missed already. */
+  private static final int LATE_QUEUE = 1;
+
+  /** Part of the objective that the queue of the most urgent requests may fill. */
+  private static final double URGENT_SHARE = 1.1;
+
+  /** Part of the objective by which the queue is shorter for each rank of urgency below. */
+  private static final double SHARE_PER_RANK = 0.15;
+
+  private static final double MIN_QUEUE_SHARE = 0.5;
+
+  /** Bytes between availability zones are dear, and a download has many of them. */
+  private static final double FAR_DOWNLOAD_MILLIS = 150;
+
+  private static final double FAR_MILLIS = 10;
+
   /** Longest wait for a key that moves, as a part of the remaining time. */
   private static final double MAX_WAIT_SHARE = 0.6;
 
@@ -36,17 +57,51 @@
   private static final long NO_OWNER_RETRY_MILLIS = 300;
   private static final long MIN_WAIT_MILLIS = 20;
 
+  /** Order in which targets that should not be used are used when no other is left. */
+  private static final double LEAVING_MILLIS = 1e5;
+
+  private static final double SUSPECT_MILLIS = 1e6;
+  private static final double TRIED_MILLIS = 1e7;
+
   private final UniformRandomProvider random;
+  private final AvailabilityZone zone;
   private final long drainMillis;
 
-  TargetChooser(UniformRandomProvider random, long drainMillis) {
+  TargetChooser(UniformRandomProvider random, AvailabilityZone zone, long drainMillis) {
     this.random = random;
+    this.zone = zone;
     this.drainMillis = drainMillis;
   }
 
+  /**
+   * What matters of a request.
+   *
+   * @param service service that it goes to
+   * @param kind what may be repeated
+   * @param priority rank; 0 is the most urgent
+   * @param nowNanos monotonic time
+   * @param leftMillis time until its deadline
+   * @param objectiveMillis time until its latency objective is missed, negative afterwards
+   */
+  record Demand(
+      ServiceName service,
+      RouteKind kind,
+      int priority,
+      long nowNanos,
+      long leftMillis,
+      long objectiveMillis) {
+    /** Returns the expected time to the answer above which the request is refused. */
+    double longestMillis() {
+      double share = Math.max(MIN_QUEUE_SHARE, URGENT_SHARE - SHARE_PER_RANK * priority);
+      return Math.min(leftMillis / NEEDED_SHARE, share * objectiveMillis);
+    }
+  }
+
   /** Decides on a keyed request. */
-  Decision chooseOwner(
-      FleetRouting routing, ServiceName service, int key, long nowNanos, long leftMillis) {
+  Decision chooseOwner(FleetRouting routing, int key, Demand demand) {
+    ServiceName service = demand.service();
+    long nowNanos = demand.nowNanos();
+    long leftMillis = demand.leftMillis();
     Optional<OwnershipView.Range> range = routing.rangeOf(service, key);
     if (range.isEmpty()) {
       return waitOrRefuse("key has no owner", NO_OWNER_RETRY_MILLIS, leftMillis);
@@ -61,41 +116,44 @@
     if (owner.get().isSuspect(nowNanos)) {
       return new Decision.Refuse("owner does not answer", MAX_RETRY_MILLIS);
     }
-    return admit(owner.get(), leftMillis);
+    return admit(owner.get(), demand);
   }
 
   /** Decides on an unkeyed request; targets that were tried are used only when no other is left. */
-  Decision chooseAny(
-      FleetRouting routing,
-      ServiceName service,
-      Set<TargetId> tried,
-      long nowNanos,
-      long leftMillis) {
+  Decision chooseAny(FleetRouting routing, Set<TargetId> tried, Demand demand) {
     List<TargetStats> serving =
-        routing.targetsOf(service).stream()
-            .filter(t -> t.isServing(nowNanos, drainMillis))
+        routing.targetsOf(demand.service()).stream()
+            .filter(t -> t.isServing(demand.nowNanos(), drainMillis))
             .toList();
     if (serving.isEmpty()) {
       return new Decision.Refuse("service has no targets", MAX_RETRY_MILLIS);
     }
     return serving.stream()
-        .min(Comparator.comparingDouble(t -> score(t, tried.contains(t.spec().id()), nowNanos)))
-        .map(t -> admit(t, leftMillis))
+        .min(Comparator.comparingDouble(t -> score(t, tried.contains(t.spec().id()), demand)))
+        .map(t -> admit(t, demand))
         .orElseThrow();
   }
 
-  private double score(TargetStats target, boolean tried, long nowNanos) {
+  private double score(TargetStats target, boolean tried, Demand demand) {
     double jitter = 1 + JITTER * random.nextDouble();
-    double penalty = (tried ? 1e6 : 0) + (target.isSuspect(nowNanos) ? 1e5 : 0);
-    boolean preferred = target.spec().phase() == TargetPhase.READY;
-    return target.expectedMillis() * jitter + penalty + (preferred ? 0 : 1e4);
+    double farMillis = demand.kind() == RouteKind.DOWNLOAD ? FAR_DOWNLOAD_MILLIS : FAR_MILLIS;
+    return target.expectedMillis() * jitter
+        + (target.spec().zone().equals(zone) ? 0 : farMillis)
+        + (tried ? TRIED_MILLIS : 0)
+        + (target.isSuspect(demand.nowNanos()) ? SUSPECT_MILLIS : 0)
+        + (target.spec().phase() == TargetPhase.READY ? 0 : LEAVING_MILLIS);
   }
 
-  private static Decision admit(TargetStats target, long leftMillis) {
+  private static Decision admit(TargetStats target, Demand demand) {
     long expectedMillis = target.expectedMillis();
-    boolean full = target.estimatedInFlight() >= target.spec().slots() + TARGET_QUEUE;
-    if (full || expectedMillis * NEEDED_SHARE > leftMillis) {
-      long retryMillis = Math.max(MIN_RETRY_MILLIS, expectedMillis / 2);
+    int slots = target.spec().slots();
+    boolean full = target.estimatedInFlight() >= slots + TARGET_QUEUE;
+    boolean late = expectedMillis > demand.longestMillis();
+    boolean isQueueShort =
+        target.estimatedInFlight() < slots + LATE_QUEUE
+            && expectedMillis * NEEDED_SHARE <= demand.leftMillis();
+    if (full || late && !isQueueShort) {
+      long retryMillis = Math.max(MIN_RETRY_MILLIS, expectedMillis);
       return new Decision.Refuse(
           full ? "target queue is full" : "not enough time left",
           Math.min(MAX_RETRY_MILLIS, retryMillis));
