--- a/src/main/java/io/coltsfootwheel/keyspace/KeyRange.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/KeyRange.java
@@ -40,6 +40,16 @@
     return from <= other.to && other.from <= to;
   }
 
+  /**
+   * Returns the keys that two ranges share.
+   *
+   * @param other a range that overlaps this one
+   * @return the common part
+   */
+  public KeyRange intersection(KeyRange other) {
+    return new KeyRange(Math.max(from, other.from), Math.min(to, other.to));
+  }
+
   /**
    * Returns the number of keys.
    *
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -6,7 +6,6 @@
 import io.coltsfootwheel.routing.ConfigurationItem;
 import io.coltsfootwheel.routing.ServicePolicy;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -51,15 +50,13 @@
   private static final int MASS_SILENCE_MIN = 3;
   private static final long MASS_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-  /** A report may be this late before its sender is passed over as a receiver of keys. */
-  private static final double LATE_REPORT_INTERVALS = 1.6;
-
   private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final OwnershipSettings settings;
-  private final Map<TargetId, Contact> contacts = new HashMap<>();
+  private final Contacts contacts;
+  private final Moves moves = new Moves();
+  private final ViewBuilder views;
   private final Map<ServiceName, Long> lastRegistrationNanos = new HashMap<>();
-  private final List<Move> moves = new ArrayList<>();
   private final Set<TargetId> removing = new HashSet<>();
   private final Set<ServiceName> assigningGaps = new HashSet<>();
   private final LoadBook book = new LoadBook();
@@ -80,7 +77,9 @@
     this.settings = settings;
     this.state = state;
     this.gainedNanos = nowNanos;
-    state.targets().forEach(t -> contact(nowNanos, t));
+    this.contacts = new Contacts(settings, nowNanos);
+    this.views = new ViewBuilder(settings, contacts, moves);
+    state.targets().forEach(t -> contacts.of(nowNanos, t, state));
   }
 
   /**
@@ -101,11 +100,12 @@
    */
   public Observed report(long nowNanos, HeartbeatReport report) {
     TargetRecord target = report.target();
-    if (isOutdated(report)) {
+    if (contacts.isOutdated(report, state)) {
       return new Observed(List.of(), false, false);
     }
     Optional<TargetRecord> known = state.target(target.id());
-    Contact contact = contact(nowNanos, target);
+    moves.forgetEarlierLives(target);
+    Contact contact = contacts.of(nowNanos, target, state);
     contact.reported(
         nowNanos,
         report.sequence(),
@@ -116,7 +116,7 @@
       lastRegistrationNanos.put(target.service(), nowNanos);
       commands.add(new FleetCommand.RegisterTarget(target));
     }
-    commands.addAll(assignReleased(nowNanos, report));
+    commands.addAll(assign(nowNanos, moves.released(report), report.released()));
     boolean drains = changed && target.phase() != TargetPhase.READY;
     return new Observed(commands, drains, true);
   }
@@ -145,12 +145,11 @@
   public Optional<LeaseGrant> grant(long nowNanos, TargetId id, long bornMillis) {
     Optional<TargetRecord> registered =
         state.target(id).filter(t -> t.bornMillis() == bornMillis).filter(this::isKeyed);
-    Contact contact = contacts.get(id);
-    boolean mayHold =
-        registered.isPresent() && contact != null && contact.bornMillis() == bornMillis;
-    if (!mayHold || removing.contains(id)) {
+    Optional<Contact> known = contacts.find(id).filter(c -> c.bornMillis() == bornMillis);
+    if (registered.isEmpty() || known.isEmpty() || removing.contains(id)) {
       return Optional.empty();
     }
+    Contact contact = known.get();
     beginMoves(nowNanos, registered.get(), contact);
     viewChanged |= contact.answeredIndex() < lastFence(registered.get());
     contact.answered(nowNanos + settings.leaseNanos(), state.index());
@@ -170,7 +169,7 @@
       book.forgetIdle(nowNanos, state);
     }
     noteEndedLeases(nowNanos);
-    commands.addAll(assignExpired(nowNanos));
+    commands.addAll(assign(nowNanos, moves.expired(nowNanos, contacts), List.of()));
     commands.addAll(removals(nowNanos));
     for (ServiceName service : keyedServices()) {
       assignGaps(nowNanos, service).ifPresent(commands::add);
@@ -200,15 +199,10 @@
     viewChanged |= !(command instanceof FleetCommand.ChangeConfiguration);
     if (command instanceof FleetCommand.AssignRanges assign) {
       assigningGaps.remove(assign.service());
-      moves.removeIf(
-          m ->
-              m.assigning()
-                  && m.service().equals(assign.service())
-                  && assign.assignments().stream().anyMatch(a -> a.range().overlaps(m.range())));
     } else if (command instanceof FleetCommand.RemoveTarget removal) {
       removing.remove(removal.target());
     }
-    moves.removeIf(m -> state.target(m.from()).isEmpty());
+    moves.applied(command, newState);
   }
 
   /**
@@ -217,7 +211,7 @@
    * @return one text for each move
    */
   public List<String> describeMoves() {
-    return moves.stream()
+    return moves.all().stream()
         .map(m -> m.service() + " " + m.range() + " from " + m.from() + ": " + m.reason())
         .toList();
   }
@@ -229,20 +223,7 @@
    * @return targets and ranges
    */
   public OwnershipView view(long nowNanos) {
-    List<OwnershipView.Target> targets =
-        state.targets().stream()
-            .map(
-                t ->
-                    new OwnershipView.Target(
-                        t.id(), t.service(), t.address(), t.zone(), t.slots(), t.phase()))
-            .toList();
-    List<OwnershipView.Range> ranges = new ArrayList<>();
-    for (ServiceName service : new TreeSet<>(state.tables().keySet())) {
-      for (OwnedRange owned : state.table(service).ranges()) {
-        ranges.addAll(viewOf(nowNanos, service, owned));
-      }
-    }
-    return new OwnershipView(targets, ranges);
+    return views.view(nowNanos, state);
   }
 
   /**
@@ -267,43 +248,6 @@
         .collect(Collectors.toMap(TargetRecord::id, t -> book.target(t.id()).pressure(nowNanos)));
   }
 
-  private boolean isOutdated(HeartbeatReport report) {
-    TargetRecord target = report.target();
-    boolean earlierLife =
-        state.target(target.id()).filter(t -> t.bornMillis() > target.bornMillis()).isPresent();
-    boolean addressTaken =
-        state.targets().stream()
-            .filter(t -> t.address().equals(target.address()) && !t.id().equals(target.id()))
-            .anyMatch(t -> t.bornMillis() > target.bornMillis());
-    boolean left =
-        state
-            .target(target.id())
-            .filter(t -> t.bornMillis() == target.bornMillis())
-            .filter(t -> t.phase().compareTo(target.phase()) > 0)
-            .isPresent();
-    Contact contact = contacts.get(target.id());
-    boolean late =
-        contact != null
-            && (contact.bornMillis() > target.bornMillis()
-                || contact.bornMillis() == target.bornMillis()
-                    && contact.isStale(report.sequence()));
-    return earlierLife || addressTaken || left || late;
-  }
-
-  private Contact contact(long nowNanos, TargetRecord target) {
-    Contact present = contacts.get(target.id());
-    if (present == null || present.bornMillis() < target.bornMillis()) {
-      boolean known =
-          state.target(target.id()).filter(t -> t.bornMillis() == target.bornMillis()).isPresent();
-      long leaseEndNanos = known ? gainedNanos + settings.leaseNanos() : nowNanos;
-      long answeredIndex = known ? state.index() : 0;
-      present = new Contact(target.bornMillis(), nowNanos, leaseEndNanos, answeredIndex);
-      contacts.put(target.id(), present);
-      moves.removeIf(m -> m.from().equals(target.id()) && m.bornMillis() < target.bornMillis());
-    }
-    return present;
-  }
-
   private boolean isKeyed(TargetRecord target) {
     return keyedServices().contains(target.service());
   }
@@ -317,17 +261,6 @@
         .collect(Collectors.toCollection(TreeSet::new));
   }
 
-  /** Returns the ranges of a target that do not move, cut around those that do. */
-  private List<OwnedRange> settled(TargetRecord target) {
-    RangeTable table = RangeTable.of(state.table(target.service()).rangesOf(target.id()));
-    for (Move move : moves) {
-      if (move.service().equals(target.service()) && move.from().equals(target.id())) {
-        table = table.cutting(move.range());
-      }
-    }
-    return table.ranges();
-  }
-
   private void beginMoves(long nowNanos, TargetRecord target, Contact contact) {
     List<OwnedRange> owned = settled(target);
     if (owned.isEmpty() || receivers(nowNanos, target.service(), target.id()).isEmpty()) {
@@ -356,7 +289,7 @@
             .filter(t -> state.table(t.service()).rangesOf(t.id()).isEmpty())
             .filter(t -> isSettledIn(nowNanos, t.id()))
             .count();
-    long moving = moves.stream().filter(m -> m.service().equals(target.service())).count();
+    long moving = moves.count(target.service());
     if (idle <= moving) {
       return false;
     }
@@ -366,8 +299,17 @@
   }
 
   private boolean isSettledIn(long nowNanos, TargetId target) {
-    Contact contact = contacts.get(target);
-    return contact != null && contact.reports() >= 2 && nowNanos - gainedNanos > IDLE_NANOS;
+    return nowNanos - gainedNanos > IDLE_NANOS
+        && contacts.find(target).filter(c -> c.reports() >= 2).isPresent();
+  }
+
+  private List<OwnedRange> settled(TargetRecord target) {
+    return moves.settled(target.service(), target.id(), state);
+  }
+
+  private void move(TargetRecord target, Contact contact, KeyRange range, String reason) {
+    viewChanged = true;
+    moves.begin(target, contact, range, reason);
   }
 
   private long lastFence(TargetRecord target) {
@@ -378,46 +320,11 @@
   }
 
   private void noteEndedLeases(long nowNanos) {
-    long ended = contacts.values().stream().filter(c -> c.isLeaseEnded(nowNanos)).count();
+    long ended = contacts.endedLeases(nowNanos);
     viewChanged |= ended != endedLeases;
     endedLeases = ended;
   }
 
-  private void move(TargetRecord target, Contact contact, KeyRange range, String reason) {
-    viewChanged = true;
-    moves.add(
-        new Move(
-            target.service(),
-            range,
-            target.id(),
-            target.bornMillis(),
-            contact.sequence(),
-            contact.leaseEndNanos(),
-            false,
-            reason));
-  }
-
-  private List<FleetCommand> assignReleased(long nowNanos, HeartbeatReport report) {
-    TargetId from = report.target().id();
-    List<Move> released =
-        moves.stream()
-            .filter(m -> m.from().equals(from) && !m.assigning())
-            .filter(m -> report.sequence() > m.omittedSequence())
-            .filter(m -> !report.isHolding(m.range()))
-            .toList();
-    return assign(nowNanos, released, report.released());
-  }
-
-  /** Ranges of targets that fell silent while they were to release them. */
-  private List<FleetCommand> assignExpired(long nowNanos) {
-    List<Move> expired =
-        moves.stream()
-            .filter(m -> !m.assigning() && nowNanos - m.releaseByNanos() > 0)
-            .filter(m -> contacts.get(m.from()).isLeaseEnded(nowNanos))
-            .toList();
-    return assign(nowNanos, expired, List.of());
-  }
-
   private List<FleetCommand> assign(
       long nowNanos, List<Move> released, List<ReleasedRange> handovers) {
     List<FleetCommand> commands = new ArrayList<>();
@@ -427,51 +334,17 @@
       for (Move move : released) {
         if (move.service().equals(service)) {
           receiver(nowNanos, load, service, move.range(), Optional.of(move.from()))
-              .ifPresent(to -> assignments.addAll(assignments(move.range(), to, handovers)));
+              .ifPresent(to -> assignments.addAll(Moves.alongTokens(move.range(), to, handovers)));
         }
       }
       if (!assignments.isEmpty()) {
         commands.add(new FleetCommand.AssignRanges(service, assignments));
-        released.forEach(this::markAssigning);
+        released.forEach(moves::markAssigning);
       }
     }
     return commands;
   }
 
-  private void markAssigning(Move move) {
-    int position = moves.indexOf(move);
-    if (position >= 0) {
-      moves.set(position, move.assigned());
-    }
-  }
-
-  /** Splits a range along the handover tokens, because a token is valid for its exact range. */
-  private static List<FleetCommand.Assignment> assignments(
-      KeyRange range, TargetId to, List<ReleasedRange> handovers) {
-    List<FleetCommand.Assignment> result = new ArrayList<>();
-    int next = range.from();
-    List<ReleasedRange> inside =
-        handovers.stream()
-            .filter(h -> h.range().from() >= range.from() && h.range().to() <= range.to())
-            .sorted(Comparator.comparing(ReleasedRange::range))
-            .toList();
-    for (ReleasedRange handover : inside) {
-      if (handover.range().from() < next) {
-        continue;
-      }
-      if (handover.range().from() > next) {
-        KeyRange cold = new KeyRange(next, handover.range().from() - 1);
-        result.add(new FleetCommand.Assignment(cold, to, ""));
-      }
-      result.add(new FleetCommand.Assignment(handover.range(), to, handover.handover()));
-      next = handover.range().to() + 1;
-    }
-    if (next <= range.to()) {
-      result.add(new FleetCommand.Assignment(new KeyRange(next, range.to()), to, ""));
-    }
-    return result;
-  }
-
   private Optional<TargetId> receiver(
       long nowNanos,
       ServiceLoad load,
@@ -481,7 +354,8 @@
     ServiceLoad candidates = except.isEmpty() ? load : load.without(except.get());
     double perSecond = book.keys(service).perSecond(nowNanos, range);
     Optional<TargetId> chosen =
-        RangePlanner.receiver(candidates, state, perSecond, id -> secondsToReport(nowNanos, id))
+        RangePlanner.receiver(
+                candidates, state, perSecond, id -> contacts.secondsToReport(nowNanos, id))
             .map(TargetRecord::id);
     chosen.ifPresent(id -> load.give(id, perSecond));
     return chosen;
@@ -490,37 +364,17 @@
   private ServiceLoad serviceLoad(
       long nowNanos, ServiceName service, Optional<TargetId> exceptReceiver) {
     List<TargetRecord> receivers = receivers(nowNanos, service, exceptReceiver.orElse(null));
-    return new ServiceLoad(nowNanos, book, service, state, moves, receivers);
+    return new ServiceLoad(nowNanos, book, service, state, moves.all(), receivers);
   }
 
   private List<TargetRecord> receivers(long nowNanos, ServiceName service, TargetId except) {
     return state.targets().stream()
         .filter(t -> t.service().equals(service) && t.phase() == TargetPhase.READY)
         .filter(t -> !t.id().equals(except) && !removing.contains(t.id()))
-        .filter(t -> isReporting(nowNanos, t.id()))
+        .filter(t -> contacts.isReporting(nowNanos, t.id()))
         .toList();
   }
 
-  private boolean isReporting(long nowNanos, TargetId target) {
-    Contact contact = contacts.get(target);
-    long silentNanos = contact == null ? 0 : nowNanos - contact.reportedNanos();
-    return contact != null
-        && contact.reports() > 0
-        && silentNanos
-            < TimeUnit.MILLISECONDS.toNanos(
-                (long) (LATE_REPORT_INTERVALS * settings.reportIntervalMillis()));
-  }
-
-  private double secondsToReport(long nowNanos, TargetId target) {
-    Contact contact = contacts.get(target);
-    if (contact == null) {
-      return settings.reportIntervalMillis() / 1_000.0;
-    }
-    long dueNanos =
-        contact.reportedNanos() + TimeUnit.MILLISECONDS.toNanos(settings.reportIntervalMillis());
-    return Math.max(0, dueNanos - nowNanos) / (double) TimeUnit.SECONDS.toNanos(1);
-  }
-
   private List<FleetCommand> removals(long nowNanos) {
     List<TargetRecord> silent =
         state.targets().stream()
@@ -531,7 +385,7 @@
     boolean mass = silent.size() > Math.max(MASS_SILENCE_MIN, MASS_SILENCE_SHARE * total);
     List<FleetCommand> commands = new ArrayList<>();
     for (TargetRecord target : silent) {
-      Contact contact = contacts.get(target.id());
+      Contact contact = contacts.of(nowNanos, target, state);
       if (!mass || nowNanos - contact.leaseEndNanos() > MASS_SILENCE_NANOS) {
         removing.add(target.id());
         commands.add(new FleetCommand.RemoveTarget(target.id(), target.bornMillis()));
@@ -541,7 +395,7 @@
   }
 
   private boolean isGone(long nowNanos, TargetRecord target) {
-    Contact contact = contact(nowNanos, target);
+    Contact contact = contacts.of(nowNanos, target, state);
     if (!contact.isLeaseEnded(nowNanos)) {
       return false;
     }
@@ -601,37 +455,4 @@
     }
     return result;
   }
-
-  private List<OwnershipView.Range> viewOf(long nowNanos, ServiceName service, OwnedRange owned) {
-    Contact contact = contacts.get(owned.owner());
-    boolean holds =
-        contact != null
-            && owned.fence().value() <= contact.answeredIndex()
-            && !contact.isLeaseEnded(nowNanos);
-    int waitMillis = (int) (1_000 * secondsToReport(nowNanos, owned.owner()));
-    RangeTable rest = RangeTable.of(List.of(owned));
-    List<OwnershipView.Range> result = new ArrayList<>();
-    for (Move move : moves) {
-      if (move.service().equals(service) && move.range().overlaps(owned.range())) {
-        rest = rest.cutting(move.range());
-        result.add(
-            new OwnershipView.Range(
-                service,
-                intersection(move.range(), owned.range()),
-                owned.owner(),
-                false,
-                (int) settings.reportIntervalMillis() / 2));
-      }
-    }
-    for (OwnedRange part : rest.ranges()) {
-      result.add(
-          new OwnershipView.Range(
-              service, part.range(), part.owner(), holds, holds ? 0 : waitMillis));
-    }
-    return result;
-  }
-
-  private static KeyRange intersection(KeyRange one, KeyRange other) {
-    return new KeyRange(Math.max(one.from(), other.from()), Math.min(one.to(), other.to()));
-  }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
@@ -37,6 +37,12 @@
   /** Utilisation that a receiver may have more when it can take the range a second earlier. */
   private static final double UTILISATION_PER_SECOND_OF_WAIT = 0.4;
 
+  /**
+   * Utilisation that a target without keys may have more; without it, ranges that are freed for
+   * such a target went to others for as long as there was no load.
+   */
+  private static final double HAS_KEYS = 0.5;
+
   private RangePlanner() {}
 
   /** Returns the parts that a busy target should give away. */
@@ -118,7 +124,8 @@
         .min(
             Comparator.comparingDouble(
                 t ->
-                    load.utilisation(t, rangePerSecond)
+                    (state.table(t.service()).rangesOf(t.id()).isEmpty() ? 0 : HAS_KEYS)
+                        + load.utilisation(t, rangePerSecond)
                         + UTILISATION_PER_SECOND_OF_WAIT * waitSeconds.applyAsDouble(t.id())));
   }
 
--- a/src/test/java/io/coltsfootwheel/ArchitectureTest.java
+++ b/src/test/java/io/coltsfootwheel/ArchitectureTest.java
@@ -1,11 +1,17 @@
 package io.coltsfootwheel;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +37,13 @@
     "edge, 'consensus journal settings daemon tool'",
     "settings, 'consensus control dispatch journal link edge daemon tool'",
     "daemon, 'tool'",
+    "routing, 'consensus control dispatch journal link edge settings daemon tool keyspace relay node'",
+    "keyspace, 'consensus control dispatch journal link edge settings daemon tool relay node'",
+    "relay, 'consensus control dispatch journal link edge settings daemon tool node'",
+    "node, 'control dispatch edge settings daemon tool'",
+    "eventlog, 'consensus control dispatch journal link edge settings daemon tool relay node'",
+    "runtime, 'control dispatch link edge settings daemon tool relay node'",
+    "platform, 'consensus journal link control dispatch edge settings daemon tool'",
     "tool, 'consensus dispatch journal link edge daemon'",
   })
   void packageDependsOnlyInTheDesignedDirection(String from, String forbidden) {
@@ -46,8 +59,54 @@
         .check(CLASSES);
   }
 
+  /**
+   * Guards against decisions that move into the adapter, or words of the platform that leave it.
+   */
+  @Test
+  void nothingDependsOnTheAdapter() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackage(ROOT + "platform..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage(ROOT + "platform..")
+        .check(CLASSES);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X-Coltsfootwheel-",
+        "api/rpc",
+        "api/readyz",
+        "heartbeatUrl",
+        "warmupLeftMs",
+        "resourceType",
+        "listenAddrs",
+        "COLTSFOOTWHEEL_NODE_FILE"
+      })
+  void namesOfThePlatformStayInTheAdapter(String name) throws IOException {
+    try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+      List<Path> outside =
+          files
+              .filter(f -> f.toString().endsWith(".java"))
+              .filter(f -> !f.toString().contains("/platform/"))
+              .filter(f -> contains(f, name))
+              .toList();
+      assertThat(outside).isEmpty();
+    }
+  }
+
+  private static boolean contains(Path file, String text) {
+    try {
+      return Files.readString(file).contains(text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @ParameterizedTest
-  @ValueSource(strings = {"model", "consensus", "control", "dispatch"})
+  @ValueSource(strings = {"model", "consensus", "control", "dispatch", "routing", "keyspace"})
   void decisionsUseNoClockThreadSocketFileOrRandomSource(String name) {
     noClasses()
         .that()
@@ -69,7 +128,7 @@
   @Test
   void noSourceUsesAnUnseededRandomInDecisions() {
     String[] pure =
-        Stream.of("model", "consensus", "control", "dispatch")
+        Stream.of("model", "consensus", "control", "dispatch", "routing", "keyspace")
             .map(name -> ROOT + name + "..")
             .toArray(String[]::new);
     noClasses()
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/eventlog/EventLogTest.java
@@ -0,0 +1,56 @@
+package io.coltsfootwheel.eventlog;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+class EventLogTest {
+  /** Guards against lines that a JSON reader cannot take. */
+  @Test
+  void lineIsOneJsonObject() throws Exception {
+    List<String> lines = new CopyOnWriteArrayList<>();
+    EventLog log = new EventLog(lines::add, Map.of("instance", "e1"));
+    log.write(LogEvent.of("x").with("text", "a \"quoted\"\nline").with("n", 5).with("b", true));
+    log.close();
+    JsonNode line = new ObjectMapper().readTree(lines.get(0));
+    assertThat(line.path("event").asText()).isEqualTo("x");
+    assertThat(line.path("instance").asText()).isEqualTo("e1");
+    assertThat(line.path("text").asText()).isEqualTo("a \"quoted\"\nline");
+    assertThat(line.path("n").asInt()).isEqualTo(5);
+  }
+
+  /** Guards against requests that wait for a reader of standard output which has stopped. */
+  @Test
+  void fullQueueDropsAndCountsWithoutWaiting() throws Exception {
+    List<String> lines = new CopyOnWriteArrayList<>();
+    CountDownLatch readerContinues = new CountDownLatch(1);
+    EventLog log =
+        new EventLog(
+            line -> {
+              try {
+                readerContinues.await();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+              lines.add(line);
+            },
+            Map.of());
+    for (int i = 0; i < 10_000; i++) {
+      log.write(LogEvent.of("x").with("i", i));
+    }
+    assertThat(log.dropped()).isGreaterThan(5_000);
+    readerContinues.countDown();
+    long endNanos = System.nanoTime() + 5_000_000_000L;
+    while (lines.size() < 10_000 - log.dropped() && System.nanoTime() - endNanos < 0) {
+      Thread.onSpinWait();
+    }
+    log.close();
+    assertThat(lines).anyMatch(l -> l.contains("\"event\":\"log.dropped\""));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/keyspace/FleetStateTest.java
@@ -0,0 +1,108 @@
+package io.coltsfootwheel.keyspace;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.Fence;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+  private static final ServiceName LEDGER = ServiceName.of("ledger");
+
+  private static TargetRecord target(String id, long bornMillis, int port, TargetPhase phase) {
+    return new TargetRecord(
+        TargetId.of(id),
+        bornMillis,
+        LEDGER,
+        new Address("10.0.0.1", port),
+        AvailabilityZone.of("z"),
+        2,
+        phase);
+  }
+
+  private static FleetState withOwner() {
+    return FleetState.empty()
+        .apply(1, register("a", 100, 1, TargetPhase.READY))
+        .apply(2, assign("a", 0, 99));
+  }
+
+  private static FleetCommand register(String id, long bornMillis, int port, TargetPhase phase) {
+    return new FleetCommand.RegisterTarget(target(id, bornMillis, port, phase));
+  }
+
+  private static FleetCommand assign(String owner, int from, int to) {
+    return new FleetCommand.AssignRanges(
+        LEDGER,
+        List.of(new FleetCommand.Assignment(new KeyRange(from, to), TargetId.of(owner), "tok")));
+  }
+
+  /** Guards against a new process that is granted keys under the fence of its earlier life. */
+  @Test
+  void laterLifeKeepsItsKeysUnderAHigherFence() {
+    FleetState state = withOwner().apply(3, register("a", 200, 1, TargetPhase.READY));
+    OwnedRange owned = state.table(LEDGER).ranges().get(0);
+    assertThat(owned.fence()).isEqualTo(Fence.of(3));
+    assertThat(owned.handover()).isEmpty();
+  }
+
+  /** Guards against a delayed report that brings an earlier life back. */
+  @Test
+  void earlierLifeIsIgnored() {
+    FleetState state = withOwner().apply(3, register("a", 50, 9, TargetPhase.READY));
+    assertThat(state.target(TargetId.of("a")).orElseThrow().bornMillis()).isEqualTo(100);
+  }
+
+  /** Guards against an ended target that keeps keys while its address serves for another one. */
+  @Test
+  void reuseOfAnAddressEndsTheEarlierTarget() {
+    FleetState state = withOwner().apply(3, register("b", 300, 1, TargetPhase.READY));
+    assertThat(state.target(TargetId.of("a"))).isEmpty();
+    assertThat(state.table(LEDGER).ranges()).isEmpty();
+  }
+
+  /** Guards against the delayed report of an ended target that takes back a reused address. */
+  @Test
+  void earlierTargetCannotTakeItsAddressBack() {
+    FleetState state =
+        withOwner()
+            .apply(3, register("b", 300, 1, TargetPhase.READY))
+            .apply(4, register("a", 100, 1, TargetPhase.READY));
+    assertThat(state.target(TargetId.of("b"))).isPresent();
+    assertThat(state.target(TargetId.of("a"))).isEmpty();
+  }
+
+  /** Guards against keys that are given to a target which is leaving or unknown. */
+  @Test
+  void onlyReadyTargetsReceiveKeys() {
+    FleetState state =
+        withOwner()
+            .apply(3, register("b", 300, 2, TargetPhase.DRAINING))
+            .apply(4, assign("b", 0, 9))
+            .apply(5, assign("c", 0, 9));
+    assertThat(state.table(LEDGER).find(0).orElseThrow().owner()).isEqualTo(TargetId.of("a"));
+  }
+
+  /** Guards against a removal that was meant for an earlier life. */
+  @Test
+  void removalOfAnEarlierLifeIsIgnored() {
+    FleetState state =
+        withOwner()
+            .apply(3, register("a", 200, 1, TargetPhase.READY))
+            .apply(4, new FleetCommand.RemoveTarget(TargetId.of("a"), 100));
+    assertThat(state.target(TargetId.of("a"))).isPresent();
+  }
+
+  /** Guards against loss of state in snapshots. */
+  @Test
+  void survivesASnapshot() {
+    FleetState state = withOwner();
+    FleetState copy = FleetState.fromSnapshot(state.toSnapshot());
+    assertThat(copy.index()).isEqualTo(state.index());
+    assertThat(copy.targets()).isEqualTo(state.targets());
+    assertThat(copy.table(LEDGER).ranges()).isEqualTo(state.table(LEDGER).ranges());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -0,0 +1,117 @@
+package io.coltsfootwheel.keyspace;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.TargetId;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class OwnershipLeaderTest {
+  /**
+   * Guards against two holders of one key while targets start, drain, crash, restart under their
+   * name, lose answers and report late, and while the leader changes.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void keysNeverHaveTwoHolders(long seed) {
+    OwnershipSimulation simulation = new OwnershipSimulation(seed);
+    simulation.start(8);
+    simulation.runWithFaults(60_000);
+    assertThat(simulation.violations()).isEmpty();
+  }
+
+  /** Guards against keys that stay without a holder once the faults are over. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void allKeysAreHeldAgainAfterFaults(long seed) {
+    OwnershipSimulation simulation = new OwnershipSimulation(seed);
+    simulation.start(8);
+    simulation.runWithFaults(20_000);
+    simulation.runCalmly(12_000);
+    assertThat(simulation.heldKeys()).as(simulation::describe).isEqualTo(KeyRange.ALL.width());
+  }
+
+  /** Guards against a division among the first few targets, which costs many moves. */
+  @Test
+  void keysAreDividedOnceAllTargetsHaveReported() {
+    OwnershipSimulation simulation = new OwnershipSimulation(1);
+    simulation.start(10);
+    simulation.runCalmly(4_000);
+    assertThat(simulation.heldKeys()).isEqualTo(KeyRange.ALL.width());
+    assertThat(simulation.grantedTimes()).isEqualTo(10);
+  }
+
+  /**
+   * Load pattern: 200 neighbouring keys receive most requests. Guards against one target that keeps
+   * all of them: two seconds later no target may have more than a third.
+   */
+  @ParameterizedTest
+  @CsvSource({"1", "2", "3"})
+  void hotNeighboursAreSpreadWithinTwoSeconds(long seed) {
+    OwnershipSimulation simulation = new OwnershipSimulation(seed);
+    simulation.start(10);
+    simulation.runCalmly(5_000);
+    simulation.load(key -> key >= 30_000 && key < 30_200 ? 0.5 : 0.0005);
+    simulation.runCalmly(2_500);
+    Map<TargetId, Double> shares = simulation.shares(new KeyRange(30_000, 30_199));
+    assertThat(shares.size()).isGreaterThanOrEqualTo(4);
+    assertThat(shares.values()).allMatch(share -> share <= 0.34);
+  }
+
+  /** Guards against a grant to the sender of a report that arrives after a later one. */
+  @Test
+  void lateReportIsNotGranted() {
+    OwnershipSimulation simulation = new OwnershipSimulation(1);
+    simulation.start(2);
+    simulation.runCalmly(4_000);
+    assertThat(simulation.resendOldReport()).isFalse();
+  }
+
+  /** Guards against a lease that outlasts the time that the leader waits for its end. */
+  @Test
+  void leaseOfASlowClockEndsBeforeItsKeysMove() {
+    OwnershipSettings settings = OwnershipSettings.of(870, 10_000, 2_000);
+    double slowestHoldNanos = settings.holdMillis() * 1e6 / 0.98;
+    assertThat((double) settings.leaseNanos()).isGreaterThan(slowestHoldNanos * 0.9999);
+  }
+
+  /** Guards against a target without keys that never receives any. */
+  @Test
+  void targetThatJoinsLaterReceivesKeys() {
+    OwnershipSimulation simulation = new OwnershipSimulation(3);
+    simulation.start(4);
+    simulation.runCalmly(6_000);
+    simulation.add();
+    simulation.runCalmly(6_000);
+    assertThat(simulation.holders()).isEqualTo(5);
+  }
+
+  /** Guards against load of an entry that no longer reports. */
+  @Test
+  void pressureOfASilentEntryIsForgotten() {
+    TargetLoad load = new TargetLoad();
+    load.add(1, InstanceId.of("e"), 2, 5, 0);
+    assertThat(load.inFlight(1)).isEqualTo(5);
+    assertThat(load.inFlight(3_000_000_000L)).isZero();
+  }
+
+  /** Guards against a view change that loses a range or a target. */
+  @Test
+  void changesLeadFromOneViewToTheNext() {
+    OwnershipSimulation simulation = new OwnershipSimulation(5);
+    simulation.start(6);
+    simulation.runCalmly(4_000);
+    OwnershipView before = simulation.view();
+    simulation.runWithFaults(8_000);
+    OwnershipView after = simulation.view();
+    OwnershipView patched = before.with(after.changesSince(before));
+    assertThat(patched.ranges()).containsExactlyInAnyOrderElementsOf(after.ranges());
+    assertThat(patched.targets()).containsExactlyInAnyOrderElementsOf(after.targets());
+    assertThat(Optional.of(patched)).isPresent();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -0,0 +1,198 @@
+package io.coltsfootwheel.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.keyspace.HeartbeatReport;
+import io.coltsfootwheel.keyspace.LoadReport;
+import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.TargetRecord;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.ConfigurationChange;
+import io.coltsfootwheel.routing.ConfigurationItem;
+import io.coltsfootwheel.routing.ServicePolicy;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class ControlReducerTest {
+  private static final InstanceId FIRST = InstanceId.of("10.0.0.1");
+  private static final ServiceName LEDGER = ServiceName.of("ledger");
+
+  private final ControlGroup group = new ControlGroup(3, 2);
+
+  private static ConfigurationChange change(long base, long version, String fingerprint) {
+    return new ConfigurationChange(
+        base,
+        version,
+        fingerprint,
+        true,
+        List.of(ConfigurationItem.of(new ServicePolicy(LEDGER, true, 10), "{}")),
+        List.of());
+  }
+
+  private ControlAnswer change(InstanceId to, long base, long version, String fingerprint) {
+    long call =
+        group.call(
+            to,
+            id ->
+                new ControlEvent.ChangeRequested(
+                    group.now(), id, change(base, version, fingerprint)));
+    group.run(500);
+    return group.answer(call).orElseThrow();
+  }
+
+  private static HeartbeatReport report(String id, long sequence, TargetPhase phase) {
+    return new HeartbeatReport(
+        new TargetRecord(
+            TargetId.of(id),
+            1,
+            LEDGER,
+            new Address("10.1.0.1", 8_000),
+            AvailabilityZone.of("z"),
+            2,
+            phase),
+        sequence,
+        0,
+        List.of(),
+        List.of());
+  }
+
+  /** Guards against two groups after a first start, and against members that never join. */
+  @Test
+  void firstStartFormsOneGroupOfAllProcesses() {
+    group.run(3_000);
+    assertThat(group.leaders()).isEqualTo(1);
+    ControlAnswer answer = change(group.leader().orElseThrow(), 0, 1, "a");
+    assertThat(answer).isInstanceOf(ControlAnswer.Accepted.class);
+    group.cut(group.leader().orElseThrow());
+    group.run(1_500);
+    group.cut(group.leader().orElseThrow());
+    group.run(2_000);
+    assertThat(group.leader()).isPresent();
+  }
+
+  /** Guards against a process with an empty disk that founds a group of its own. */
+  @Test
+  void emptyProcessNeverFoundsAGroup() {
+    ControlGroup alone = new ControlGroup(0, 0);
+    alone.add(FIRST, false);
+    alone.run(5_000);
+    assertThat(alone.leaders()).isZero();
+  }
+
+  /** Guards against an accepted order that is refused by the next leader. */
+  @Test
+  void orderIsAcknowledgedAgainByTheNextLeader() {
+    group.run(3_000);
+    InstanceId first = group.leader().orElseThrow();
+    assertThat(change(first, 0, 1, "a")).isInstanceOf(ControlAnswer.Accepted.class);
+    group.cut(first);
+    group.run(2_000);
+    InstanceId next = group.leader().orElseThrow();
+    assertThat(next).isNotEqualTo(first);
+    assertThat(change(next, 0, 1, "a")).isInstanceOf(ControlAnswer.Accepted.class);
+    assertThat(change(next, 0, 2, "b")).isInstanceOf(ControlAnswer.Conflict.class);
+  }
+
+  /** Guards against a leader without a quorum that reads, changes or renews. */
+  @Test
+  void leaderThatIsCutOffPromisesNothing() {
+    group.run(3_000);
+    InstanceId first = group.leader().orElseThrow();
+    change(first, 0, 1, "a");
+    group.cut(first);
+    long read = group.call(first, id -> new ControlEvent.ReadRequested(group.now(), id));
+    long order =
+        group.call(
+            first, id -> new ControlEvent.ChangeRequested(group.now(), id, change(1, 2, "b")));
+    long renewal =
+        group.call(
+            first,
+            id ->
+                new ControlEvent.ReportReceived(
+                    group.now(), id, report("t", 1, TargetPhase.READY)));
+    group.run(2_000);
+    assertThat(List.of(read, order, renewal))
+        .allMatch(call -> group.answer(call).orElseThrow() instanceof ControlAnswer.Unavailable);
+  }
+
+  /** Guards against two orders on one version that are both acknowledged. */
+  @Test
+  void oneOfTwoRacingOrdersWins() {
+    group.run(3_000);
+    InstanceId leader = group.leader().orElseThrow();
+    long one =
+        group.call(
+            leader, id -> new ControlEvent.ChangeRequested(group.now(), id, change(0, 5, "a")));
+    long other =
+        group.call(
+            leader, id -> new ControlEvent.ChangeRequested(group.now(), id, change(0, 5, "b")));
+    group.run(500);
+    assertThat(group.answer(one).orElseThrow()).isInstanceOf(ControlAnswer.Accepted.class);
+    assertThat(group.answer(other).orElseThrow()).isInstanceOf(ControlAnswer.Conflict.class);
+  }
+
+  /** Guards against a follower that answers instead of naming the leader. */
+  @Test
+  void followerNamesTheLeader() {
+    group.run(3_000);
+    InstanceId leader = group.leader().orElseThrow();
+    InstanceId follower =
+        List.of("10.0.0.1", "10.0.0.2").stream()
+            .map(InstanceId::of)
+            .filter(i -> !i.equals(leader))
+            .findFirst()
+            .orElseThrow();
+    long call = group.call(follower, id -> new ControlEvent.ReadRequested(group.now(), id));
+    assertThat(group.answer(call)).contains(new ControlAnswer.Redirect(leader));
+  }
+
+  /** Guards against an acknowledged drain that the next leader does not know. */
+  @Test
+  void drainIsReplicatedBeforeItIsAcknowledged() {
+    group.run(3_000);
+    InstanceId first = group.leader().orElseThrow();
+    change(first, 0, 1, "a");
+    group.call(
+        first,
+        id -> new ControlEvent.ReportReceived(group.now(), id, report("t", 1, TargetPhase.READY)));
+    group.run(200);
+    long drain =
+        group.call(
+            first,
+            id ->
+                new ControlEvent.ReportReceived(
+                    group.now(), id, report("t", 2, TargetPhase.DRAINING)));
+    group.run(100);
+    assertThat(group.answer(drain).orElseThrow()).isInstanceOf(ControlAnswer.Acknowledged.class);
+    group.cut(first);
+    group.run(2_000);
+    InstanceId next = group.leader().orElseThrow();
+    TargetPhase phase = group.member(next).state().target(TargetId.of("t")).orElseThrow().phase();
+    assertThat(phase).isEqualTo(TargetPhase.DRAINING);
+  }
+
+  /** Guards against entries that miss a change of routes or targets. */
+  @Test
+  void subscriberIsToldOfEachChange() {
+    group.run(3_000);
+    InstanceId leader = group.leader().orElseThrow();
+    NodeMessage.Subscribe subscribe =
+        new NodeMessage.Subscribe(
+            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()));
+    group.call(
+        leader,
+        id -> new ControlEvent.MessageReceived(group.now(), InstanceId.of("10.9.0.1"), subscribe));
+    group.toEntries().clear();
+    change(leader, 0, 1, "a");
+    assertThat(group.toEntries())
+        .anyMatch(
+            m ->
+                m instanceof NodeMessage.Routing r
+                    && r.configuration().filter(c -> c.version() == 1).isPresent());
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
@@ -0,0 +1,96 @@
+package io.coltsfootwheel.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.routing.ChangeOutcome;
+import io.coltsfootwheel.routing.Configuration;
+import io.coltsfootwheel.routing.ConfigurationChange;
+import io.coltsfootwheel.routing.Route;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ConfigurationJsonTest {
+  private static final String ROUTE =
+      "{\"resourceType\":\"routes\",\"metadata\":{\"name\":\"r\"},\"spec\":{\"hostname\":\"h\","
+          + "\"pathPrefix\":\"/a/\",\"kind\":\"safe\",\"timeoutMs\":1200,\"targetLatencyMs\":400,"
+          + "\"priority\":2,\"split\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"s\","
+          + "\"weight\":10}],\"maxAttempts\":2,\"future\":{\"x\":1}}}";
+  private static final String SERVICE =
+      "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"s\"},\"spec\":{\"sharded\":true,"
+          + "\"maxConnections\":130}}";
+
+  private static byte[] body(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static byte[] whole() {
+    return body("{\"version\":\"r7\",\"resources\":[" + ROUTE + "," + SERVICE + "]}");
+  }
+
+  /** Guards against a configuration that reads back otherwise than it was sent. */
+  @Test
+  void configurationReadsBackAsItWasSent() throws Exception {
+    ConfigurationChange change = ConfigurationJson.complete("r0", whole());
+    Configuration next = ((ChangeOutcome.Applicable) Configuration.empty().judge(change)).next();
+    assertThat(ConfigurationJson.write(next)).isEqualTo(new ObjectMapper().readTree(whole()));
+  }
+
+  /** Guards against fields of a route that are taken for others. */
+  @Test
+  void routeIsDecoded() {
+    Route route = ConfigurationJson.complete("r0", whole()).items().get(0).route().orElseThrow();
+    assertThat(route.timeoutMillis()).isEqualTo(1_200);
+    assertThat(route.targetLatencyMillis()).isEqualTo(400);
+    assertThat(route.priority()).isEqualTo(2);
+    assertThat(route.services().get(0).weight()).isEqualTo(90);
+  }
+
+  /** Guards against unreadable orders that change something or stop the process. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "[]",
+        "{\"version\":\"r7\"}",
+        "{\"version\":\"x\",\"resources\":[]}",
+        "{\"version\":\"r7\",\"resources\":[{\"resourceType\":\"routes\"",
+        "{\"version\":\"r7\",\"resources\":[{\"resourceType\":\"other\"}]}",
+        "{\"version\":\"r7\",\"resources\":[{\"resourceType\":\"routes\",\"metadata\":{}}]}",
+        "{\"version\":\"r7\",\"resources\":[]} trailing"
+      })
+  void unreadableOrderIsRefused(String text) {
+    assertThatThrownBy(() -> ConfigurationJson.complete("r0", body(text)))
+        .isInstanceOf(ColtsfootwheelException.class);
+  }
+
+  /** Guards against versions that are compared as texts. */
+  @ParameterizedTest
+  @CsvSource({"r12, 12", "0, 0", "\"r7\", 7", "r007, 7"})
+  void versionIsANumber(String text, long expected) {
+    assertThat(ConfigurationJson.version(text)).isEqualTo(expected);
+  }
+
+  /** Guards against equal orders that count as different ones, and the reverse. */
+  @Test
+  void fingerprintCoversBaseAndBody() {
+    String one = ConfigurationJson.complete("r0", whole()).fingerprint();
+    assertThat(ConfigurationJson.complete("r0", whole()).fingerprint()).isEqualTo(one);
+    assertThat(ConfigurationJson.complete("r1", whole()).fingerprint()).isNotEqualTo(one);
+  }
+
+  /** Guards against removals that a patch loses. */
+  @Test
+  void patchNamesItsRemovals() {
+    ConfigurationChange patch =
+        ConfigurationJson.patch(
+            "r7", body("{\"version\":\"r9\",\"upsert\":{},\"remove\":{\"routes\":[\"r\"]}}"));
+    assertThat(patch.complete()).isFalse();
+    assertThat(patch.removals()).hasSize(1);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -0,0 +1,215 @@
+package io.coltsfootwheel.relay;
+
+import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+
+/** Target on loopback that treats each request as the next step of a script says. */
+final class ScriptedTarget implements AutoCloseable {
+  /** What to do with one request; the last step is repeated. */
+  enum Step {
+    ANSWER,
+    SLOW_ANSWER,
+    REJECT,
+    MISDIRECT,
+    FAIL,
+    TRUNCATE,
+    GARBAGE,
+    UNSIGNED,
+    OTHER_FIRST,
+    EXTRA,
+    RESET,
+    SILENT,
+    ENCODED
+  }
+
+  private static final long SLOW_MILLIS = 150;
+
+  private final TargetId id;
+  private final ServiceName service;
+  private final ServerSocket server;
+  private final Queue<Step> script;
+  private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+
+  ScriptedTarget(String id, ServiceName service, Step... steps) {
+    this.id = TargetId.of(id);
+    this.service = service;
+    this.script = new ArrayDeque<>(List.of(steps));
+    try {
+      server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    start(this::accept);
+  }
+
+  OwnershipView.Target view() {
+    return view(TargetPhase.READY);
+  }
+
+  OwnershipView.Target view(TargetPhase phase) {
+    return new OwnershipView.Target(
+        id,
+        service,
+        new Address("127.0.0.1", server.getLocalPort()),
+        AvailabilityZone.of("z"),
+        2,
+        phase);
+  }
+
+  TargetId id() {
+    return id;
+  }
+
+  /** Returns the heads of the requests that arrived. */
+  List<String> requests() {
+    return List.copyOf(requests);
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-target");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        start(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The server is closed at the end of a test.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      String head = head(in);
+      while (!head.isEmpty()) {
+        requests.add(head);
+        if (!play(next(), header(head, "id"), socket)) {
+          return;
+        }
+        head = head(in);
+      }
+    } catch (IOException | InterruptedException e) {
+      // The relay closes connections that it does not trust any more.
+    }
+  }
+
+  private synchronized Step next() {
+    return script.size() > 1 ? script.poll() : script.peek();
+  }
+
+  private static String head(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    int next = in.read();
+    while (next >= 0) {
+      text.append((char) next);
+      if (text.toString().endsWith("\r\n\r\n")) {
+        String length = header(text.toString(), "content-length");
+        in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+        return text.toString();
+      }
+      next = in.read();
+    }
+    return "";
+  }
+
+  private static String header(String head, String name) {
+    for (String line : head.split("\r\n")) {
+      if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
+        return line.substring(name.length() + 1).trim();
+      }
+    }
+    return "";
+  }
+
+  private boolean play(Step step, String requestId, Socket socket)
+      throws IOException, InterruptedException {
+    OutputStream out = socket.getOutputStream();
+    String signed = "id: " + requestId + "\r\nsignature: s\r\n";
+    switch (step) {
+      case SLOW_ANSWER -> {
+        Thread.sleep(SLOW_MILLIS);
+        write(out, "200 OK", signed, "answer");
+      }
+      case REJECT -> write(out, "503 Busy", "id: " + requestId + "\r\nrejected: 1\r\n", "");
+      case MISDIRECT -> write(out, "421 Other", "id: " + requestId + "\r\n", "");
+      case FAIL -> write(out, "500 Error", signed, "broken");
+      case TRUNCATE -> {
+        out.write(bytes("HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 100\r\n\r\nhalf"));
+        return false;
+      }
+      case GARBAGE -> {
+        out.write(bytes("this is no response\r\n\r\n"));
+        return false;
+      }
+      case UNSIGNED -> write(out, "200 OK", "id: " + requestId + "\r\n", "forged");
+      case ENCODED -> write(out, "200 OK", signed + "Content-Encoding: gzip\r\n", "forged");
+      case OTHER_FIRST -> {
+        write(out, "200 OK", "id: other\r\nsignature: s\r\n", "stale");
+        write(out, "200 OK", signed, "answer");
+      }
+      case EXTRA -> {
+        write(out, "200 OK", signed, "answer");
+        write(out, "200 OK", signed, "extra");
+      }
+      case RESET -> {
+        socket.setSoLinger(true, 0);
+        return false;
+      }
+      case SILENT -> Thread.sleep(10_000);
+      default -> write(out, "200 OK", signed, "answer");
+    }
+    return true;
+  }
+
+  private static void write(OutputStream out, String status, String headers, String body)
+      throws IOException {
+    out.write(
+        bytes(
+            "HTTP/1.1 "
+                + status
+                + "\r\n"
+                + headers
+                + "Content-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body));
+    out.flush();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/routing/ConfigurationTest.java
@@ -0,0 +1,121 @@
+package io.coltsfootwheel.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.model.ControlCodec;
+import io.coltsfootwheel.model.ServiceName;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigurationTest {
+  private static final ServicePolicy LEDGER =
+      new ServicePolicy(ServiceName.of("ledger"), true, 100);
+  private static final Configuration FIRST = applied(Configuration.empty(), put(0, 5, "a"));
+
+  private static Route route(String name, String service, double weight, long timeoutMillis) {
+    return new Route(
+        name,
+        "host.example",
+        "/" + name + "/",
+        RouteKind.SAFE,
+        timeoutMillis,
+        400,
+        1,
+        2,
+        List.of(new WeightedService(ServiceName.of(service), weight)));
+  }
+
+  private static ConfigurationChange put(long base, long version, String fingerprint) {
+    return new ConfigurationChange(
+        base,
+        version,
+        fingerprint,
+        true,
+        List.of(
+            ConfigurationItem.of(LEDGER, "{}"),
+            ConfigurationItem.of(route("one", "ledger", 1, 1_000), "{\"n\":1}")),
+        List.of());
+  }
+
+  private static ConfigurationChange patch(Route route) {
+    return new ConfigurationChange(
+        5, 7, "p", false, List.of(ConfigurationItem.of(route, "{}")), List.of());
+  }
+
+  private static Configuration applied(Configuration base, ConfigurationChange change) {
+    return ((ChangeOutcome.Applicable) base.judge(change)).next();
+  }
+
+  /** Guards against a second order on the same version that is acknowledged as well. */
+  @Test
+  void changeOnAnotherVersionConflicts() {
+    assertThat(FIRST.judge(put(0, 9, "b"))).isEqualTo(new ChangeOutcome.Conflict(5));
+  }
+
+  /** Guards against an accepted order that is refused when its acknowledgement was lost. */
+  @Test
+  void acceptedOrderIsRecognisedAfterLaterChanges() {
+    Configuration later = applied(FIRST, put(5, 6, "b"));
+    assertThat(later.judge(put(0, 5, "a"))).isInstanceOf(ChangeOutcome.AlreadyAccepted.class);
+  }
+
+  /** Guards against invalid orders coming into force. */
+  @ParameterizedTest
+  @CsvSource({
+    "unknown, 1, 1000, is not configured",
+    "ledger, 0, 1000, add up to 0",
+    "ledger, -1, 1000, below 0",
+    "ledger, 1, 600001, timeout",
+    "ledger, 1, -1, timeout",
+  })
+  void invalidRouteIsRefused(String service, double weight, long timeoutMillis, String reason) {
+    ChangeOutcome outcome = FIRST.judge(patch(route("two", service, weight, timeoutMillis)));
+    assertThat(outcome).isInstanceOf(ChangeOutcome.Invalid.class);
+    assertThat(((ChangeOutcome.Invalid) outcome).reason()).contains(reason);
+  }
+
+  /** Guards against a latency objective far above the timeout. */
+  @ParameterizedTest
+  @CsvSource({"61000, false", "60999, true"})
+  void objectiveMayExceedTimeoutByLessThanAMinute(long objectiveMillis, boolean valid) {
+    Route route =
+        new Route(
+            "two",
+            "h",
+            "/t/",
+            RouteKind.SAFE,
+            1_000,
+            objectiveMillis,
+            0,
+            1,
+            List.of(new WeightedService(ServiceName.of("ledger"), 1)));
+    assertThat(FIRST.judge(patch(route)) instanceof ChangeOutcome.Applicable).isEqualTo(valid);
+  }
+
+  /** Guards against a version that does not rise. */
+  @ParameterizedTest
+  @CsvSource({"5", "4"})
+  void versionMustRise(long version) {
+    assertThat(FIRST.judge(put(5, version, "b"))).isInstanceOf(ChangeOutcome.Invalid.class);
+  }
+
+  /** Guards against a service that is removed while routes name it. */
+  @Test
+  void removalOfAServiceInUseIsRefused() {
+    ConfigurationChange change =
+        new ConfigurationChange(
+            5, 7, "r", false, List.of(), List.of(new ItemKey(ItemType.SERVICE, "ledger")));
+    assertThat(FIRST.judge(change)).isInstanceOf(ChangeOutcome.Invalid.class);
+  }
+
+  /** Guards against loss of items, their order or accepted orders in snapshots. */
+  @Test
+  void survivesEncoding() {
+    Configuration copy = ControlCodec.decode(ControlCodec.encode(FIRST), Configuration.class);
+    assertThat(copy.version()).isEqualTo(5);
+    assertThat(copy.items()).isEqualTo(FIRST.items());
+    assertThat(copy.judge(put(0, 5, "a"))).isInstanceOf(ChangeOutcome.AlreadyAccepted.class);
+  }
+}
