Spend less processor time on control messages

Cause: each report began a quorum round of its own (41 a second, 8 messages each), an entry changed threads three times for each message to the leader, and control processes woke every 10 ms. Change: rounds begin with a tick of 20 ms; the entry's control work runs on the relay's event loop.

--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -55,6 +55,7 @@
   private static final Logger LOG = LogManager.getLogger(Daemon.class);
   private static final long RELAY_IDLE_MILLIS = 60_000;
   private static final long SHUTDOWN_POLL_MILLIS = 20;
+  private static final long TICK_MILLIS = 10;
 
   private final DaemonSettings settings;
   private final InstanceId self;
@@ -126,6 +127,7 @@
         new DecisionLoop<>(
             reducer::apply,
             InstanceEvent.Tick::new,
+            TICK_MILLIS,
             effect -> execute(effect, stamps),
             failed::countDown);
     this.callers =
--- a/src/main/java/io/coltsfootwheel/node/ControlEvent.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlEvent.java
@@ -11,7 +11,7 @@
   /** Returns the time of the event. */
   long nowNanos();
 
-  /** Passage of time; due every 10 ms. */
+  /** Passage of time; quorum rounds begin with it. */
   record Tick(long nowNanos) implements ControlEvent {}
 
   /** Outcome of a write to the journal. */
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -38,6 +38,9 @@
   private static final int MAX_UNCOMMITTED = 8_192;
   private static final int RETAINED_ENTRIES = 1_024;
 
+  /** Quorum rounds begin with a tick, so this bounds their number and delays answers by half. */
+  private static final long TICK_MILLIS = 20;
+
   /** Heartbeats of the log; a tenth of the time after which members elect a new leader. */
   private static final long HEARTBEAT_MILLIS = 50;
 
@@ -77,7 +80,9 @@
             settings.linkAddress().port(),
             this::received,
             log);
-    this.loop = new DecisionLoop<>(this::decide, ControlEvent.Tick::new, this::execute, onFailure);
+    this.loop =
+        new DecisionLoop<>(
+            this::decide, ControlEvent.Tick::new, TICK_MILLIS, this::execute, onFailure);
   }
 
   /** Opens the journal and starts to take part. */
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -119,8 +119,6 @@
   private void asLeader(long requestId, Consumer<LeaderSession> action) {
     if (session.isPresent()) {
       action.accept(session.get());
-      drain();
-      session.ifPresent(LeaderSession::startRound);
       return;
     }
     ControlAnswer answer =
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -11,11 +11,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
-import reactor.core.scheduler.Schedulers;
 
 /**
  * Entry process: keeps the relay supplied with routes, targets and owners from the control leader.
@@ -30,7 +30,8 @@
   private final EventLog log;
   private final NodeLinks links;
   private final LeaderFinder finder;
-  private final Scheduler scheduler = Schedulers.newSingle("entry", true);
+  private final ScheduledExecutorService executor;
+  private Optional<ScheduledFuture<?>> subscription = Optional.empty();
   private Set<InstanceId> linked = Set.of();
   private long configurationVersion;
   private long viewTerm;
@@ -47,6 +48,7 @@
   public EntryNode(EntryNodeSettings settings, Relay relay, EventLog log) {
     this.settings = settings;
     this.relay = relay;
+    this.executor = relay.executor();
     this.log = log;
     this.finder = new LeaderFinder(settings.seeds());
     this.links =
@@ -54,7 +56,7 @@
             settings.cluster(),
             settings.linkAddress(),
             settings.memberPort(),
-            (from, message) -> scheduler.schedule(() -> receive(from, message)),
+            (from, message) -> executor.execute(() -> receive(from, message)),
             log);
   }
 
@@ -62,7 +64,10 @@
   public void start() {
     relay.start();
     links.start();
-    scheduler.schedulePeriodically(this::subscribe, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    subscription =
+        Optional.of(
+            executor.scheduleAtFixedRate(
+                this::subscribe, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
   }
 
   /**
@@ -71,17 +76,17 @@
    * @param seeds the processes
    */
   public void seeds(List<InstanceId> seeds) {
-    scheduler.schedule(() -> finder.seeds(seeds));
+    executor.execute(() -> finder.seeds(seeds));
   }
 
   @Override
   public void close() {
-    scheduler.dispose();
+    subscription.ifPresent(s -> s.cancel(false));
     links.close();
   }
 
   private void subscribe() {
-    relay.takeLoad().subscribe(load -> scheduler.schedule(() -> subscribe(load)));
+    relay.takeLoad().subscribe(this::subscribe);
   }
 
   private void subscribe(LoadReport load) {
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -214,7 +214,7 @@
     startRound();
   }
 
-  void startRound() {
+  private void startRound() {
     if (confirmations.isRoundDue()) {
       confirmations.startRound(port.confirmLeadership());
     }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -119,7 +120,7 @@
    * @param configuration the configuration
    */
   public void configure(Configuration configuration) {
-    loop.execute(
+    onLoop(
         () -> {
           routing.update(configuration);
           complete = routing.isComplete();
@@ -134,7 +135,7 @@
    * @param view the view
    */
   public void view(OwnershipView view) {
-    loop.execute(
+    onLoop(
         () -> {
           routing.update(view, System.nanoTime()).forEach(connections::close);
           complete = routing.isComplete();
@@ -149,7 +150,7 @@
    * @param entries entries that share the retry allowance
    */
   public void heard(Map<TargetId, TargetPressure> pressure, int entries) {
-    loop.execute(
+    onLoop(
         () -> {
           heardNanos = System.nanoTime();
           routing.update(pressure, entries);
@@ -162,7 +163,25 @@
    * @return the report for the leader
    */
   public Mono<LoadReport> takeLoad() {
-    return Mono.create(sink -> loop.execute(() -> sink.success(load())));
+    return Mono.create(sink -> onLoop(() -> sink.success(load())));
+  }
+
+  /**
+   * Returns the thread of the relay, on which its supplier should run too: a change of threads for
+   * each message costs more than the message.
+   *
+   * @return the event loop
+   */
+  public ScheduledExecutorService executor() {
+    return loop;
+  }
+
+  private void onLoop(Runnable task) {
+    if (loop.inEventLoop()) {
+      task.run();
+    } else {
+      loop.execute(task);
+    }
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
@@ -29,10 +29,10 @@
  */
 public final class DecisionLoop<E, F> {
   private static final Logger LOG = LogManager.getLogger(DecisionLoop.class);
-  private static final long TICK_MILLIS = 10;
 
   private final Function<E, List<F>> reducer;
   private final LongFunction<E> tick;
+  private final long tickMillis;
   private final Consumer<F> driver;
   private final Runnable onFailure;
   private final Scheduler scheduler = Schedulers.newSingle("decisions");
@@ -48,13 +48,19 @@
    *
    * @param reducer decides on an event and returns the effects
    * @param tick makes the event for the passage of time from monotonic nanoseconds
+   * @param tickMillis time between two such events
    * @param driver executes one effect
    * @param onFailure called when a decision fails
    */
   public DecisionLoop(
-      Function<E, List<F>> reducer, LongFunction<E> tick, Consumer<F> driver, Runnable onFailure) {
+      Function<E, List<F>> reducer,
+      LongFunction<E> tick,
+      long tickMillis,
+      Consumer<F> driver,
+      Runnable onFailure) {
     this.reducer = reducer;
     this.tick = tick;
+    this.tickMillis = tickMillis;
     this.driver = driver;
     this.onFailure = onFailure;
   }
@@ -62,7 +68,7 @@
   /** Starts the periodic ticks. */
   public void start() {
     worker.schedulePeriodically(
-        () -> post(tick.apply(System.nanoTime())), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        () -> post(tick.apply(System.nanoTime())), tickMillis, tickMillis, TimeUnit.MILLISECONDS);
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/runtime/DecisionLoopTest.java
+++ b/src/test/java/io/coltsfootwheel/runtime/DecisionLoopTest.java
@@ -10,7 +10,7 @@
   @Test
   void eventAfterCloseIsDropped() {
     DecisionLoop<Long, String> loop =
-        new DecisionLoop<>(event -> List.of(), nowNanos -> nowNanos, effect -> {}, () -> {});
+        new DecisionLoop<>(event -> List.of(), nowNanos -> nowNanos, 10, effect -> {}, () -> {});
     loop.close();
     assertThatCode(() -> loop.post(1L)).doesNotThrowAnyException();
   }
