Log moves of ranges with their reason, reload the settings, see hot keys earlier

Causes: a move had no line that said why; SIGHUP was only logged; the rate of a key was underestimated by half during the first seconds, so that the first moves began late.

--- a/src/main/java/io/coltsfootwheel/keyspace/KeyLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/KeyLoad.java
@@ -12,8 +12,12 @@
   private static final double NEGLIGIBLE_PER_SECOND = 0.01;
 
   private final TreeMap<Integer, DecayingSum> byKey = new TreeMap<>();
+  private long firstNanos;
 
   void add(long nowNanos, Map<Integer, Integer> requestsByKey) {
+    if (byKey.isEmpty()) {
+      firstNanos = nowNanos;
+    }
     requestsByKey.forEach(
         (key, count) ->
             byKey
@@ -22,11 +26,15 @@
   }
 
   void forgetIdle(long nowNanos) {
-    byKey.values().removeIf(sum -> sum.perSecond(nowNanos) < NEGLIGIBLE_PER_SECOND);
+    byKey.values().removeIf(sum -> perSecond(nowNanos, sum) < NEGLIGIBLE_PER_SECOND);
   }
 
   double perSecond(long nowNanos, KeyRange range) {
-    return keysOf(range).values().stream().mapToDouble(s -> s.perSecond(nowNanos)).sum();
+    return keysOf(range).values().stream().mapToDouble(s -> perSecond(nowNanos, s)).sum();
+  }
+
+  double perSecond(long nowNanos, DecayingSum key) {
+    return key.perSecond(nowNanos, firstNanos);
   }
 
   /** Returns the keys of a range that had requests lately, in their order. */
--- a/src/main/java/io/coltsfootwheel/keyspace/Move.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/Move.java
@@ -15,7 +15,7 @@
  * @param assigning true once the new owner has been proposed
  * @param reason why the range moves, for the log
  */
-record Move(
+public record Move(
     ServiceName service,
     KeyRange range,
     TargetId from,
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -206,14 +206,12 @@
   }
 
   /**
-   * Returns the moves in progress, for logs and metrics.
+   * Returns the moves in progress, for logs.
    *
-   * @return one text for each move
+   * @return the moves in the order of their beginning
    */
-  public List<String> describeMoves() {
-    return moves.all().stream()
-        .map(m -> m.service() + " " + m.range() + " from " + m.from() + ": " + m.reason())
-        .toList();
+  public List<Move> moves() {
+    return moves.all();
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/keyspace/RangeCut.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangeCut.java
@@ -44,7 +44,7 @@
     double sum = 0;
     int last = -1;
     for (Map.Entry<Integer, DecayingSum> key : load.keysOf(range).entrySet()) {
-      double next = sum + key.getValue().perSecond(nowNanos);
+      double next = sum + load.perSecond(nowNanos, key.getValue());
       if (next > wantedPerSecond * MAX_EXCESS) {
         break;
       }
@@ -60,7 +60,7 @@
       long nowNanos, KeyLoad load, KeyRange range, double wantedPerSecond) {
     double rest = load.perSecond(nowNanos, range);
     for (Map.Entry<Integer, DecayingSum> key : load.keysOf(range).entrySet()) {
-      rest -= key.getValue().perSecond(nowNanos);
+      rest -= load.perSecond(nowNanos, key.getValue());
       if (rest <= wantedPerSecond * MAX_EXCESS) {
         return key.getKey() == range.to()
             ? Optional.empty()
--- a/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
@@ -85,7 +85,8 @@
             .map(
                 k ->
                     new RangeCut.Part(
-                        new KeyRange(k.getKey(), k.getKey()), k.getValue().perSecond(nowNanos)))
+                        new KeyRange(k.getKey(), k.getKey()),
+                        keys.perSecond(nowNanos, k.getValue())))
             .max(Comparator.comparingDouble(RangeCut.Part::perSecond));
     return hottest
         .filter(p -> load.utilisationOf(target, p.perSecond()) > FULL_UTILISATION)
--- a/src/main/java/io/coltsfootwheel/node/ControlEvent.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlEvent.java
@@ -5,6 +5,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ConfigurationChange;
+import java.util.List;
 
 /** Anything that a control process decides upon; times are monotonic nanoseconds. */
 sealed interface ControlEvent {
@@ -14,6 +15,9 @@
   /** Passage of time; quorum rounds begin with it. */
   record Tick(long nowNanos) implements ControlEvent {}
 
+  /** The settings name other control processes to ask. */
+  record SeedsChanged(long nowNanos, List<InstanceId> seeds) implements ControlEvent {}
+
   /** Outcome of a write to the journal. */
   record Journal(ReplicationEvent event) implements ControlEvent {
     @Override
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -130,6 +130,15 @@
     return call(id -> new ControlEvent.ReadRequested(System.nanoTime(), id));
   }
 
+  /**
+   * Replaces the control processes to ask while no group is known.
+   *
+   * @param seeds the processes
+   */
+  public void seeds(List<InstanceId> seeds) {
+    loop.post(new ControlEvent.SeedsChanged(System.nanoTime(), seeds));
+  }
+
   @Override
   public void close() throws InterruptedException {
     loop.close();
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -77,11 +77,6 @@
     return effects;
   }
 
-  /** Replaces the processes to ask when no group is known. */
-  void seeds(List<InstanceId> newSeeds) {
-    seeds = List.copyOf(newSeeds);
-  }
-
   FleetState state() {
     return state;
   }
@@ -103,6 +98,8 @@
         drain();
         effects.add(new ControlEffect.JournalLost());
       }
+    } else if (event instanceof ControlEvent.SeedsChanged changed) {
+      seeds = List.copyOf(changed.seeds());
     } else if (event instanceof ControlEvent.MessageReceived received) {
       receive(received.from(), received.message());
     } else if (event instanceof ControlEvent.ReportReceived report) {
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.keyspace.FleetState;
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.LeaseGrant;
+import io.coltsfootwheel.keyspace.Move;
 import io.coltsfootwheel.keyspace.OwnershipLeader;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.keyspace.OwnershipView;
@@ -22,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -96,7 +98,9 @@
       port.answer(requestId, new ControlAnswer.Unavailable("leadership is not confirmed"));
       return;
     }
+    Set<Move> before = Set.copyOf(ownership.moves());
     Optional<LeaseGrant> grant = ownership.grant(presentNanos, target.id(), target.bornMillis());
+    ownership.moves().stream().filter(m -> !before.contains(m)).forEach(this::logMove);
     publishView();
     port.answer(requestId, new ControlAnswer.Acknowledged(grant, self));
   }
@@ -296,6 +300,15 @@
     entries.forEach(entry -> port.send(entry, message));
   }
 
+  private void logMove(Move move) {
+    port.log(
+        LogEvent.of("range.moving")
+            .with("service", move.service())
+            .with("range", move.range())
+            .with("from", move.from())
+            .with("reason", move.reason()));
+  }
+
   private void logApplied(FleetCommand command) {
     if (command instanceof FleetCommand.RegisterTarget register) {
       port.log(
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNode;
 import io.coltsfootwheel.node.EntryNode;
 import io.coltsfootwheel.relay.Relay;
@@ -12,9 +13,14 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
@@ -41,14 +47,18 @@
 
   private static final Logger LINES = LogManager.getLogger("events");
 
+  private final Path file;
   private final PlatformSettings settings;
   private final EventLog log;
+  private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+  private volatile Optional<SettingsWatch> watch = Optional.empty();
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final LoopResources loops = LoopResources.create("http", 1, true);
   private final CountDownLatch stop = new CountDownLatch(1);
 
-  private PlatformMain(PlatformSettings settings) {
+  private PlatformMain(Path file, PlatformSettings settings) {
+    this.file = file;
     this.settings = settings;
     this.log = new EventLog(LINES::info, Map.of("instance", settings.name()));
   }
@@ -81,7 +91,7 @@
         new Thread(
             () -> {
               try {
-                new PlatformMain(PlatformSettings.read(file)).run(role);
+                new PlatformMain(file, PlatformSettings.read(file)).run(role);
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
               }
@@ -93,7 +103,7 @@
 
   private static void serve(String role) {
     Path file = Path.of(System.getenv(PlatformNames.SETTINGS_VARIABLE));
-    PlatformMain process = new PlatformMain(PlatformSettings.read(file));
+    PlatformMain process = new PlatformMain(file, PlatformSettings.read(file));
     int status = 0;
     try {
       process.run(role);
@@ -109,7 +119,7 @@
 
   private void run(String role) throws InterruptedException {
     Signal.handle(new Signal("TERM"), signal -> stop.countDown());
-    Signal.handle(new Signal("HUP"), signal -> log.write(LogEvent.of("settings.signal")));
+    Signal.handle(new Signal("HUP"), signal -> scheduler.execute(this::reload));
     log.write(LogEvent.of("process.started").with("role", role).with("ip", settings.ip()));
     switch (role) {
       case "control" -> runControl(meters);
@@ -124,6 +134,7 @@
     ControlNode node = new ControlNode(settings.control(), log, registry, stop::countDown);
     node.start();
     new ControlEndpoint(settings.controlAddress(), node, log, loops).start();
+    watchSettings(node::seeds);
     serveMetrics();
     stop.await();
     node.close();
@@ -134,6 +145,7 @@
     EntryNode node = new EntryNode(settings.entry(), relay, log);
     node.start();
     serveReadiness(relay);
+    watchSettings(node::seeds);
     serveMetrics();
     stop.await();
     log.write(LogEvent.of("process.stopping"));
@@ -143,6 +155,17 @@
     node.close();
   }
 
+  private void reload() {
+    log.write(LogEvent.of("settings.signal"));
+    watch.ifPresent(SettingsWatch::reload);
+  }
+
+  private void watchSettings(Consumer<List<InstanceId>> onSeeds) {
+    SettingsWatch started = new SettingsWatch(file, settings.seeds(), log, onSeeds);
+    started.start(scheduler);
+    watch = Optional.of(started);
+  }
+
   private void serveReadiness(Relay relay) {
     Address address = settings.readinessAddress();
     HttpServer.create()
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -223,7 +223,7 @@
                     .append(
                         state.table(LEDGER).rangesOf(t.id).stream().map(OwnedRange::range).toList())
                     .append('\n'));
-    text.append("moves ").append(leader.describeMoves()).append('\n');
+    text.append("moves ").append(leader.moves()).append('\n');
     return text.append("gaps ").append(state.table(LEDGER).gaps()).toString();
   }
 
