Explain failed requests: events, metrics and the operators' page

Cause of the fix: RelayTest.failureIsExplainedInTheLog failed once beside load; the line was queued after the response, so the test closed the log between the two. The line is now queued first.

--- a/src/main/java/io/coltsfootwheel/daemon/FleetView.java
+++ b/src/main/java/io/coltsfootwheel/daemon/FleetView.java
@@ -137,7 +137,7 @@
   private List<String> alarms() {
     List<String> alarms = new ArrayList<>();
     if (report.isEmpty()) {
-      alarms.add("no-leader: no control leader answers; see docs/OPERATING.md#no-leader");
+      alarms.add("no-leader: no control leader answers; see docs/OPERATIONS.md#no-leader");
     }
     Map<TargetId, TargetReport> reports = reports();
     for (TargetEntry entry : entries()) {
@@ -155,7 +155,7 @@
                         + s.unownedHashSlots()
                         + " hash slots of "
                         + s.name()
-                        + " have no owner; see docs/OPERATING.md#unowned-slots"));
+                        + " have no owner; see docs/OPERATIONS.md#unowned-slots"));
     return alarms;
   }
 
--- a/src/main/java/io/coltsfootwheel/model/ErrorKind.java
+++ b/src/main/java/io/coltsfootwheel/model/ErrorKind.java
@@ -36,7 +36,8 @@
   CHANGE_OUTCOME_UNKNOWN(503, Outcome.UNKNOWN, "send the change again with the same identity"),
   TARGET_FAILED(502, Outcome.UNKNOWN, "read the state from the service before sending again"),
   DEADLINE_EXCEEDED(504, Outcome.UNKNOWN, "read the state from the service before sending again"),
-  JOURNAL_CORRUPT(500, Outcome.UNKNOWN, "replace this member's data folder; see docs/OPERATING.md"),
+  JOURNAL_CORRUPT(
+      500, Outcome.UNKNOWN, "replace this member's data folder; see docs/OPERATIONS.md"),
   JOURNAL_FAILED(500, Outcome.UNKNOWN, "free or replace the disk and restart the instance"),
   UNSUPPORTED_VERSION(500, Outcome.UNKNOWN, "run the version that wrote the file, or a newer one"),
   INVARIANT_VIOLATED(500, Outcome.UNKNOWN, "keep the log and report this as a fault");
--- a/src/main/java/io/coltsfootwheel/relay/Exchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/Exchange.java
@@ -61,6 +61,8 @@
     this.context = context;
     this.request = request;
     this.responder = responder;
+    this.deadlineNanos =
+        request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(request.deadlineMillis().orElse(0));
   }
 
   void start() {
@@ -173,6 +175,9 @@
     target = Optional.of(chosen);
     tried.add(chosen.spec().id());
     sends++;
+    if (sends > 1) {
+      context.retried();
+    }
     chosen.sent();
     int maxOpen = Math.max(2, service.orElseThrow().maxConnections() / context.routing().entries());
     call =
@@ -316,8 +321,8 @@
 
   private void passOn(FullHttpResponse response) {
     HttpHeaders headers = HopByHop.without(response.headers());
-    finish(new RelayResponse(response.status(), headers, response.content().retain()));
     log("answered", response.status().toString());
+    finish(new RelayResponse(response.status(), headers, response.content().retain()));
   }
 
   private void refuseUnknownRoute() {
@@ -351,10 +356,10 @@
       headers.set(
           HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retry.millis() / 1e3));
     }
-    finish(new RelayResponse(status, headers, Unpooled.EMPTY_BUFFER));
     log(
         status.code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code() ? "refused" : "failed",
         status.code() + " " + reason);
+    finish(new RelayResponse(status, headers, Unpooled.EMPTY_BUFFER));
   }
 
   private void finish(RelayResponse response) {
@@ -364,10 +369,12 @@
     responder.accept(response);
   }
 
+  /** Queues the line before the response leaves, so that a client never knows more than the log. */
   private void log(String outcome, String detail) {
     long nowNanos = System.nanoTime();
     context.record(
         outcome,
+        nowNanos - request.receivedNanos(),
         () ->
             LogEvent.of("request." + outcome)
                 .with("request", request.id())
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -56,7 +56,7 @@
 
   private final RelaySettings settings;
   private final EventLog log;
-  private final MeterRegistry meters;
+  private final RelayMetrics metrics;
   private final LoopResources loops = LoopResources.create("relay", 1, 1, true);
   private final EventLoop loop = (EventLoop) loops.onServer(false).next();
   private final FleetRouting routing = new FleetRouting();
@@ -83,13 +83,13 @@
   public Relay(RelaySettings settings, EventLog log, MeterRegistry meters) {
     this.settings = settings;
     this.log = log;
-    this.meters = meters;
     this.random = RandomSource.SPLIT_MIX_64.create(settings.seed());
     this.chooser = new TargetChooser(random, settings.zone(), settings.drainMillis());
     this.budget =
         new RetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
     this.connections = new TargetConnections(loops, loop, settings.names().requestId());
+    this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
 
   /** Starts to accept clients. */
@@ -316,8 +316,13 @@
   }
 
   @Override
-  public void record(String outcome, Supplier<LogEvent> line) {
-    meters.counter("coltsfootwheel.requests", "outcome", outcome).increment();
+  public void retried() {
+    metrics.retried();
+  }
+
+  @Override
+  public void record(String outcome, long totalNanos, Supplier<LogEvent> line) {
+    metrics.ended(outcome, totalNanos);
     if (!outcome.equals("answered") || answered++ % ANSWERED_LINE_INTERVAL == 0) {
       log.write(line.get());
     }
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -31,8 +31,11 @@
   /** Returns the time since the leader was heard. */
   long viewAgeMillis();
 
+  /** Counts a request that is sent again. */
+  void retried();
+
   /** Records the end of a request; the line is made only when it is written. */
-  void record(String outcome, Supplier<LogEvent> line);
+  void record(String outcome, long totalNanos, Supplier<LogEvent> line);
 
   /** Forgets an exchange that has ended. */
   void ended(Exchange exchange);
