Complete answers in progress when an entry stops; free ports for the archive run

Two builds at once met on the fixed ports of the archive run, and one failed. Test: answerInProgressIsCompletedWhenTheRelayStops failed first.

--- a/src/main/java/io/coltsfootwheel/platform/ArchiveRun.java
+++ b/src/main/java/io/coltsfootwheel/platform/ArchiveRun.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.model.ErrorKind;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,19 +23,33 @@
   private static final String ENTRY_HOST = "127.0.0.2";
   private static final String SERVICE = "archive";
   private static final String HOST = "archive.example";
-  private static final int FIRST_PORT = 47_311;
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration PAUSE = Duration.ofMillis(200);
   private static final int ATTEMPTS = 50;
   private static final int REQUESTS = 20;
 
   private final Path folder;
+
+  /** Ports that were free when the run began, so that two builds do not meet. */
+  private final int linkPort = freePort();
+
+  private final int controlPort = freePort();
+  private final int clientPort = freePort();
+  private final int readinessPort = freePort();
   private final HttpClient client = HttpClient.create();
 
   ArchiveRun(Path folder) {
     this.folder = folder;
   }
 
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw ColtsfootwheelException.of(ErrorKind.INVALID_SETTINGS, "no port is free", e);
+    }
+  }
+
   /** Writes the settings of the two processes and returns their files: control, then entry. */
   Path[] settings() {
     try {
@@ -87,7 +102,7 @@
         client
             .headers(this::requestHeaders)
             .get()
-            .uri("http://" + ENTRY_HOST + ":" + (FIRST_PORT + 2) + "/a/1")
+            .uri("http://" + ENTRY_HOST + ":" + clientPort + "/a/1")
             .response()
             .map(r -> r.status().code())
             .onErrorReturn(0)
@@ -111,7 +126,7 @@
                   "http://"
                       + CONTROL_HOST
                       + ":"
-                      + (FIRST_PORT + 3)
+                      + controlPort
                       + PlatformNames.CALL_PATH
                       + "?call="
                       + call
@@ -152,13 +167,13 @@
         """
         .formatted(
             host,
-            FIRST_PORT,
-            FIRST_PORT + 1,
+            linkPort,
+            linkPort + 1,
             CONTROL_HOST,
-            FIRST_PORT + 3,
+            controlPort,
             folder.resolve("data"),
-            FIRST_PORT + 2,
-            FIRST_PORT + 4);
+            clientPort,
+            readinessPort);
   }
 
   private static String configuration() {
--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -32,6 +32,10 @@
   private final Relay relay;
   private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
   private Optional<Exchange> present = Optional.empty();
+
+  /** Responses that the socket has not taken whole; closing now would cut them. */
+  private int unwritten;
+
   private ChannelHandlerContext channel;
 
   ClientHandler(Relay relay) {
@@ -46,13 +50,13 @@
 
   /** Closes the connection now when it is idle, otherwise with its next response. */
   void closeWhenIdle() {
-    if (present.isEmpty() && channel.channel().isActive()) {
+    if (!isBusy() && channel.channel().isActive()) {
       channel.close();
     }
   }
 
   boolean isBusy() {
-    return present.isPresent();
+    return present.isPresent() || unwritten > 0;
   }
 
   @Override
@@ -128,7 +132,9 @@
     if (!keeps) {
       message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
+    unwritten++;
     ChannelFuture written = channel.writeAndFlush(message);
+    written.addListener(done -> unwritten--);
     if (!keeps) {
       written.addListener(ChannelFutureListener.CLOSE);
       dropWaiting();
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -17,11 +17,14 @@
 import io.coltsfootwheel.routing.WeightedService;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -256,6 +259,33 @@
     assertThat(leaving.requests()).isEmpty();
   }
 
+  /**
+   * Guards against an answer that is cut when the process stops while its client still reads: a
+   * statement of 90 kB was cut 2.5 s after a SIGTERM (hunt, mix, seed 780931036327).
+   */
+  @Test
+  void answerInProgressIsCompletedWhenTheRelayStops() throws Exception {
+    show(true, target("a", ANY, ScriptedTarget.Step.LARGE));
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket
+          .getOutputStream()
+          .write(
+              "GET /safe/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nid: r\r\n\r\n"
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      InputStream in = socket.getInputStream();
+      int received = in.readNBytes(1_000).length;
+      relay.beginStop();
+      assertThat(relay.closeIdle().block()).isEqualTo(1);
+      byte[] chunk = new byte[64 * 1024];
+      for (int n = in.read(chunk);
+          n >= 0 && received < ScriptedTarget.LARGE_BYTES;
+          n = in.read(chunk)) {
+        received += n;
+      }
+      assertThat(received).isGreaterThanOrEqualTo(ScriptedTarget.LARGE_BYTES);
+    }
+  }
+
   /** Guards against failed requests that leave no line with their identity and cause. */
   @Test
   void failureIsExplainedInTheLog() throws Exception {
--- a/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -38,9 +38,13 @@
     EXTRA,
     RESET,
     SILENT,
-    ENCODED
+    ENCODED,
+    LARGE
   }
 
+  /** More than the buffers of two sockets hold. */
+  static final int LARGE_BYTES = 24 * 1024 * 1024;
+
   private static final long SLOW_MILLIS = 150;
 
   private final TargetId id;
@@ -188,6 +192,7 @@
         socket.setSoLinger(true, 0);
         return false;
       }
+      case LARGE -> write(out, "200 OK", signed, "x".repeat(LARGE_BYTES));
       case SILENT -> Thread.sleep(10_000);
       default -> write(out, "200 OK", signed, "answer");
     }
