--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -123,13 +123,7 @@
                     meters.timer("coltsfootwheel.journal.persist"),
                     e -> post(new InstanceEvent.Replication(e))));
     this.reducer = reducer(opened, session);
-    this.loop =
-        new DecisionLoop<>(
-            reducer::apply,
-            InstanceEvent.Tick::new,
-            TICK_MILLIS,
-            effect -> execute(effect, stamps),
-            failed::countDown);
+    this.loop = decisionLoop(stamps);
     this.callers =
         CallerServer.of(
             callerSettings(settings), entry, new TargetChanges(answers, () -> state), () -> stamp);
@@ -146,6 +140,15 @@
     bindMetrics(new DaemonMetrics(meters));
   }
 
+  private DecisionLoop<InstanceEvent, InstanceEffect> decisionLoop(Stamp stamps) {
+    return new DecisionLoop<>(
+        reducer::apply,
+        InstanceEvent.Tick::new,
+        TICK_MILLIS,
+        effect -> execute(effect, stamps),
+        failed::countDown);
+  }
+
   /** Starts the servers and the decisions. */
   void start() {
     link.start(this);
