--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -58,7 +58,13 @@
   private final ViewBuilder views;
   private final Map<ServiceName, Long> lastRegistrationNanos = new HashMap<>();
   private final Set<TargetId> removing = new HashSet<>();
-  private final Set<ServiceName> assigningGaps = new HashSet<>();
+
+  /**
+   * Assignments that are proposed and not yet applied. Gaps wait for them: a removal that is
+   * applied first would make their ranges look free, and they would be assigned twice.
+   */
+  private final Map<ServiceName, Integer> pendingAssignments = new HashMap<>();
+
   private final LoadBook book = new LoadBook();
   private final long gainedNanos;
   private FleetState state;
@@ -198,7 +204,7 @@
     state = newState;
     viewChanged |= !(command instanceof FleetCommand.ChangeConfiguration);
     if (command instanceof FleetCommand.AssignRanges assign) {
-      assigningGaps.remove(assign.service());
+      pendingAssignments.merge(assign.service(), -1, Integer::sum);
     } else if (command instanceof FleetCommand.RemoveTarget removal) {
       removing.remove(removal.target());
     }
@@ -337,6 +343,7 @@
       }
       if (!assignments.isEmpty()) {
         commands.add(new FleetCommand.AssignRanges(service, assignments));
+        pendingAssignments.merge(service, 1, Integer::sum);
         released.forEach(moves::markAssigning);
       }
     }
@@ -408,7 +415,7 @@
 
   private Optional<FleetCommand> assignGaps(long nowNanos, ServiceName service) {
     List<KeyRange> gaps = state.table(service).gaps();
-    if (gaps.isEmpty() || assigningGaps.contains(service)) {
+    if (gaps.isEmpty() || pendingAssignments.getOrDefault(service, 0) > 0) {
       return Optional.empty();
     }
     boolean first = state.table(service).ranges().isEmpty();
@@ -428,7 +435,7 @@
     if (assignments.isEmpty()) {
       return Optional.empty();
     }
-    assigningGaps.add(service);
+    pendingAssignments.merge(service, 1, Integer::sum);
     return Optional.of(new FleetCommand.AssignRanges(service, assignments));
   }
 
