Divide TargetDispatcher: admission of a request is its own class

Change: DispatchAdmission holds the checks, in the same order and with the same texts; TargetHashSlots.isSendable replaces a private method. No behaviour changes.

--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -35,7 +35,6 @@
    */
   private static final long MAX_ANNOUNCE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  private final DispatchSettings settings;
   private final Fence fence;
   private final TargetHashSlots hashSlots;
   private final InFlightRequests inFlightRequests;
@@ -43,6 +42,7 @@
   private final IdentityTable identities;
   private final TargetMonitor monitor;
   private final OutcomeHandler outcomes;
+  private final DispatchAdmission admission;
   private final Map<String, TargetDispatcher> dispatcherByRequest;
   private ConcurrencyLimit limit;
   private TargetSpec spec;
@@ -78,7 +78,6 @@
       ServiceSpec service,
       TargetEntry entry,
       Map<String, TargetDispatcher> dispatcherByRequest) {
-    this.settings = settings;
     this.spec = entry.spec();
     this.status = entry.status();
     this.fence = entry.grant().orElseThrow().fence();
@@ -87,6 +86,9 @@
     this.inFlightRequests = new InFlightRequests(hashSlots);
     this.identities = new IdentityTable(settings, nowNanos);
     this.monitor = new TargetMonitor(nowNanos, fence, spec, status);
+    this.admission =
+        new DispatchAdmission(
+            settings, fence, hashSlots, inFlightRequests, queue, identities, monitor);
     this.limit = new ConcurrencyLimit(spec.slots());
     this.dispatcherByRequest = dispatcherByRequest;
     this.outcomes = new OutcomeHandler(spec, inFlightRequests, identities, dispatcherByRequest);
@@ -155,13 +157,13 @@
   void offered(
       long nowNanos, long newLeaseUntilNanos, DispatchRequest request, List<DispatchEffect> out) {
     leaseUntilNanos = newLeaseUntilNanos;
-    Optional<DispatchEffect> refusal = checkRequest(nowNanos, request);
+    Optional<DispatchEffect> refusal = admission.refusal(nowNanos, request, state(nowNanos));
     if (refusal.isPresent()) {
       out.add(refusal.get());
       return;
     }
     dispatcherByRequest.put(request.requestId(), this);
-    if (queue.size() == 0 && canSend(nowNanos) && isSendable(request)) {
+    if (queue.size() == 0 && canSend(nowNanos) && hashSlots.isSendable(request.hashSlot())) {
       send(nowNanos, request, out);
     } else {
       queue.add(request);
@@ -308,90 +310,9 @@
     return spec.checksFences() || dispatchedSinceIncarnationStart ? 0 : fence.value();
   }
 
-  private Optional<DispatchEffect> checkRequest(long nowNanos, DispatchRequest request) {
-    if (shuttingDown) {
-      return refusal(request, ErrorKind.SHUTTING_DOWN, 0, "the instance is shutting down");
-    }
-    if (nowNanos - leaseUntilNanos >= 0) {
-      return refusal(request, ErrorKind.NO_LEASE, 0, "the lease of the instance has run out");
-    }
-    if (closed || monitor.isSuperseded() || !request.fence().equals(fence)) {
-      return refusal(request, ErrorKind.STALE_FENCE, 0, "the current dispatch fence is " + fence);
-    }
-    if (!servesRequest(request)) {
-      return refusal(
-          request,
-          ErrorKind.NO_OWNER,
-          0,
-          "target "
-              + spec.id()
-              + " does not serve "
-              + InFlightRequests.describeHashSlot(request.hashSlot()));
-    }
-    return checkLoad(nowNanos, request).or(() -> checkIdentity(nowNanos, request));
-  }
-
-  private boolean servesRequest(DispatchRequest request) {
-    boolean acceptsRequest =
-        status == TargetStatus.ACTIVE
-            || (status == TargetStatus.DRAINING && request.hashSlot().isPresent());
-    return acceptsRequest && !monitor.isReleased() && hashSlots.isOwned(request.hashSlot());
-  }
-
-  private Optional<DispatchEffect> checkLoad(long nowNanos, DispatchRequest request) {
-    double meanServiceNanos = limit.meanServiceNanos();
-    boolean canSendNow =
-        queue.size() == 0
-            && inFlightRequests.inFlightCount() < capacity(nowNanos)
-            && isSendable(request);
-    boolean allSlotsBusy = inFlightRequests.inFlightCount() >= capacity(nowNanos);
-    double waitNanos = allSlotsBusy ? (queue.size() + 1) * meanServiceNanos / spec.slots() : 0;
-    long remainingNanos = request.deadlineNanos() - nowNanos;
-    long waitMillis = TimeUnit.NANOSECONDS.toMillis((long) waitNanos);
-    if (remainingNanos <= 0 || waitNanos > remainingNanos) {
-      return refusal(
-          request,
-          ErrorKind.DEADLINE_UNREACHABLE,
-          waitMillis,
-          "the expected wait for a slot of the target is " + waitMillis + " ms");
-    }
-    if (!canSendNow && isQueueFull(request)) {
-      long retryMillis = Math.max(waitMillis, limit.remainingSheddingMillis(nowNanos));
-      return refusal(request, ErrorKind.OVERLOADED, retryMillis, "the queue of the target is full");
-    }
-    return Optional.empty();
-  }
-
-  /**
-   * Requests held for a handover may use half of the queue, so that they do not crowd out others.
-   */
-  private boolean isQueueFull(DispatchRequest request) {
-    int maxQueued = settings.maxQueuedPerSlot() * spec.slots();
-    boolean held = hashSlots.isHeldForHandover(request.hashSlot());
-    return queue.size() >= maxQueued
-        || (held
-            && queue.count(queued -> hashSlots.isHeldForHandover(queued.hashSlot()))
-                >= maxQueued / 2);
-  }
-
-  private Optional<DispatchEffect> checkIdentity(long nowNanos, DispatchRequest request) {
-    if (request.identity().isEmpty() || spec.keepsIdentities()) {
-      return Optional.empty();
-    }
-    return identities
-        .begin(
-            nowNanos,
-            request.identity().get(),
-            request.idempotent(),
-            Math.max(fence.value(), hashSlots.ownershipFence(request.hashSlot())),
-            hashSlots.ownedSinceNanos(request.hashSlot()))
-        .flatMap(refusal -> refusal(request, refusal.kind(), 0, refusal.detail()));
-  }
-
-  private static Optional<DispatchEffect> refusal(
-      DispatchRequest request, ErrorKind kind, long retryAfterMillis, String detail) {
-    return Optional.of(
-        new DispatchEffect.RefuseRequest(request.requestId(), kind, retryAfterMillis, detail));
+  private DispatchAdmission.DispatcherState state(long nowNanos) {
+    return new DispatchAdmission.DispatcherState(
+        spec, status, limit, capacity(nowNanos), leaseUntilNanos, shuttingDown, closed);
   }
 
   private int capacity(long nowNanos) {
@@ -405,11 +326,6 @@
         && inFlightRequests.inFlightCount() < capacity(nowNanos);
   }
 
-  private boolean isSendable(DispatchRequest request) {
-    return hashSlots.isOwned(request.hashSlot())
-        && !hashSlots.isHeldForHandover(request.hashSlot());
-  }
-
   private void sendQueued(long nowNanos, List<DispatchEffect> out) {
     if (queue.size() == 0) {
       return;
@@ -421,7 +337,8 @@
     expireQueued(nowNanos, out);
     boolean foundSendable = true;
     while (foundSendable && queue.size() > 0 && canSend(nowNanos)) {
-      Optional<DispatchRequest> next = queue.poll(this::isSendable);
+      Optional<DispatchRequest> next =
+          queue.poll(queued -> hashSlots.isSendable(queued.hashSlot()));
       next.ifPresent(request -> send(nowNanos, request, out));
       foundSendable = next.isPresent();
     }
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetHashSlots.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetHashSlots.java
@@ -76,6 +76,11 @@
         && ownershipFences[slot.getAsInt()] >= holdFromFence;
   }
 
+  /** Returns whether a request for a slot can be sent: the slot is owned and not held. */
+  boolean isSendable(OptionalInt slot) {
+    return isOwned(slot) && !isHeldForHandover(slot);
+  }
+
   /** Returns the fence of the ownership, 0 for no slot, an unknown one or one that is not owned. */
   long ownershipFence(OptionalInt slot) {
     if (slot.isEmpty() || slot.getAsInt() < 0 || slot.getAsInt() >= ownershipFences.length) {
