Log what is left when an entry closes its listener, drains and ends

Change: new events stop.listener_closed and stop.drained, and process.stopped of an entry, have the open connections, the busy ones, the requests at a target, the refusals since the stop began and whether the time limit was reached. The drain loop moves from EntryNode to Relay unchanged. Control processes log process.stopping too. RelayTest checks the busy connection through the report in place of the earlier count, and also that the drain ends before its limit.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -6,7 +6,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
-import java.time.Duration;
+import io.coltsfootwheel.relay.StopReport;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,7 +14,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import reactor.core.publisher.Mono;
 
 /**
@@ -171,18 +170,12 @@
   }
 
   /**
-   * Waits until the requests in flight are answered, up to a timeout.
+   * Stops accepting connections and waits until the requests in flight are answered.
    *
-   * @param millis longest time to wait, in milliseconds
+   * @param limitMillis longest time to wait, in milliseconds
    * @return completes when no request is in flight or the time has passed
    */
-  public Mono<Void> drained(long millis) {
-    return relay
-        .closeIdleConnections()
-        .filter(busy -> busy == 0)
-        .repeatWhenEmpty(r -> r.delayElements(Duration.ofMillis(20)))
-        .timeout(Duration.ofMillis(millis))
-        .onErrorComplete(TimeoutException.class)
-        .then();
+  public Mono<StopReport> drain(long limitMillis) {
+    return relay.drain(limitMillis);
   }
 }
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -8,6 +8,7 @@
 import io.coltsfootwheel.node.ControlNode;
 import io.coltsfootwheel.node.EntryNode;
 import io.coltsfootwheel.relay.Relay;
+import io.coltsfootwheel.relay.StopReport;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -126,7 +127,6 @@
       case "entry" -> runEntry(meters);
       default -> throw JsonFields.invalid("role " + role + " is not control or entry");
     }
-    log.write(LogEvent.of("process.stopped").with("role", role));
     log.close();
   }
 
@@ -137,7 +137,9 @@
     watchSettings(node::setSeeds);
     serveMetrics();
     stopRequested.await();
+    log.write(LogEvent.of("process.stopping"));
     node.close();
+    log.write(LogEvent.of("process.stopped").with("role", "control"));
   }
 
   private void runEntry(MeterRegistry registry) throws InterruptedException {
@@ -151,8 +153,11 @@
     log.write(LogEvent.of("process.stopping"));
     relay.beginStop();
     TimeUnit.MILLISECONDS.sleep(NOT_READY_NOTICE_MILLIS);
-    node.drained(settings.graceMillis() - NOT_READY_NOTICE_MILLIS - CLOSE_RESERVE_MILLIS).block();
+    long limitMillis = settings.graceMillis() - NOT_READY_NOTICE_MILLIS - CLOSE_RESERVE_MILLIS;
+    StopReport drained = node.drain(limitMillis).block();
     node.close();
+    StopReport atEnd = relay.stopReport(drained.limitReached()).block();
+    log.write(atEnd.addTo(LogEvent.of("process.stopped").with("role", "entry")));
   }
 
   private void reload() {
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -12,12 +12,14 @@
 import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,6 +29,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -48,6 +51,7 @@
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private static final int LISTEN_BACKLOG = 1_024;
+  private static final long DRAIN_CHECK_MILLIS = 20;
 
   /** One in this many answered requests is logged; the others only count in the metrics. */
   private static final int ANSWERED_LOG_INTERVAL = 50;
@@ -72,6 +76,7 @@
   private Optional<DisposableServer> server = Optional.empty();
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
+  private long refusedWhileStopping;
   private volatile boolean stopping;
   private volatile boolean routingComplete;
 
@@ -206,21 +211,64 @@
   }
 
   /**
-   * Stops accepting connections and closes idle ones.
+   * Stops accepting connections and closes the open ones when they are idle.
    *
-   * @return completes with the number of connections with a request or response in progress
+   * @param limitMillis longest duration, in milliseconds
+   * @return completes when no connection is busy, or at the limit
    */
-  public Mono<Integer> closeIdleConnections() {
+  public Mono<StopReport> drain(long limitMillis) {
+    return closeIdleConnections()
+        .filter(busy -> busy == 0)
+        .repeatWhenEmpty(r -> r.delayElements(Duration.ofMillis(DRAIN_CHECK_MILLIS)))
+        .timeout(Duration.ofMillis(limitMillis))
+        .then(stopReport(false))
+        .onErrorResume(TimeoutException.class, e -> stopReport(true))
+        .doOnNext(report -> log.write(report.addTo(LogEvent.of("stop.drained"))));
+  }
+
+  /**
+   * Returns what is in progress now.
+   *
+   * @param limitReached whether the time limit of the stop has passed
+   * @return the report
+   */
+  public Mono<StopReport> stopReport(boolean limitReached) {
+    return Mono.create(sink -> runOnEventLoop(() -> sink.success(createStopReport(limitReached))));
+  }
+
+  private StopReport createStopReport(boolean limitReached) {
+    return new StopReport(
+        clients.size(),
+        (int) clients.stream().filter(ClientHandler::isBusy).count(),
+        (int) exchanges.stream().filter(RelayExchange::isForwarded).count(),
+        refusedWhileStopping,
+        limitReached);
+  }
+
+  private Mono<Integer> closeIdleConnections() {
     return Mono.create(
         sink ->
             eventLoop.execute(
                 () -> {
-                  server.ifPresent(s -> s.channel().close());
+                  closeListener();
                   List.copyOf(clients).forEach(ClientHandler::closeWhenIdle);
                   sink.success((int) clients.stream().filter(ClientHandler::isBusy).count());
                 }));
   }
 
+  private void closeListener() {
+    server
+        .map(DisposableServer::channel)
+        .filter(Channel::isOpen)
+        .ifPresent(
+            channel ->
+                channel.close().addListener(closed -> runOnEventLoop(this::logListenerClosed)));
+  }
+
+  private void logListenerClosed() {
+    log.write(createStopReport(false).addTo(LogEvent.of("stop.listener_closed")));
+  }
+
   private void onConnection(Connection connection) {
     ClientLimits limits = routing.routes().limits();
     int maxBodyBytes = (int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes());
@@ -331,6 +379,9 @@
   @Override
   public void record(String outcome, long durationNanos, Supplier<LogEvent> event) {
     metrics.recordOutcome(outcome, durationNanos);
+    if (stopping && outcome.equals("refused")) {
+      refusedWhileStopping++;
+    }
     if (!outcome.equals("answered") || answeredCount++ % ANSWERED_LOG_INTERVAL == 0) {
       log.write(event.get());
     }
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -141,6 +141,11 @@
     }
   }
 
+  /** Returns whether a target may be working on the request. */
+  boolean isForwarded() {
+    return call.isPresent();
+  }
+
   private long remainingMillis() {
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
   }
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -38,6 +38,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import reactor.core.publisher.Mono;
 
 /** Tests the relay over sockets against targets that misbehave. */
 class RelayTest {
@@ -87,7 +88,7 @@
 
   @AfterEach
   void stop() throws InterruptedException {
-    relay.closeIdleConnections().block();
+    relay.drain(1_000).block();
     targets.forEach(ScriptedTarget::close);
     log.close();
   }
@@ -297,7 +298,9 @@
       InputStream input = socket.getInputStream();
       int received = input.readNBytes(1_000).length;
       relay.beginStop();
-      assertThat(relay.closeIdleConnections().block()).isEqualTo(1);
+      Mono<StopReport> stopped = relay.drain(LONG_TIMEOUT_MILLIS).cache();
+      stopped.subscribe();
+      assertThat(relay.stopReport(false).block().busyConnections()).isEqualTo(1);
       byte[] chunk = new byte[64 * 1024];
       int read = 0;
       while (read >= 0 && received < ScriptedTarget.LARGE_BYTES) {
@@ -305,6 +308,7 @@
         received += Math.max(0, read);
       }
       assertThat(received).isGreaterThanOrEqualTo(ScriptedTarget.LARGE_BYTES);
+      assertThat(stopped.block().limitReached()).isFalse();
     }
   }
 
