Add a failing test for a request that is forwarded after the drain ended

Cause: Relay accepts on a select loop of its own and registers connections on the event loop later. The drain runs on the event loop, closes the listener asynchronously and ends at the first count of zero, so a connection whose registration is queued behind it is served afterwards. Evidence: the test blocks the event loop, queues the drain, and then opens a connection and sends a request.

--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
@@ -0,0 +1,170 @@
+package io.coltsfootwheel.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.keyspace.KeyRange;
+import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.routing.Configuration;
+import io.coltsfootwheel.routing.ConfigurationItem;
+import io.coltsfootwheel.routing.Route;
+import io.coltsfootwheel.routing.RouteKind;
+import io.coltsfootwheel.routing.ServicePolicy;
+import io.coltsfootwheel.routing.WeightedService;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+/** Tests that a stop of the relay loses no request that it has read or forwarded. */
+class RelayStopTest {
+  private static final ServiceName SERVICE = ServiceName.of("any");
+  private static final ServiceName KEYED = ServiceName.of("keyed");
+  private static final long TIMEOUT_MILLIS = 20_000;
+  private static final int SOCKET_TIMEOUT_MILLIS = 30_000;
+
+  private final ConcurrentLinkedQueue<String> logLines = new ConcurrentLinkedQueue<>();
+  private EventLog log;
+  private Relay relay;
+  private ScriptedTarget target;
+  private int port;
+
+  @BeforeEach
+  void start() throws IOException {
+    try (ServerSocket probe = new ServerSocket(0)) {
+      port = probe.getLocalPort();
+    }
+    log = new EventLog(logLines::add, Map.of());
+    relay = new Relay(settings(port), log, new SimpleMeterRegistry());
+    relay.start();
+    relay.configure(new Configuration(1, items(), List.of()));
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    relay.drain(1_000).block();
+    target.close();
+    log.close();
+  }
+
+  private static RelaySettings settings(int port) {
+    return new RelaySettings(
+        new Address("127.0.0.1", port),
+        AvailabilityZone.of("z"),
+        new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected"),
+        2_000,
+        1,
+        100,
+        10_000,
+        1);
+  }
+
+  private static List<ConfigurationItem> items() {
+    return List.of(
+        ConfigurationItem.of(new ServicePolicy(SERVICE, false, 20), "{}"),
+        ConfigurationItem.of(new ServicePolicy(KEYED, true, 20), "{}"),
+        ConfigurationItem.of(route("any", SERVICE), "{}"),
+        ConfigurationItem.of(route("keyed", KEYED), "{}"));
+  }
+
+  private static Route route(String name, ServiceName service) {
+    return new Route(
+        name,
+        "127.0.0.1",
+        "/" + name + "/",
+        RouteKind.UNSAFE,
+        TIMEOUT_MILLIS,
+        TIMEOUT_MILLIS,
+        1,
+        2,
+        List.of(new WeightedService(service, 1)));
+  }
+
+  private void startTarget(ScriptedTarget.Step... steps) {
+    target = new ScriptedTarget("a", SERVICE, steps);
+    // No target holds a key of the keyed service, so its requests wait for an owner.
+    OwnershipView.Range range =
+        new OwnershipView.Range(KEYED, KeyRange.ALL, target.id(), false, (int) TIMEOUT_MILLIS);
+    relay.updateOwnership(new OwnershipView(List.of(target.view()), List.of(range)));
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", port);
+    socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String request(String path) {
+    return "GET " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nid: r\r\nkey: 1\r\n\r\n";
+  }
+
+  /** Reads until the relay closes the connection; a reset ends the text like a normal close. */
+  private static String readToEnd(Socket socket) throws IOException {
+    StringBuilder text = new StringBuilder();
+    byte[] chunk = new byte[8 * 1024];
+    try {
+      int count = socket.getInputStream().read(chunk);
+      while (count >= 0) {
+        text.append(new String(chunk, 0, count, StandardCharsets.ISO_8859_1));
+        count = socket.getInputStream().read(chunk);
+      }
+    } catch (SocketException e) {
+      text.append("[reset]");
+    }
+    return text.toString();
+  }
+
+  private Mono<StopReport> startDrain(long limitMillis) {
+    Mono<StopReport> drained = relay.drain(limitMillis).cache();
+    drained.subscribe();
+    return drained;
+  }
+
+  /**
+   * Guards against requests of connections that the event loop registers only after the drain has
+   * counted the busy ones (inc1): they were forwarded, and the process ended before the answer.
+   */
+  @Test
+  void connectionRegisteredAfterTheDrainBeganForwardsNothing() throws Exception {
+    startTarget(ScriptedTarget.Step.SLOW_ANSWER);
+    CountDownLatch mayContinue = new CountDownLatch(1);
+    relay.beginStop();
+    relay.executor().execute(() -> await(mayContinue));
+    Mono<StopReport> drained = startDrain(TIMEOUT_MILLIS);
+    try (Socket socket = connect()) {
+      write(socket, request("/any/1"));
+      // Time for a separate acceptor thread to queue the registration behind the drain.
+      TimeUnit.MILLISECONDS.sleep(300);
+      mayContinue.countDown();
+      drained.block();
+      readToEnd(socket);
+    }
+    assertThat(target.requests()).isEmpty();
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
