Stop an entry through states of its event loop, without lost requests

Cause: the relay accepted on a select loop of its own, closed its listener asynchronously and ended the drain at the first count of zero. Connections that were registered later were served, and the process ended under them. Responses of a stopping entry closed the connection although requests were queued behind them, and a request received in part was cut as idle. The process then called halt with open sockets and threads in a selector. Change: RelayStop is a state machine (serving, announcing, draining, stopped) on the event loop, which now also accepts. While draining, every request that is read is refused with 503, Retry-After and a close; the listener closes one check later, so that its backlog is refused and not reset; connections close when no request, part of a request or response is on them; the last response ends only the sending side, and the client closes. The drain ends when the listener and all connections are closed. At the limit, what no target works on is refused, and requests at a target get no response of the relay. Queued requests are answered one by one, malformed ones in their turn. All sockets close before halt, and a signal handler no longer uses an executor that may be shut down.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
 import io.coltsfootwheel.relay.StopReport;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,11 +54,7 @@
     this.finder = new LeaderFinder(settings.seeds());
     this.links =
         new NodeLinks(
-            settings.cluster(),
-            settings.linkAddress(),
-            settings.memberPort(),
-            (from, message) -> executor.execute(() -> receive(from, message)),
-            log);
+            settings.cluster(), settings.linkAddress(), settings.memberPort(), this::enqueue, log);
   }
 
   /** Starts to accept client connections and to subscribe to routing updates. */
@@ -83,6 +80,7 @@
   public void close() {
     subscriptionTask.ifPresent(s -> s.cancel(false));
     links.close();
+    relay.close();
   }
 
   private void reportLoadAndSubscribe() {
@@ -110,6 +108,13 @@
     }
   }
 
+  /** Passes a message to the event loop; messages that arrive after its end are dropped. */
+  private void enqueue(InstanceId from, NodeMessage message) {
+    if (!executor.isShutdown()) {
+      executor.execute(() -> receive(from, message));
+    }
+  }
+
   private void receive(InstanceId from, NodeMessage message) {
     if (message instanceof NodeMessage.Routing update) {
       applyUpdate(from, update);
@@ -170,12 +175,15 @@
   }
 
   /**
-   * Stops accepting connections and waits until the requests in flight are answered.
+   * Stops serving clients: reports not ready, then drains the relay.
    *
-   * @param limitMillis longest time to wait, in milliseconds
-   * @return completes when no request is in flight or the time has passed
+   * @param graceMillis time after which the process is killed, in milliseconds
+   * @return completes when all client connections are closed
    */
-  public Mono<StopReport> drain(long limitMillis) {
-    return relay.drain(limitMillis);
+  public Mono<StopReport> stop(long graceMillis) {
+    StopSchedule schedule = StopSchedule.of(graceMillis);
+    relay.beginStop();
+    return Mono.delay(Duration.ofMillis(schedule.noticeMillis()))
+        .then(relay.drain(schedule.drainMillis()));
   }
 }
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -14,13 +14,13 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -38,13 +38,7 @@
   private static final String ARCHIVE_ROLE = "archive";
   private static final int EXIT_FAILED = 1;
 
-  /**
-   * Longer than the two seconds within which the platform detects that an instance is not ready.
-   */
-  private static final long NOT_READY_NOTICE_MILLIS = 2_500;
-
-  /** Part of the grace period that is reserved for closing the process after the drain. */
-  private static final long CLOSE_RESERVE_MILLIS = 700;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
   private static final Logger LOGGER = LogManager.getLogger(PlatformMain.class);
 
@@ -120,7 +114,7 @@
 
   private void run(String role) throws InterruptedException {
     Signal.handle(new Signal("TERM"), signal -> stopRequested.countDown());
-    Signal.handle(new Signal("HUP"), signal -> scheduler.execute(this::reload));
+    Signal.handle(new Signal("HUP"), signal -> reload());
     log.write(LogEvent.of("process.started").with("role", role).with("ip", settings.ip()));
     switch (role) {
       case "control" -> runControl(meters);
@@ -138,7 +132,9 @@
     serveMetrics();
     stopRequested.await();
     log.write(LogEvent.of("process.stopping"));
+    stopWatchingSettings();
     node.close();
+    closeServers();
     log.write(LogEvent.of("process.stopped").with("role", "control"));
   }
 
@@ -151,13 +147,16 @@
     serveMetrics();
     stopRequested.await();
     log.write(LogEvent.of("process.stopping"));
-    relay.beginStop();
-    TimeUnit.MILLISECONDS.sleep(NOT_READY_NOTICE_MILLIS);
-    long limitMillis = settings.graceMillis() - NOT_READY_NOTICE_MILLIS - CLOSE_RESERVE_MILLIS;
-    StopReport drained = node.drain(limitMillis).block();
+    StopReport report = node.stop(settings.graceMillis()).block();
+    stopWatchingSettings();
     node.close();
-    StopReport atEnd = relay.stopReport(drained.limitReached()).block();
-    log.write(atEnd.addTo(LogEvent.of("process.stopped").with("role", "entry")));
+    closeServers();
+    log.write(report.addTo(LogEvent.of("process.stopped").with("role", "entry")));
+  }
+
+  /** Closes readiness and metrics; a socket that is open at the halt stays open for 0.3 s. */
+  private void closeServers() {
+    loops.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block();
   }
 
   private void reload() {
@@ -172,6 +171,11 @@
     settingsWatcher = Optional.of(watcher);
   }
 
+  private void stopWatchingSettings() {
+    settingsWatcher = Optional.empty();
+    scheduler.shutdownNow();
+  }
+
   private void serveReadiness(Relay relay) {
     Address address = settings.readinessAddress();
     HttpServer.create()
--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -2,17 +2,19 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -21,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /** Handles a client connection: relays one request at a time and writes the responses in order. */
 final class ClientHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -31,17 +34,33 @@
 
   private static final int MAX_KEY = 65_535;
 
+  /**
+   * Time in which a client whose connection was accepted during a stop may send its first request.
+   */
+  private static final long FIRST_REQUEST_MILLIS = 200;
+
+  /** Time in which a client may close its connection after the last response of a stop. */
+  private static final long LINGER_MILLIS = 500;
+
   private final Relay relay;
+  private final RequestReadProgress progress;
   private final ArrayDeque<FullHttpRequest> queuedRequests = new ArrayDeque<>();
+  private final long connectedNanos = System.nanoTime();
   private Optional<RelayExchange> currentExchange = Optional.empty();
 
   /** Responses not yet fully written to the socket; closing now would truncate them. */
   private int pendingWrites;
 
+  private boolean hasReadRequest;
+
+  /** Whether the last response of this connection was written; later requests are discarded. */
+  private boolean lastResponseWritten;
+
   private ChannelHandlerContext channelContext;
 
-  ClientHandler(Relay relay) {
+  ClientHandler(Relay relay, RequestReadProgress progress) {
     this.relay = relay;
+    this.progress = progress;
   }
 
   @Override
@@ -50,28 +69,61 @@
     relay.clientConnected(this);
   }
 
+  /** Closes the connection at its idle timeout unless a request or response is in progress. */
+  private void closeWhenIdle() {
+    if (!isBusy()) {
+      close();
+    }
+  }
+
   /**
-   * Closes the connection if it is idle. While the relay is stopping, a busy connection closes
-   * after its current response.
+   * Closes the connection during a stop if nothing is in progress on it, not even a request that
+   * was received in part. Otherwise it closes after its last response.
    */
-  void closeWhenIdle() {
-    if (!isBusy() && channelContext.channel().isActive()) {
-      channelContext.close();
+  void closeForStop() {
+    if (!isBusy() && !lastResponseWritten && !progress.isPartial() && !awaitsFirstRequest()) {
+      close();
+    }
+  }
+
+  private boolean awaitsFirstRequest() {
+    long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectedNanos);
+    return !hasReadRequest && ageMillis < FIRST_REQUEST_MILLIS;
+  }
+
+  /** Refuses a request whose head was received but not the end of its body. */
+  void refuseIncompleteRequest() {
+    if (!isBusy() && !lastResponseWritten) {
+      progress.incompleteRequest().ifPresent(this::refuseIncomplete);
     }
   }
 
+  private void refuseIncomplete(HttpRequest request) {
+    relay.recordIncompleteRefusal(request.headers());
+    HttpHeaders headers = new DefaultHttpHeaders();
+    RetryAfter.ENTRY_STOPPING.addTo(headers);
+    write(
+        new RelayResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER),
+        true);
+  }
+
+  void close() {
+    channelContext.close();
+  }
+
   boolean isBusy() {
     return currentExchange.isPresent() || pendingWrites > 0;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    if (request.decoderResult().isFailure()) {
-      rejectMalformed(request.decoderResult().cause());
+    hasReadRequest = true;
+    if (lastResponseWritten) {
+      relay.recordDiscarded(request.headers());
     } else if (currentExchange.isPresent()) {
       enqueue(request.retain());
     } else {
-      startExchange(request.retain());
+      process(request.retain());
     }
   }
 
@@ -84,6 +136,15 @@
     }
   }
 
+  private void process(FullHttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      request.release();
+      rejectMalformed(request.decoderResult().cause());
+    } else {
+      startExchange(request);
+    }
+  }
+
   private void startExchange(FullHttpRequest request) {
     boolean keepAlive = HttpUtil.isKeepAlive(request);
     ProtocolHeaderNames headerNames = relay.headerNames();
@@ -126,7 +187,20 @@
 
   private void respond(RelayResponse response, boolean keepAlive) {
     currentExchange = Optional.empty();
-    boolean keepOpen = keepAlive && !relay.isStopping();
+    boolean closesForStop = relay.stopState().closesConnections() && !hasMoreInput();
+    write(response, !keepAlive || closesForStop);
+    if (!keepAlive) {
+      releaseQueuedRequests();
+    } else if (!queuedRequests.isEmpty()) {
+      process(queuedRequests.poll());
+    }
+  }
+
+  private boolean hasMoreInput() {
+    return !queuedRequests.isEmpty() || progress.isPartial();
+  }
+
+  private void write(RelayResponse response, boolean last) {
     FullHttpResponse httpResponse =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -135,17 +209,30 @@
             response.headers(),
             EmptyHttpHeaders.INSTANCE);
     httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().readableBytes());
-    if (!keepOpen) {
+    if (last) {
       httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      lastResponseWritten = true;
     }
     pendingWrites++;
     ChannelFuture writeFuture = channelContext.writeAndFlush(httpResponse);
     writeFuture.addListener(future -> pendingWrites--);
-    if (!keepOpen) {
-      writeFuture.addListener(ChannelFutureListener.CLOSE);
-      releaseQueuedRequests();
-    } else if (!queuedRequests.isEmpty()) {
-      startExchange(queuedRequests.poll());
+    if (last) {
+      writeFuture.addListener(future -> closeAfterLastResponse());
+    }
+  }
+
+  /**
+   * During a stop, ends only the sending side and leaves the close to the client: a socket that is
+   * closed with unread bytes is reset, and a reset can destroy a response on its way.
+   */
+  private void closeAfterLastResponse() {
+    if (relay.stopState().closesConnections()
+        && channelContext.channel() instanceof DuplexChannel channel
+        && channel.isActive()) {
+      channel.shutdownOutput();
+      relay.schedule(this::close, LINGER_MILLIS);
+    } else {
+      close();
     }
   }
 
@@ -154,11 +241,7 @@
         cause instanceof TooLongFrameException
             ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             : HttpResponseStatus.BAD_REQUEST;
-    FullHttpResponse httpResponse =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-    httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channelContext.writeAndFlush(httpResponse).addListener(ChannelFutureListener.CLOSE);
+    write(new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER), true);
   }
 
   private void releaseQueuedRequests() {
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -12,10 +12,10 @@
 import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
 import io.micrometer.core.instrument.MeterRegistry;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -25,11 +25,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -46,12 +44,12 @@
  *
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
-public final class Relay implements RelayContext {
+public final class Relay implements RelayContext, AutoCloseable {
   private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private static final int LISTEN_BACKLOG = 1_024;
-  private static final long DRAIN_CHECK_MILLIS = 20;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
   /** One in this many answered requests is logged; the others only count in the metrics. */
   private static final int ANSWERED_LOG_INTERVAL = 50;
@@ -62,7 +60,10 @@
   private final RelaySettings settings;
   private final EventLog log;
   private final RelayMetrics metrics;
-  private final LoopResources loopResources = LoopResources.create("relay", 1, 1, true);
+
+  /** One loop accepts and serves, so that no accepted connection waits for its registration. */
+  private final LoopResources loopResources = LoopResources.create("relay", 1, true);
+
   private final EventLoop eventLoop = (EventLoop) loopResources.onServer(false).next();
   private final RoutingState routing = new RoutingState();
   private final UniformRandomProvider random;
@@ -72,12 +73,10 @@
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
+  private final RelayStop stop;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
-  private Optional<DisposableServer> server = Optional.empty();
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
-  private long refusedWhileStopping;
-  private volatile boolean stopping;
   private volatile boolean routingComplete;
 
   /**
@@ -97,23 +96,24 @@
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
     this.connections =
         new TargetConnections(loopResources, eventLoop, settings.headerNames().requestId());
+    this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
 
   /** Binds the client address and accepts connections. */
   public void start() {
     try {
-      server =
-          Optional.of(
-              TcpServer.create()
-                  .runOn(loopResources, false)
-                  .host(settings.listen().host())
-                  .port(settings.listen().port())
-                  .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
-                  .childOption(ChannelOption.TCP_NODELAY, true)
-                  .doOnConnection(this::onConnection)
-                  .handle((in, out) -> Mono.never())
-                  .bindNow());
+      DisposableServer server =
+          TcpServer.create()
+              .runOn(loopResources, false)
+              .host(settings.listen().host())
+              .port(settings.listen().port())
+              .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+              .childOption(ChannelOption.TCP_NODELAY, true)
+              .doOnConnection(this::onConnection)
+              .handle((in, out) -> Mono.never())
+              .bindNow();
+      runOnEventLoop(() -> stop.listenerBound(server.channel()));
     } catch (RuntimeException e) {
       throw ColtsfootwheelException.of(
           ErrorKind.INVALID_SETTINGS,
@@ -198,89 +198,62 @@
    * @return true once routes and targets are known, until the relay begins to stop
    */
   public boolean isReady() {
-    return routingComplete && !stopping;
+    return routingComplete && stop.state() == StopState.SERVING;
   }
 
-  boolean isStopping() {
-    return stopping;
+  StopState stopState() {
+    return stop.state();
   }
 
   /** Begins to stop: from now on each response closes its client connection. */
   public void beginStop() {
-    stopping = true;
+    runOnEventLoop(stop::announce);
   }
 
   /**
-   * Stops accepting connections and closes the open ones when they are idle.
+   * Stops accepting connections, refuses new requests and closes each connection when nothing is in
+   * progress on it. At the limit, requests that no target works on are refused and all connections
+   * are closed. A repeated call returns the result of the first one.
    *
-   * @param limitMillis longest duration, in milliseconds
-   * @return completes when no connection is busy, or at the limit
+   * @param limitMillis time after which the remaining connections are closed, in milliseconds
+   * @return completes with what was left when the last connections were closed
    */
   public Mono<StopReport> drain(long limitMillis) {
-    return closeIdleConnections()
-        .filter(busy -> busy == 0)
-        .repeatWhenEmpty(r -> r.delayElements(Duration.ofMillis(DRAIN_CHECK_MILLIS)))
-        .timeout(Duration.ofMillis(limitMillis))
-        .then(stopReport(false))
-        .onErrorResume(TimeoutException.class, e -> stopReport(true))
-        .doOnNext(report -> log.write(report.addTo(LogEvent.of("stop.drained"))));
+    return Mono.<Mono<StopReport>>create(
+            sink -> runOnEventLoop(() -> sink.success(stop.drain(limitMillis))))
+        .flatMap(drained -> drained);
   }
 
   /**
    * Returns what is in progress now.
    *
-   * @param limitReached whether the time limit of the stop has passed
    * @return the report
    */
-  public Mono<StopReport> stopReport(boolean limitReached) {
-    return Mono.create(sink -> runOnEventLoop(() -> sink.success(createStopReport(limitReached))));
-  }
-
-  private StopReport createStopReport(boolean limitReached) {
-    return new StopReport(
-        clients.size(),
-        (int) clients.stream().filter(ClientHandler::isBusy).count(),
-        (int) exchanges.stream().filter(RelayExchange::isForwarded).count(),
-        refusedWhileStopping,
-        limitReached);
-  }
-
-  private Mono<Integer> closeIdleConnections() {
-    return Mono.create(
-        sink ->
-            eventLoop.execute(
-                () -> {
-                  closeListener();
-                  List.copyOf(clients).forEach(ClientHandler::closeWhenIdle);
-                  sink.success((int) clients.stream().filter(ClientHandler::isBusy).count());
-                }));
-  }
-
-  private void closeListener() {
-    server
-        .map(DisposableServer::channel)
-        .filter(Channel::isOpen)
-        .ifPresent(
-            channel ->
-                channel.close().addListener(closed -> runOnEventLoop(this::logListenerClosed)));
+  public Mono<StopReport> stopReport() {
+    return Mono.create(sink -> runOnEventLoop(() -> sink.success(stop.report())));
   }
 
-  private void logListenerClosed() {
-    log.write(createStopReport(false).addTo(LogEvent.of("stop.listener_closed")));
+  /** Closes all sockets and ends the event loop. */
+  @Override
+  public void close() {
+    loopResources.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block();
   }
 
   private void onConnection(Connection connection) {
     ClientLimits limits = routing.routes().limits();
     int maxBodyBytes = (int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes());
+    RequestReadProgress progress = new RequestReadProgress();
+    connection.addHandlerLast("received-bytes", progress.bytesHandler());
     connection.addHandlerLast(
         new HttpServerCodec(
             new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes())));
+    connection.addHandlerLast("received-messages", progress.messageHandler());
     connection.addHandlerLast(new HttpObjectAggregator(maxBodyBytes));
     connection.addHandlerLast(
         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
-    connection.addHandlerLast(new ClientHandler(this));
+    connection.addHandlerLast(new ClientHandler(this, progress));
     connection.channel().config().setAutoRead(true);
   }
 
@@ -292,6 +265,23 @@
     clients.remove(client);
   }
 
+  void recordIncompleteRefusal(HttpHeaders headers) {
+    record(
+        "refused",
+        0,
+        () ->
+            LogEvent.of("request.refused")
+                .with("request", headers.get(settings.headerNames().requestId(), ""))
+                .with("detail", "503 the entry is stopping and the body is incomplete"));
+  }
+
+  void recordDiscarded(HttpHeaders headers) {
+    log.write(
+        LogEvent.of("request.discarded")
+            .with("request", headers.get(settings.headerNames().requestId(), ""))
+            .with("detail", "the response before it closed the connection"));
+  }
+
   RelayExchange createExchange(RelayRequest request, Consumer<RelayResponse> responder) {
     RelayExchange exchange = new RelayExchange(this, request, responder);
     exchanges.add(exchange);
@@ -316,6 +306,11 @@
     return new LoadReport(requestCounts, observations);
   }
 
+  @Override
+  public boolean refusesRequests() {
+    return stop.state().refusesRequests();
+  }
+
   @Override
   public RoutingState routing() {
     return routing;
@@ -379,8 +374,8 @@
   @Override
   public void record(String outcome, long durationNanos, Supplier<LogEvent> event) {
     metrics.recordOutcome(outcome, durationNanos);
-    if (stopping && outcome.equals("refused")) {
-      refusedWhileStopping++;
+    if (outcome.equals("refused")) {
+      stop.countRefusal();
     }
     if (!outcome.equals("answered") || answeredCount++ % ANSWERED_LOG_INTERVAL == 0) {
       log.write(event.get());
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -41,4 +41,7 @@
 
   /** Removes a completed exchange. */
   void removeExchange(RelayExchange exchange);
+
+  /** Returns whether new requests are refused because the process stops. */
+  boolean refusesRequests();
 }
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -45,6 +45,7 @@
   private static final long OWNERSHIP_WAIT_MILLIS = 60;
 
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
+  private static final String STOPPING = "the entry is stopping";
 
   private final RelayContext context;
   private final RelayRequest request;
@@ -78,6 +79,10 @@
   }
 
   void start() {
+    if (context.refusesRequests()) {
+      refuse(STOPPING, RetryAfter.ENTRY_STOPPING.millis());
+      return;
+    }
     if (!context.routing().isComplete()) {
       refuse("no routing information yet", DEFAULT_RETRY_AFTER_MILLIS);
       return;
@@ -143,7 +148,19 @@
 
   /** Returns whether a target may be working on the request. */
   boolean isForwarded() {
-    return call.isPresent();
+    return call.isPresent() && call.get().isSent();
+  }
+
+  /** Refuses the request unless a target may be working on it. */
+  void refuseUnlessForwarded() {
+    if (completed || isForwarded()) {
+      return;
+    }
+    call.ifPresent(TargetConnections.Call::cancel);
+    call = Optional.empty();
+    target.ifPresent(TargetStats::recordCancellation);
+    target = Optional.empty();
+    refuse(STOPPING, RetryAfter.ENTRY_STOPPING.millis());
   }
 
   private long remainingMillis() {
@@ -385,21 +402,12 @@
     }
   }
 
-  /** Delay after which a client should retry; 0 to omit the header. */
-  private record RetryAfter(long millis) {
-    private static final RetryAfter NONE = new RetryAfter(0);
-  }
-
   private void respond(HttpResponseStatus status, String reason, RetryAfter retryAfter) {
     HttpHeaders headers = new DefaultHttpHeaders();
     if (!request.id().isEmpty()) {
       headers.set(context.headerNames().requestId(), request.id());
     }
-    if (retryAfter.millis() > 0) {
-      headers.set(
-          HttpHeaderNames.RETRY_AFTER,
-          String.format(Locale.ROOT, "%.3f", retryAfter.millis() / 1e3));
-    }
+    retryAfter.addTo(headers);
     log(
         status.code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code() ? "refused" : "failed",
         status.code() + " " + reason);
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -41,12 +41,18 @@
   static final class Call {
     private Runnable cancelAction = () -> {};
     private boolean cancelled;
+    private boolean sent;
 
     /** Cancels the request; the listener is not called any more. */
     void cancel() {
       cancelled = true;
       cancelAction.run();
     }
+
+    /** Returns whether the request was written to a connection. */
+    boolean isSent() {
+      return sent;
+    }
   }
 
   TargetConnections(LoopResources loops, Executor executor, String requestIdHeader) {
@@ -85,6 +91,7 @@
     TargetConnection idle = takeIdle(pool);
     if (idle != null) {
       call.cancelAction = idle::cancel;
+      call.sent = true;
       idle.send(request, requestId, listener);
     } else if (pool.openCount >= maxConnections) {
       request.release();
@@ -170,6 +177,7 @@
       return;
     }
     call.cancelAction = targetConnection::cancel;
+    call.sent = true;
     targetConnection.send(request, requestId, listener);
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.KeyRange;
@@ -16,6 +17,7 @@
 import io.coltsfootwheel.routing.WeightedService;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -25,18 +27,28 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import reactor.core.publisher.Mono;
 
 /** Tests that a stop of the relay loses no request that it has read or forwarded. */
+@Timeout(60)
 class RelayStopTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
   private static final ServiceName KEYED = ServiceName.of("keyed");
   private static final long TIMEOUT_MILLIS = 20_000;
   private static final int SOCKET_TIMEOUT_MILLIS = 30_000;
 
+  /** Longer than the stops of these tests, and short enough for a request to wait. */
+  private static final int OWNER_EXPECTED_MILLIS = 5_000;
+
   private final ConcurrentLinkedQueue<String> logLines = new ConcurrentLinkedQueue<>();
   private EventLog log;
   private Relay relay;
@@ -57,6 +69,7 @@
   @AfterEach
   void stop() throws InterruptedException {
     relay.drain(1_000).block();
+    relay.close();
     target.close();
     log.close();
   }
@@ -98,7 +111,7 @@
     target = new ScriptedTarget("a", SERVICE, steps);
     // No target holds a key of the keyed service, so its requests wait for an owner.
     OwnershipView.Range range =
-        new OwnershipView.Range(KEYED, KeyRange.ALL, target.id(), false, (int) TIMEOUT_MILLIS);
+        new OwnershipView.Range(KEYED, KeyRange.ALL, target.id(), false, OWNER_EXPECTED_MILLIS);
     relay.updateOwnership(new OwnershipView(List.of(target.view()), List.of(range)));
   }
 
@@ -160,6 +173,136 @@
     assertThat(target.requests()).isEmpty();
   }
 
+  /** Guards against a request that the stop cuts because only a part of it was received. */
+  @Test
+  void requestReceivedInPartIsRefusedWhenItIsComplete() throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER);
+    try (Socket socket = connect()) {
+      write(socket, "POST /any/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n\r\nha");
+      awaitReport(report -> report.openConnections() == 1);
+      relay.beginStop();
+      final Mono<StopReport> drained = startDrain(TIMEOUT_MILLIS);
+      awaitLogLine("stop.listener_closed");
+      // Longer than the time in which a new connection may send its first request.
+      TimeUnit.MILLISECONDS.sleep(400);
+      write(socket, "lf");
+      assertThat(readToEnd(socket)).startsWith("HTTP/1.1 503").contains("retry-after: 0.05");
+      assertThat(drained.block().limitReached()).isFalse();
+    }
+    assertThat(target.requests()).isEmpty();
+  }
+
+  /** Guards against requests that were read but never answered, behind the one in progress. */
+  @ParameterizedTest
+  @CsvSource({"true, '200 503 503'", "false, '200 200 200'"})
+  void everyPipelinedRequestIsAnsweredWhenTheRelayStops(boolean draining, String statuses)
+      throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER_WHEN_RELEASED);
+    try (Socket socket = connect()) {
+      write(socket, request("/any/1") + request("/any/2") + request("/any/3"));
+      awaitReport(report -> report.forwardedRequests() == 1);
+      relay.beginStop();
+      if (draining) {
+        startDrain(TIMEOUT_MILLIS);
+        awaitLogLine("stop.listener_closed");
+      }
+      target.release();
+      String text = readToEnd(socket);
+      assertThat(statusesOf(text)).isEqualTo(statuses);
+      assertThat(text.split("connection: close", -1)).hasSize(2);
+    }
+  }
+
+  /** Guards against a malformed request that takes the response of the request before it. */
+  @Test
+  void malformedRequestIsAnsweredAfterTheOneInProgress() throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER_WHEN_RELEASED);
+    try (Socket socket = connect()) {
+      write(socket, request("/any/1") + "GET / no-protocol x\r\n\r\n");
+      awaitReport(report -> report.forwardedRequests() == 1);
+      target.release();
+      assertThat(statusesOf(readToEnd(socket))).isEqualTo("200 400");
+    }
+  }
+
+  /**
+   * Guards against a false response of the relay to a request at a target, and against requests
+   * without a response that no target works on, at the time limit of the stop.
+   */
+  @Test
+  void limitRefusesOnlyWhatIsNotForwarded() throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER_WHEN_RELEASED);
+    try (Socket forwarded = connect();
+        Socket waiting = connect();
+        Socket incomplete = connect()) {
+      write(forwarded, request("/any/1"));
+      write(waiting, request("/keyed/1"));
+      write(incomplete, "POST /any/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n\r\nha");
+      awaitReport(r -> r.forwardedRequests() == 1 && r.busyConnections() == 2);
+      relay.beginStop();
+      StopReport report = relay.drain(1_000).block();
+      assertThat(readToEnd(forwarded)).doesNotContain("HTTP/1.1");
+      assertThat(readToEnd(waiting)).startsWith("HTTP/1.1 503").contains("retry-after");
+      assertThat(readToEnd(incomplete)).startsWith("HTTP/1.1 503").contains("retry-after");
+      assertThat(report.limitReached()).isTrue();
+      assertThat(report.refusedRequests()).isEqualTo(2);
+    }
+  }
+
+  /** Guards against a process that ends while connections are open or its listener accepts. */
+  @Test
+  void nothingIsOpenAfterTheDrain() throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER);
+    try (Socket idle = connect()) {
+      write(idle, request("/any/1"));
+      awaitReport(report -> report.openConnections() == 1 && !target.requests().isEmpty());
+      relay.beginStop();
+      StopReport report = relay.drain(TIMEOUT_MILLIS).block();
+      assertThat(report.openConnections()).isZero();
+      assertThat(readToEnd(idle)).startsWith("HTTP/1.1 200");
+      assertThatThrownBy(this::connect).isInstanceOf(ConnectException.class);
+    }
+  }
+
+  /** Guards against a second stop that ends the first one early or never completes. */
+  @Test
+  void repeatedStopWaitsForTheRequestInProgress() throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER_WHEN_RELEASED);
+    try (Socket socket = connect()) {
+      write(socket, request("/any/1"));
+      awaitReport(report -> report.forwardedRequests() == 1);
+      relay.beginStop();
+      final Mono<StopReport> first = startDrain(TIMEOUT_MILLIS);
+      relay.beginStop();
+      final Mono<StopReport> second = startDrain(1);
+      awaitLogLine("stop.listener_closed");
+      target.release();
+      assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
+      assertThat(first.block().limitReached()).isFalse();
+      assertThat(second.block()).isEqualTo(first.block());
+    }
+  }
+
+  private static String statusesOf(String responses) {
+    return Pattern.compile("HTTP/1.1 (\\d+)")
+        .matcher(responses)
+        .results()
+        .map(result -> result.group(1))
+        .collect(Collectors.joining(" "));
+  }
+
+  private void awaitReport(Predicate<StopReport> condition) throws InterruptedException {
+    while (!condition.test(relay.stopReport().block())) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
+  private void awaitLogLine(String event) throws InterruptedException {
+    while (logLines.stream().noneMatch(line -> line.contains(event))) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await();
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -89,6 +89,7 @@
   @AfterEach
   void stop() throws InterruptedException {
     relay.drain(1_000).block();
+    relay.close();
     targets.forEach(ScriptedTarget::close);
     log.close();
   }
@@ -300,7 +301,7 @@
       relay.beginStop();
       Mono<StopReport> stopped = relay.drain(LONG_TIMEOUT_MILLIS).cache();
       stopped.subscribe();
-      assertThat(relay.stopReport(false).block().busyConnections()).isEqualTo(1);
+      assertThat(relay.stopReport().block().busyConnections()).isEqualTo(1);
       byte[] chunk = new byte[64 * 1024];
       int read = 0;
       while (read >= 0 && received < ScriptedTarget.LARGE_BYTES) {
--- a/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
 
 /**
  * Target on the loopback interface that handles each request as the next step of a script defines.
@@ -30,6 +31,7 @@
   enum Step {
     ANSWER,
     SLOW_ANSWER,
+    ANSWER_WHEN_RELEASED,
     REJECT,
     MISDIRECT,
     SERVER_ERROR,
@@ -53,6 +55,7 @@
   private final ServiceName service;
   private final ServerSocket server;
   private final Queue<Step> script;
+  private final CountDownLatch released = new CountDownLatch(1);
   private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
 
   ScriptedTarget(String id, ServiceName service, Step... steps) {
@@ -90,6 +93,11 @@
     return List.copyOf(requests);
   }
 
+  /** Lets the step {@link Step#ANSWER_WHEN_RELEASED} answer. */
+  void release() {
+    released.countDown();
+  }
+
   @Override
   public void close() {
     try {
@@ -169,6 +177,10 @@
         Thread.sleep(SLOW_RESPONSE_MILLIS);
         write(out, "200 OK", signedHeaders, "answer");
       }
+      case ANSWER_WHEN_RELEASED -> {
+        released.await();
+        write(out, "200 OK", signedHeaders, "answer");
+      }
       case REJECT -> write(out, "503 Busy", "id: " + requestId + "\r\nrejected: 1\r\n", "");
       case MISDIRECT -> write(out, "421 Other", "id: " + requestId + "\r\n", "");
       case SERVER_ERROR -> write(out, "500 Error", signedHeaders, "broken");
