--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
+import io.coltsfootwheel.relay.StopReport;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import reactor.core.publisher.Mono;
 
 /**
@@ -54,11 +54,7 @@
     this.finder = new LeaderFinder(settings.seeds());
     this.links =
         new NodeLinks(
-            settings.cluster(),
-            settings.linkAddress(),
-            settings.memberPort(),
-            (from, message) -> executor.execute(() -> receive(from, message)),
-            log);
+            settings.cluster(), settings.linkAddress(), settings.memberPort(), this::enqueue, log);
   }
 
   /** Starts to accept client connections and to subscribe to routing updates. */
@@ -84,6 +80,7 @@
   public void close() {
     subscriptionTask.ifPresent(s -> s.cancel(false));
     links.close();
+    relay.close();
   }
 
   private void reportLoadAndSubscribe() {
@@ -111,6 +108,13 @@
     }
   }
 
+  /** Passes a message to the event loop; messages that arrive after its end are dropped. */
+  private void enqueue(InstanceId from, NodeMessage message) {
+    if (!executor.isShutdown()) {
+      executor.execute(() -> receive(from, message));
+    }
+  }
+
   private void receive(InstanceId from, NodeMessage message) {
     if (message instanceof NodeMessage.Routing update) {
       applyUpdate(from, update);
@@ -171,18 +175,15 @@
   }
 
   /**
-   * Waits until the requests in flight are answered, up to a timeout.
+   * Stops serving clients: reports not ready, then drains the relay.
    *
-   * @param millis longest time to wait, in milliseconds
-   * @return completes when no request is in flight or the time has passed
+   * @param graceMillis time after which the process is killed, in milliseconds
+   * @return completes when all client connections are closed
    */
-  public Mono<Void> drained(long millis) {
-    return relay
-        .closeIdleConnections()
-        .filter(busy -> busy == 0)
-        .repeatWhenEmpty(r -> r.delayElements(Duration.ofMillis(20)))
-        .timeout(Duration.ofMillis(millis))
-        .onErrorComplete(TimeoutException.class)
-        .then();
+  public Mono<StopReport> stop(long graceMillis) {
+    StopSchedule schedule = StopSchedule.of(graceMillis);
+    relay.beginStop();
+    return Mono.delay(Duration.ofMillis(schedule.noticeMillis()))
+        .then(relay.drain(schedule.drainMillis()));
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -15,15 +15,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -43,11 +44,12 @@
  *
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
-public final class Relay implements RelayContext {
+public final class Relay implements RelayContext, AutoCloseable {
   private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private static final int LISTEN_BACKLOG = 1_024;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
   /** One in this many answered requests is logged; the others only count in the metrics. */
   private static final int ANSWERED_LOG_INTERVAL = 50;
@@ -58,7 +60,10 @@
   private final RelaySettings settings;
   private final EventLog log;
   private final RelayMetrics metrics;
-  private final LoopResources loopResources = LoopResources.create("relay", 1, 1, true);
+
+  /** One loop accepts and serves, so that no accepted connection waits for its registration. */
+  private final LoopResources loopResources = LoopResources.create("relay", 1, true);
+
   private final EventLoop eventLoop = (EventLoop) loopResources.onServer(false).next();
   private final RoutingState routing = new RoutingState();
   private final UniformRandomProvider random;
@@ -68,11 +73,10 @@
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
+  private final RelayStop stop;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
-  private Optional<DisposableServer> server = Optional.empty();
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
-  private volatile boolean stopping;
   private volatile boolean routingComplete;
 
   /**
@@ -92,23 +96,24 @@
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
     this.connections =
         new TargetConnections(loopResources, eventLoop, settings.headerNames().requestId());
+    this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
 
   /** Binds the client address and accepts connections. */
   public void start() {
     try {
-      server =
-          Optional.of(
-              TcpServer.create()
-                  .runOn(loopResources, false)
-                  .host(settings.listen().host())
-                  .port(settings.listen().port())
-                  .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
-                  .childOption(ChannelOption.TCP_NODELAY, true)
-                  .doOnConnection(this::onConnection)
-                  .handle((in, out) -> Mono.never())
-                  .bindNow());
+      DisposableServer server =
+          TcpServer.create()
+              .runOn(loopResources, false)
+              .host(settings.listen().host())
+              .port(settings.listen().port())
+              .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+              .childOption(ChannelOption.TCP_NODELAY, true)
+              .doOnConnection(this::onConnection)
+              .handle((in, out) -> Mono.never())
+              .bindNow();
+      runOnEventLoop(() -> stop.listenerBound(server.channel()));
     } catch (RuntimeException e) {
       throw ColtsfootwheelException.of(
           ErrorKind.INVALID_SETTINGS,
@@ -193,46 +198,62 @@
    * @return true once routes and targets are known, until the relay begins to stop
    */
   public boolean isReady() {
-    return routingComplete && !stopping;
+    return routingComplete && stop.state() == StopState.SERVING;
   }
 
-  boolean isStopping() {
-    return stopping;
+  StopState stopState() {
+    return stop.state();
   }
 
   /** Begins to stop: from now on each response closes its client connection. */
   public void beginStop() {
-    stopping = true;
+    runOnEventLoop(stop::announce);
   }
 
   /**
-   * Stops accepting connections and closes idle ones.
+   * Stops accepting connections, refuses new requests and closes each connection when nothing is in
+   * progress on it. At the limit, requests that no target works on are refused and all connections
+   * are closed. A repeated call returns the result of the first one.
    *
-   * @return completes with the number of connections with a request or response in progress
+   * @param limitMillis time after which the remaining connections are closed, in milliseconds
+   * @return completes with what was left when the last connections were closed
    */
-  public Mono<Integer> closeIdleConnections() {
-    return Mono.create(
-        sink ->
-            eventLoop.execute(
-                () -> {
-                  server.ifPresent(s -> s.channel().close());
-                  List.copyOf(clients).forEach(ClientHandler::closeWhenIdle);
-                  sink.success((int) clients.stream().filter(ClientHandler::isBusy).count());
-                }));
+  public Mono<StopReport> drain(long limitMillis) {
+    return Mono.<Mono<StopReport>>create(
+            sink -> runOnEventLoop(() -> sink.success(stop.drain(limitMillis))))
+        .flatMap(drained -> drained);
+  }
+
+  /**
+   * Returns what is in progress now.
+   *
+   * @return the report
+   */
+  public Mono<StopReport> stopReport() {
+    return Mono.create(sink -> runOnEventLoop(() -> sink.success(stop.report())));
+  }
+
+  /** Closes all sockets and ends the event loop. */
+  @Override
+  public void close() {
+    loopResources.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block();
   }
 
   private void onConnection(Connection connection) {
     ClientLimits limits = routing.routes().limits();
     int maxBodyBytes = (int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes());
+    RequestReadProgress progress = new RequestReadProgress();
+    connection.addHandlerLast("received-bytes", progress.bytesHandler());
     connection.addHandlerLast(
         new HttpServerCodec(
             new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes())));
+    connection.addHandlerLast("received-messages", progress.messageHandler());
     connection.addHandlerLast(new HttpObjectAggregator(maxBodyBytes));
     connection.addHandlerLast(
         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
-    connection.addHandlerLast(new ClientHandler(this));
+    connection.addHandlerLast(new ClientHandler(this, progress));
     connection.channel().config().setAutoRead(true);
   }
 
@@ -244,6 +265,23 @@
     clients.remove(client);
   }
 
+  void recordIncompleteRefusal(HttpHeaders headers) {
+    record(
+        "refused",
+        0,
+        () ->
+            LogEvent.of("request.refused")
+                .with("request", headers.get(settings.headerNames().requestId(), ""))
+                .with("detail", "503 the entry is stopping and the body is incomplete"));
+  }
+
+  void recordDiscarded(HttpHeaders headers) {
+    log.write(
+        LogEvent.of("request.discarded")
+            .with("request", headers.get(settings.headerNames().requestId(), ""))
+            .with("detail", "the response before it closed the connection"));
+  }
+
   RelayExchange createExchange(RelayRequest request, Consumer<RelayResponse> responder) {
     RelayExchange exchange = new RelayExchange(this, request, responder);
     exchanges.add(exchange);
@@ -268,6 +306,11 @@
     return new LoadReport(requestCounts, observations);
   }
 
+  @Override
+  public boolean refusesRequests() {
+    return stop.state().refusesRequests();
+  }
+
   @Override
   public RoutingState routing() {
     return routing;
@@ -331,6 +374,9 @@
   @Override
   public void record(String outcome, long durationNanos, Supplier<LogEvent> event) {
     metrics.recordOutcome(outcome, durationNanos);
+    if (outcome.equals("refused")) {
+      stop.countRefusal();
+    }
     if (!outcome.equals("answered") || answeredCount++ % ANSWERED_LOG_INTERVAL == 0) {
       log.write(event.get());
     }
