Believe a refusal only if it belongs to this send of the request

Cause: an operator of a system like ours reported that a faulty target wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or the requests ran twice. It could happen here in three ways: a refusal without a request ID was believed; a keyed request that was refused was sent again 25 ms later on the same connection, where a repetition of the refusal bears the same ID; and bytes that were received before a request was sent (the beginning of a refusal) became the head of its response. Change: a response without the ID of a request that has one is invalid, and a refusal without it is the failure unconfirmed_refusal: 502 for a non-idempotent request, and never a second target. A connection remembers the IDs that the target refused on it, and such a request is sent on another connection. After 64 refusals a connection is closed, which bounds the IDs; closing it after each refusal would cost a new connection (1 ms at the target) per refusal under overload. TargetResponseDecoder notices bytes that belong to no response, and such a connection is not reused. A connection that delivered an invalid response is not reused either. Result: RelayTest passes (30 cases). Bytes that are still unread in the socket when a request is sent cannot be seen; there the ID decides.

--- a/src/main/java/io/coltsfootwheel/relay/CallFailure.java
+++ b/src/main/java/io/coltsfootwheel/relay/CallFailure.java
@@ -9,7 +9,12 @@
   /** The connection closed before the response was complete. */
   BROKEN(true),
   /** The received bytes are not a valid response to this request. */
-  GARBLED(true);
+  GARBLED(true),
+  /**
+   * The target refused a request without naming it by its ID; the refusal may be a repeated one of
+   * an earlier request.
+   */
+  UNCONFIRMED_REFUSAL(true);
 
   private final boolean mayHaveExecuted;
 
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -90,8 +90,7 @@
     this.retryBudget =
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
-    this.connections =
-        new TargetConnections(loopResources, eventLoop, settings.headerNames().requestId());
+    this.connections = new TargetConnections(loopResources, eventLoop, settings.headerNames());
     this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -239,10 +239,9 @@
   /** Handles the outcome of the call in progress. */
   private final class CallOutcome implements CallListener {
     @Override
-    public void onResponse(FullHttpResponse response) {
+    public void onResponse(FullHttpResponse response, ResponseCheck check) {
       TargetStats calledTarget = endCall();
-      ResponseCheck check = ResponseCheck.of(response, context.headerNames());
-      if (check == ResponseCheck.NOT_EXECUTED || check == ResponseCheck.MISDIRECTED) {
+      if (check.isRefusal()) {
         calledTarget.recordRejection();
       } else {
         calledTarget.recordResponse();
--- a/src/main/java/io/coltsfootwheel/relay/ResponseCheck.java
+++ b/src/main/java/io/coltsfootwheel/relay/ResponseCheck.java
@@ -19,6 +19,11 @@
   /** Not a response of the target's program; the request may have been executed. */
   INVALID;
 
+  /** Returns whether the response states that the request was not executed. */
+  boolean isRefusal() {
+    return this == NOT_EXECUTED || this == MISDIRECTED;
+  }
+
   static ResponseCheck of(FullHttpResponse response, ProtocolHeaderNames headerNames) {
     if (response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
       return MISDIRECTED;
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
@@ -9,7 +9,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -25,19 +27,32 @@
    */
   private static final double KEEP_ALIVE_RATIO = 0.7;
 
-  private final String requestIdHeader;
+  /**
+   * Refusals after which a connection is closed, so that the IDs of refused requests do not
+   * accumulate on a connection to an overloaded target.
+   */
+  private static final int MAX_REFUSALS = 64;
+
+  private final ProtocolHeaderNames headerNames;
+  private final TargetResponseDecoder decoder;
   private final Runnable onIdle;
   private final Runnable onClosed;
   private Channel channel;
   private Optional<CallListener> listener = Optional.empty();
   private String requestId = "";
   private ChannelFuture writeFuture;
+  private final Set<String> refusedRequestIds = new HashSet<>();
   private boolean reusable = true;
   private boolean closeAfterResponse;
   private long reusableUntilNanos;
 
-  TargetConnection(String requestIdHeader, Runnable onIdle, Runnable onClosed) {
-    this.requestIdHeader = requestIdHeader;
+  TargetConnection(
+      ProtocolHeaderNames headerNames,
+      TargetResponseDecoder decoder,
+      Runnable onIdle,
+      Runnable onClosed) {
+    this.headerNames = headerNames;
+    this.decoder = decoder;
     this.onIdle = onIdle;
     this.onClosed = onClosed;
   }
@@ -50,11 +65,23 @@
   void send(FullHttpRequest request, String newRequestId, CallListener callListener) {
     listener = Optional.of(callListener);
     requestId = newRequestId;
+    decoder.requestSent(request.method());
     writeFuture = channel.writeAndFlush(request);
   }
 
   boolean isReusable(long nowNanos) {
-    return reusable && channel.isActive() && nowNanos - reusableUntilNanos < 0;
+    return reusable
+        && channel.isActive()
+        && !decoder.hasSurplusBytes()
+        && nowNanos - reusableUntilNanos < 0;
+  }
+
+  /**
+   * Returns whether the target refused a request with this ID on this connection. A repetition of
+   * that refusal could not be told from a refusal of a further send of the request.
+   */
+  boolean hasRefused(String otherRequestId) {
+    return refusedRequestIds.contains(otherRequestId);
   }
 
   /** Cancels the request in progress and closes the connection; the listener is not called. */
@@ -82,20 +109,35 @@
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       return;
     }
-    String responseRequestId = response.headers().get(requestIdHeader);
+    String responseRequestId = response.headers().get(headerNames.requestId());
     if (responseRequestId != null && !responseRequestId.equals(requestId)) {
       // A response to another request, such as a late one; the awaited response may still follow.
       closeAfterResponse = true;
       return;
     }
-    complete(response);
+    ResponseCheck check = ResponseCheck.of(response, headerNames);
+    boolean namesRequest = responseRequestId != null && !requestId.isEmpty();
+    if (check.isRefusal() && !namesRequest) {
+      fail(CallFailure.UNCONFIRMED_REFUSAL);
+    } else if (responseRequestId == null && !requestId.isEmpty()) {
+      fail(CallFailure.GARBLED);
+    } else {
+      complete(response, check);
+    }
   }
 
-  private void complete(FullHttpResponse response) {
+  private void complete(FullHttpResponse response, ResponseCheck check) {
     CallListener callListener = listener.orElseThrow();
     listener = Optional.empty();
+    decoder.responseCompleted();
+    if (check.isRefusal()) {
+      refusedRequestIds.add(requestId);
+    }
     boolean keepOpen =
         !closeAfterResponse
+            && check != ResponseCheck.INVALID
+            && refusedRequestIds.size() < MAX_REFUSALS
+            && !decoder.hasSurplusBytes()
             && writeFuture.isSuccess()
             && HttpUtil.isKeepAlive(response)
             && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
@@ -103,7 +145,7 @@
         System.nanoTime()
             + TimeUnit.MILLISECONDS.toNanos((long) (KEEP_ALIVE_RATIO * keepAliveMillis(response)));
     try {
-      callListener.onResponse(response);
+      callListener.onResponse(response, check);
     } finally {
       if (keepOpen && channel.isActive()) {
         onIdle.run();
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -5,8 +5,8 @@
 import io.coltsfootwheel.model.TargetId;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.resolver.DefaultAddressResolverGroup;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -27,7 +27,7 @@
 
   private final TcpClient client;
   private final Executor executor;
-  private final String requestIdHeader;
+  private final ProtocolHeaderNames headerNames;
   private final Map<TargetId, Pool> pools = new HashMap<>();
   private long openedCount;
 
@@ -49,9 +49,9 @@
     }
   }
 
-  TargetConnections(LoopResources loops, Executor executor, String requestIdHeader) {
+  TargetConnections(LoopResources loops, Executor executor, ProtocolHeaderNames headerNames) {
     this.executor = executor;
-    this.requestIdHeader = requestIdHeader;
+    this.headerNames = headerNames;
     this.client =
         TcpClient.create(ConnectionProvider.newConnection())
             .resolver(DefaultAddressResolverGroup.INSTANCE)
@@ -61,7 +61,8 @@
   }
 
   /**
-   * Sends a request on an idle connection or on a new one.
+   * Sends a request on an idle connection or on a new one, but not on one on which the target
+   * refused a request with the same ID.
    *
    * @param target the target
    * @param maxConnections connections that this entry may have open to the target
@@ -82,7 +83,7 @@
       pool.address = target.address();
     }
     Call call = new Call();
-    TargetConnection idle = takeIdle(pool);
+    TargetConnection idle = takeIdle(pool, requestId);
     if (idle != null) {
       call.cancelAction = idle::cancel;
       idle.send(request, requestId, listener);
@@ -108,14 +109,23 @@
     }
   }
 
-  private static TargetConnection takeIdle(Pool pool) {
+  private static TargetConnection takeIdle(Pool pool, String requestId) {
     long nowNanos = System.nanoTime();
-    TargetConnection connection = pool.idle.pollFirst();
-    while (connection != null && !connection.isReusable(nowNanos)) {
-      connection.close();
-      connection = pool.idle.pollFirst();
+    closeUnusable(pool, nowNanos);
+    for (TargetConnection connection : pool.idle) {
+      if (connection.isReusable(nowNanos) && !connection.hasRefused(requestId)) {
+        pool.idle.remove(connection);
+        return connection;
+      }
+    }
+    return null;
+  }
+
+  /** Closes idle connections that cannot be reused, up to the first one that can. */
+  private static void closeUnusable(Pool pool, long nowNanos) {
+    while (!pool.idle.isEmpty() && !pool.idle.peekFirst().isReusable(nowNanos)) {
+      pool.idle.pollFirst().close();
     }
-    return connection;
   }
 
   private void connect(
@@ -150,17 +160,20 @@
       String requestId,
       CallListener listener,
       Call call) {
+    TargetResponseDecoder decoder = new TargetResponseDecoder();
     TargetConnection[] connectionReference = new TargetConnection[1];
     TargetConnection targetConnection =
         new TargetConnection(
-            requestIdHeader,
+            headerNames,
+            decoder,
             () -> pool.idle.addFirst(connectionReference[0]),
             () -> {
               pool.openCount--;
               pool.idle.remove(connectionReference[0]);
             });
     connectionReference[0] = targetConnection;
-    connection.addHandlerLast(new HttpClientCodec());
+    connection.addHandlerLast(decoder);
+    connection.addHandlerLast(new HttpRequestEncoder());
     connection.addHandlerLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES));
     connection.addHandlerLast(targetConnection);
     connection.channel().config().setAutoRead(true);
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -222,6 +222,79 @@
     assertThat(get("/keyed/1").statusCode()).isEqualTo(200);
   }
 
+  /** Guards against a refusal that names no request and is taken as the answer to the current. */
+  @ParameterizedTest
+  @CsvSource({"EXECUTE_AND_REJECT_WITHOUT_ID", "EXECUTE_AND_MISDIRECT_WITHOUT_ID"})
+  void refusalWithoutRequestIdIsNotBelieved(ScriptedTarget.Step refusal) throws Exception {
+    ScriptedTarget first = target("a", UNKEYED, ScriptedTarget.Step.ANSWER, refusal);
+    ScriptedTarget second = target("b", UNKEYED, ScriptedTarget.Step.ANSWER, refusal);
+    publishView(true, first, second);
+    for (int i = 0; i < 6; i++) {
+      assertThat(get("/unsafe/" + i).statusCode()).isIn(200, 502);
+    }
+    List<String> executedIds = new ArrayList<>(first.executedIds());
+    executedIds.addAll(second.executedIds());
+    assertThat(executedIds).doesNotHaveDuplicates().hasSize(6);
+  }
+
+  /**
+   * Guards against a repeated refusal of an earlier send of the same request, whose ID does not
+   * distinguish it from a refusal of the current send: the request would be executed twice.
+   */
+  @Test
+  void repeatedRefusalOfTheSameRequestIsNotBelieved() throws Exception {
+    ScriptedTarget target =
+        target(
+            "a",
+            KEYED,
+            ScriptedTarget.Step.REJECT,
+            ScriptedTarget.Step.REPEAT_REFUSAL_AND_ANSWER,
+            ScriptedTarget.Step.ANSWER);
+    publishView(true, target);
+    assertThat(get("/keyed/1").statusCode()).isEqualTo(200);
+    assertThat(target.executedIds()).hasSize(1);
+  }
+
+  /**
+   * Guards against a repeated refusal that is taken as the answer to the next request on the
+   * connection, whether the client gave that request a new ID or the one that was refused.
+   */
+  @ParameterizedTest
+  @CsvSource({"/unsafe/2", "/unsafe/1"})
+  void repeatedRefusalIsNotTheAnswerToTheNextRequest(String nextPath) throws Exception {
+    ScriptedTarget target =
+        target(
+            "a",
+            UNKEYED,
+            ScriptedTarget.Step.REJECT,
+            ScriptedTarget.Step.REJECT,
+            ScriptedTarget.Step.REJECT,
+            ScriptedTarget.Step.REPEAT_REFUSAL_AND_ANSWER);
+    publishView(true, target);
+    assertThat(get("/unsafe/1").statusCode()).isEqualTo(503);
+    assertThat(get(nextPath).statusCode()).isEqualTo(200);
+    assertThat(target.executedIds()).hasSize(1);
+  }
+
+  /**
+   * Guards against bytes that were pending before a request was sent and become part of the head of
+   * its response: the beginning of a refusal makes a refusal of a successful response.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = ScriptedTarget.Step.class,
+      names = {"ANSWER_AND_PARTIAL_REFUSAL", "ANSWER_AND_LATE_PARTIAL_REFUSAL"})
+  void connectionWithPendingBytesIsNotReused(ScriptedTarget.Step step) throws Exception {
+    ScriptedTarget target = target("a", UNKEYED, step, ScriptedTarget.Step.ANSWER);
+    publishView(true, target);
+    assertThat(get("/unsafe/1").statusCode()).isEqualTo(200);
+    if (step == ScriptedTarget.Step.ANSWER_AND_LATE_PARTIAL_REFUSAL) {
+      target.awaitLateBytes();
+    }
+    assertThat(get("/unsafe/2").statusCode()).isEqualTo(200);
+    assertThat(target.executedIds()).hasSize(2);
+  }
+
   /** Guards against an extra response that is taken as the response to the next request. */
   @Test
   void extraResponseIsDiscarded() throws Exception {
--- a/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
 
 /**
  * Target on the loopback interface that handles each request as the next step of a script defines.
@@ -32,6 +33,16 @@
     SLOW_ANSWER,
     REJECT,
     MISDIRECT,
+    /** Executes the request, but states that it did not, without naming a request. */
+    EXECUTE_AND_REJECT_WITHOUT_ID,
+    /** Executes the request, but responds 421 without naming a request. */
+    EXECUTE_AND_MISDIRECT_WITHOUT_ID,
+    /** Writes the last refusal of the connection once more, then executes the request. */
+    REPEAT_REFUSAL_AND_ANSWER,
+    /** Begins a further refusal right after the answer. */
+    ANSWER_AND_PARTIAL_REFUSAL,
+    /** Begins a further refusal while the connection is idle. */
+    ANSWER_AND_LATE_PARTIAL_REFUSAL,
     SERVER_ERROR,
     TRUNCATE,
     MALFORMED,
@@ -49,11 +60,16 @@
 
   private static final long SLOW_RESPONSE_MILLIS = 150;
 
+  /** Refusal without request ID whose last header swallows the status line that follows it. */
+  private static final String PARTIAL_REFUSAL = "HTTP/1.1 503 Busy\r\nrejected: 1\r\npadding: ";
+
   private final TargetId id;
   private final ServiceName service;
   private final ServerSocket server;
   private final Queue<Step> script;
   private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+  private final CountDownLatch lateBytesWritten = new CountDownLatch(1);
+  private final List<String> executedIds = Collections.synchronizedList(new ArrayList<>());
 
   ScriptedTarget(String id, ServiceName service, Step... steps) {
     this.id = TargetId.of(id);
@@ -90,6 +106,16 @@
     return List.copyOf(requests);
   }
 
+  /** Waits until the bytes of {@link Step#ANSWER_AND_LATE_PARTIAL_REFUSAL} are written. */
+  void awaitLateBytes() throws InterruptedException {
+    lateBytesWritten.await();
+  }
+
+  /** Returns the ID of each request executed, in order. */
+  List<String> executedIds() {
+    return List.copyOf(executedIds);
+  }
+
   @Override
   public void close() {
     try {
@@ -120,11 +146,18 @@
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
       String head = readHead(in);
+      String lastRefusedId = "";
       while (!head.isEmpty()) {
         requests.add(head);
-        if (!execute(nextStep(), header(head, "id"), socket)) {
+        String requestId = header(head, "id");
+        Step step = nextStep();
+        if (step == Step.REPEAT_REFUSAL_AND_ANSWER && !lastRefusedId.isEmpty()) {
+          writeRejection(socket.getOutputStream(), lastRefusedId);
+        }
+        if (!execute(step, requestId, socket)) {
           return;
         }
+        lastRefusedId = step == Step.REJECT ? requestId : lastRefusedId;
         head = readHead(in);
       }
     } catch (IOException | InterruptedException e) {
@@ -162,6 +195,9 @@
 
   private boolean execute(Step step, String requestId, Socket socket)
       throws IOException, InterruptedException {
+    if (step != Step.REJECT && step != Step.MISDIRECT) {
+      executedIds.add(requestId);
+    }
     OutputStream out = socket.getOutputStream();
     String signedHeaders = "id: " + requestId + "\r\nsignature: s\r\n";
     switch (step) {
@@ -169,7 +205,17 @@
         Thread.sleep(SLOW_RESPONSE_MILLIS);
         write(out, "200 OK", signedHeaders, "answer");
       }
-      case REJECT -> write(out, "503 Busy", "id: " + requestId + "\r\nrejected: 1\r\n", "");
+      case REJECT -> writeRejection(out, requestId);
+      case EXECUTE_AND_REJECT_WITHOUT_ID -> write(out, "503 Busy", "rejected: 1\r\n", "");
+      case EXECUTE_AND_MISDIRECT_WITHOUT_ID -> write(out, "421 Other", "", "");
+      case ANSWER_AND_PARTIAL_REFUSAL ->
+          out.write(bytes(response("200 OK", signedHeaders, "answer") + PARTIAL_REFUSAL));
+      case ANSWER_AND_LATE_PARTIAL_REFUSAL -> {
+        write(out, "200 OK", signedHeaders, "answer");
+        Thread.sleep(SLOW_RESPONSE_MILLIS);
+        out.write(bytes(PARTIAL_REFUSAL));
+        lateBytesWritten.countDown();
+      }
       case MISDIRECT -> write(out, "421 Other", "id: " + requestId + "\r\n", "");
       case SERVER_ERROR -> write(out, "500 Error", signedHeaders, "broken");
       case TRUNCATE -> {
@@ -201,21 +247,27 @@
     return true;
   }
 
+  private static void writeRejection(OutputStream out, String requestId) throws IOException {
+    write(out, "503 Busy", "id: " + requestId + "\r\nrejected: 1\r\n", "");
+  }
+
   private static void write(OutputStream out, String status, String headers, String body)
       throws IOException {
-    out.write(
-        bytes(
-            "HTTP/1.1 "
-                + status
-                + "\r\n"
-                + headers
-                + "Content-Length: "
-                + body.length()
-                + "\r\n\r\n"
-                + body));
+    out.write(bytes(response(status, headers, body)));
     out.flush();
   }
 
+  private static String response(String status, String headers, String body) {
+    return "HTTP/1.1 "
+        + status
+        + "\r\n"
+        + headers
+        + "Content-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
