--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -94,8 +94,7 @@
     this.retryBudget =
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
-    this.connections =
-        new TargetConnections(loopResources, eventLoop, settings.headerNames().requestId());
+    this.connections = new TargetConnections(loopResources, eventLoop, settings.headerNames());
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
