End responses without end before they use up the memory of an entry

Callers saw a request held until its deadline, or an entry without memory for network buffers, when a target sent bytes without end.

Cause: one response was aggregated up to 64 MB, twice the direct memory of an entry, with no limit over all responses. Interim responses and responses to other requests were skipped without a limit, chunks of one byte cost a copy of the whole body again and again, and bytes after 101 were read as another protocol. Bytes on an idle connection waited in the decoder and became the beginning of the next response. Change: BufferedBodyBudget counts the incomplete bodies of the process, with a cost per part, and aborts the largest one above 16 MB, so an endless body does not fail the others. At most 16 responses are skipped, 101 is no usable response, and bytes without a request close their connection. Each of these closes with a log line target.connection.closed or the failure of the request.

--- a/src/main/java/io/coltsfootwheel/relay/CallFailure.java
+++ b/src/main/java/io/coltsfootwheel/relay/CallFailure.java
@@ -9,7 +9,9 @@
   /** The connection closed before the response was complete. */
   BROKEN(true),
   /** The received bytes are not a valid response to this request. */
-  GARBLED(true);
+  GARBLED(true),
+  /** The response was larger than the memory that is left for incomplete responses. */
+  OVERSIZED(true);
 
   private final boolean mayHaveExecuted;
 
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -65,6 +65,8 @@
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
+  private final BufferedBodyBudget bodyBudget =
+      new BufferedBodyBudget(BufferedBodyBudget.MAX_BODY_BYTES);
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
@@ -91,7 +93,8 @@
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
     this.connections =
-        new TargetConnections(loopResources, eventLoop, settings.headerNames().requestId());
+        new TargetConnections(
+            loopResources, eventLoop, settings.headerNames().requestId(), bodyBudget, log);
     this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
@@ -4,9 +4,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
@@ -25,6 +27,11 @@
    */
   private static final double KEEP_ALIVE_RATIO = 0.7;
 
+  /**
+   * Interim and other responses that may precede the awaited one; a target may send them forever.
+   */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
   private final String requestIdHeader;
   private final Runnable onIdle;
   private final Runnable onClosed;
@@ -32,6 +39,7 @@
   private Optional<CallListener> listener = Optional.empty();
   private String requestId = "";
   private ChannelFuture writeFuture;
+  private int skippedResponses;
   private boolean reusable = true;
   private boolean closeAfterResponse;
   private long reusableUntilNanos;
@@ -50,9 +58,15 @@
   void send(FullHttpRequest request, String newRequestId, CallListener callListener) {
     listener = Optional.of(callListener);
     requestId = newRequestId;
+    skippedResponses = 0;
     writeFuture = channel.writeAndFlush(request);
   }
 
+  /** Returns whether no request is in progress. */
+  boolean isIdle() {
+    return listener.isEmpty();
+  }
+
   boolean isReusable(long nowNanos) {
     return reusable && channel.isActive() && nowNanos - reusableUntilNanos < 0;
   }
@@ -79,18 +93,31 @@
       fail(CallFailure.GARBLED);
       return;
     }
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      fail(CallFailure.GARBLED);
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skipResponse();
       return;
     }
     String responseRequestId = response.headers().get(requestIdHeader);
     if (responseRequestId != null && !responseRequestId.equals(requestId)) {
       // A response to another request, such as a late one; the awaited response may still follow.
       closeAfterResponse = true;
+      skipResponse();
       return;
     }
     complete(response);
   }
 
+  private void skipResponse() {
+    skippedResponses++;
+    if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+      fail(CallFailure.GARBLED);
+    }
+  }
+
   private void complete(FullHttpResponse response) {
     CallListener callListener = listener.orElseThrow();
     listener = Optional.empty();
@@ -132,7 +159,12 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // A reset also ends a response without Content-Length, which must not be taken as complete.
     reusable = false;
-    fail(CallFailure.BROKEN);
+    fail(cause instanceof TooLongFrameException ? CallFailure.OVERSIZED : CallFailure.BROKEN);
+  }
+
+  /** Ends the request in progress because its response uses too much memory. */
+  void abortOversized() {
+    fail(CallFailure.OVERSIZED);
   }
 
   private void fail(CallFailure failure) {
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -1,5 +1,7 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.TargetId;
@@ -23,11 +25,11 @@
   /** A target in the same region accepts a connection within a few milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
-  private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
-
   private final TcpClient client;
   private final Executor executor;
   private final String requestIdHeader;
+  private final BufferedBodyBudget budget;
+  private final EventLog log;
   private final Map<TargetId, Pool> pools = new HashMap<>();
   private long openedCount;
 
@@ -49,9 +51,16 @@
     }
   }
 
-  TargetConnections(LoopResources loops, Executor executor, String requestIdHeader) {
+  TargetConnections(
+      LoopResources loops,
+      Executor executor,
+      String requestIdHeader,
+      BufferedBodyBudget budget,
+      EventLog log) {
     this.executor = executor;
     this.requestIdHeader = requestIdHeader;
+    this.budget = budget;
+    this.log = log;
     this.client =
         TcpClient.create(ConnectionProvider.newConnection())
             .resolver(DefaultAddressResolverGroup.INSTANCE)
@@ -160,9 +169,7 @@
               pool.idle.remove(connectionReference[0]);
             });
     connectionReference[0] = targetConnection;
-    connection.addHandlerLast(new HttpClientCodec());
-    connection.addHandlerLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES));
-    connection.addHandlerLast(targetConnection);
+    addHandlers(connection, targetConnection, pool.address);
     connection.channel().config().setAutoRead(true);
     if (call.cancelled) {
       request.release();
@@ -173,6 +180,32 @@
     targetConnection.send(request, requestId, listener);
   }
 
+  private void addHandlers(
+      Connection connection, TargetConnection targetConnection, Address address) {
+    connection.addHandlerLast(
+        new UnrequestedBytesHandler(
+            targetConnection::isIdle,
+            () -> {
+              logClosed(address, "bytes arrived without a request");
+              targetConnection.close();
+            }));
+    connection.addHandlerLast(new HttpClientCodec());
+    connection.addHandlerLast(
+        new BufferedBodyLimiter(
+            budget,
+            () -> {
+              logClosed(address, "incomplete responses use too much memory");
+              targetConnection.abortOversized();
+            }));
+    connection.addHandlerLast(new HttpObjectAggregator(BufferedBodyBudget.MAX_BODY_BYTES));
+    connection.addHandlerLast(targetConnection);
+  }
+
+  private void logClosed(Address address, String reason) {
+    log.write(
+        LogEvent.of("target.connection.closed").with("address", address).with("reason", reason));
+  }
+
   private static void closeIdle(Pool pool) {
     pool.idle.forEach(TargetConnection::close);
     pool.idle.clear();
