Forward a response whose Keep-Alive header has a number that is too large

Callers saw 504 at the deadline although the target had answered.

Cause: Long.parseLong threw on the timeout of Keep-Alive after the listener of the request had been removed, so neither the response nor a failure reached the request. Evidence: responseWithExcessiveKeepAliveTimeoutIsForwarded failed at the comparison with "answer" (EndlessBytesTest:262). Change: the header is read up to nine digits, which cannot overflow. Result: the test passes.

--- a/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
@@ -18,7 +18,7 @@
 
 /** Connection to a target; carries one request at a time. */
 final class TargetConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
-  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout\\s*=\\s*(\\d+)");
+  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout\\s*=\\s*(\\d{1,9})");
   private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
 
   /**
--- a/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
@@ -251,4 +251,14 @@
     assertThat(target.awaitClose(10)).isTrue();
     assertThat(send("/unsafe/2").get().body()).isEqualTo("answer");
   }
+
+  /** Guards against a response that is lost because of a header that is no usable number. */
+  @Test
+  void responseWithExcessiveKeepAliveTimeoutIsForwarded() throws Exception {
+    String timeout = "Keep-Alive: timeout=99999999999999999999\r\n";
+    EndlessTarget target =
+        endless("a", HEAD + timeout + "Content-Length: 6\r\n\r\nanswer", "a", 1_000);
+    publish(target.view());
+    assertThat(send("/brief/1").get().body()).isEqualTo("answer");
+  }
 }
