--- a/src/main/java/io/coltsfootwheel/relay/CallFailure.java
+++ b/src/main/java/io/coltsfootwheel/relay/CallFailure.java
@@ -14,7 +14,9 @@
    * The target refused a request without naming it by its ID; the refusal may be a repeated one of
    * an earlier request.
    */
-  UNCONFIRMED_REFUSAL(true);
+  UNCONFIRMED_REFUSAL(true),
+  /** The response was larger than the memory that is left for incomplete responses. */
+  OVERSIZED(true);
 
   private final boolean mayHaveExecuted;
 
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -70,6 +70,8 @@
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
+  private final BufferedBodyBudget bodyBudget =
+      new BufferedBodyBudget(BufferedBodyBudget.MAX_BODY_BYTES);
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
@@ -94,7 +96,8 @@
     this.retryBudget =
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
-    this.connections = new TargetConnections(loopResources, eventLoop, settings.headerNames());
+    this.connections =
+        new TargetConnections(loopResources, eventLoop, settings.headerNames(), bodyBudget, log);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, connections, log);
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
@@ -4,9 +4,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
@@ -18,7 +20,7 @@
 
 /** Connection to a target; carries one request at a time. */
 final class TargetConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
-  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout\\s*=\\s*(\\d+)");
+  private static final Pattern KEEP_ALIVE_SECONDS = Pattern.compile("timeout\\s*=\\s*(\\d{1,9})");
   private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
 
   /**
@@ -33,6 +35,11 @@
    */
   private static final int MAX_REFUSALS = 64;
 
+  /**
+   * Interim and other responses that may precede the awaited one; a target may send them forever.
+   */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
   private final ProtocolHeaderNames headerNames;
   private final TargetResponseDecoder decoder;
   private final Runnable onIdle;
@@ -42,6 +49,7 @@
   private String requestId = "";
   private ChannelFuture writeFuture;
   private final Set<String> refusedRequestIds = new HashSet<>();
+  private int skippedResponses;
   private boolean reusable = true;
   private boolean closeAfterResponse;
   private long reusableUntilNanos;
@@ -66,9 +74,15 @@
     listener = Optional.of(callListener);
     requestId = newRequestId;
     decoder.requestSent(request.method());
+    skippedResponses = 0;
     writeFuture = channel.writeAndFlush(request);
   }
 
+  /** Returns whether no request is in progress. */
+  boolean isIdle() {
+    return listener.isEmpty();
+  }
+
   boolean isReusable(long nowNanos) {
     return reusable
         && channel.isActive()
@@ -106,13 +120,19 @@
       fail(CallFailure.GARBLED);
       return;
     }
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      fail(CallFailure.GARBLED);
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skipResponse();
       return;
     }
     String responseRequestId = response.headers().get(headerNames.requestId());
     if (responseRequestId != null && !responseRequestId.equals(requestId)) {
       // A response to another request, such as a late one; the awaited response may still follow.
       closeAfterResponse = true;
+      skipResponse();
       return;
     }
     ResponseCheck check = ResponseCheck.of(response, headerNames);
@@ -126,6 +146,13 @@
     }
   }
 
+  private void skipResponse() {
+    skippedResponses++;
+    if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+      fail(CallFailure.GARBLED);
+    }
+  }
+
   private void complete(FullHttpResponse response, ResponseCheck check) {
     CallListener callListener = listener.orElseThrow();
     listener = Optional.empty();
@@ -174,7 +201,12 @@
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // A reset also ends a response without Content-Length, which must not be taken as complete.
     reusable = false;
-    fail(CallFailure.BROKEN);
+    fail(cause instanceof TooLongFrameException ? CallFailure.OVERSIZED : CallFailure.BROKEN);
+  }
+
+  /** Ends the request in progress because its response uses too much memory. */
+  void abortOversized() {
+    fail(CallFailure.OVERSIZED);
   }
 
   private void fail(CallFailure failure) {
