Report an error of the reducer in place of leaving its loop stuck

A control process or daemon went on without processing any event.

Cause: DecisionLoop caught only RuntimeException. An Error, such as a stack overflow on a deep document, left the count of queued events above 0, and the loop scheduled its queue only when that count was 0. Evidence: errorOfTheReducerIsReportedAndLaterEventsAreProcessed failed after 10 s ("Expecting value to be true but was false", DecisionLoopTest:47). Change: errors are handled like exceptions: logged, and the process stops by its failure action, so that it is started again. Result: the test passes.

--- a/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
@@ -128,7 +128,7 @@
   private <T> void evaluate(Supplier<T> query, MonoSink<T> sink) {
     try {
       sink.success(query.get());
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       sink.error(e);
     }
   }
@@ -176,15 +176,16 @@
   }
 
   /**
-   * Processes an event. An exception may leave the state of the reducer inconsistent, so the
-   * process stops.
+   * Processes an event. An exception or error may leave the state of the reducer inconsistent, so
+   * the process stops. Errors are caught too: one that escaped would leave {@link #pending} above
+   * 0, and the queue would never be processed again.
    */
   private void process(E event) {
     try {
       for (F effect : reducer.apply(event)) {
         driver.accept(effect);
       }
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       LOG.fatal(
           "reducer or driver failed on event {}; stopping the instance",
           event.getClass().getSimpleName(),
