Keep the last valid seeds and the reload when the settings file is odd

Cause: an empty or odd list of seeds replaced the seeds by none, one odd seed hid the valid ones, a host name was taken as a seed although its resolution blocks the thread that connects, and any exception other than the product's own ended the periodic reload for good. Deep TOML, 1e999 and 100,000 digits were rejected by the parser already. Change: seeds that are no IP address and port are skipped and logged, a file without a valid seed changes nothing, and the reload catches and logs every exception; a failed consumer is tried again at the next reload.

--- a/src/main/java/io/coltsfootwheel/model/Address.java
+++ b/src/main/java/io/coltsfootwheel/model/Address.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.regex.Pattern;
 
 /**
  * IP address and TCP port.
@@ -14,6 +15,15 @@
 public record Address(String host, int port) {
   private static final int MAX_PORT = 65_535;
 
+  private static final Pattern IPV4_HOST =
+      Pattern.compile("((25[0-5]|2[0-4]\\d|[01]?\\d?\\d)(\\.(?!$)|$)){4}");
+
+  /** Does not find every invalid IPv6 address, but no text with two colons is a host name. */
+  private static final Pattern IPV6_HOST =
+      Pattern.compile("[0-9A-Fa-f.]*:[0-9A-Fa-f.]*:[0-9A-Fa-f:.]*");
+
+  private static final int MAX_NUMERIC_HOST_LENGTH = 45;
+
   /** Checks the port and that the host is not blank. */
   public Address {
     if (host == null || host.isBlank() || port < 1 || port > MAX_PORT) {
@@ -40,6 +50,33 @@
     return new Address(host, parsePort(text, text.substring(colon + 1)));
   }
 
+  /**
+   * Parses the address of another process. A host name is rejected: its resolution would block the
+   * thread that connects.
+   *
+   * @param text an IP address and a port, IPv6 hosts in brackets
+   * @return the address
+   * @throws ColtsfootwheelException with {@link ErrorKind#INVALID_VALUE} when the text is not valid
+   */
+  public static Address parseNumeric(String text) {
+    Address address = parse(text);
+    if (!address.isNumeric()) {
+      throw ColtsfootwheelException.of(
+          ErrorKind.INVALID_VALUE, "address '" + text + "' has no IP address");
+    }
+    return address;
+  }
+
+  /**
+   * Returns whether the host is an IP address and not a name that has to be resolved.
+   *
+   * @return true for an IP address
+   */
+  public boolean isNumeric() {
+    return host.length() <= MAX_NUMERIC_HOST_LENGTH
+        && (IPV4_HOST.matcher(host).matches() || IPV6_HOST.matcher(host).matches());
+  }
+
   private static int parsePort(String text, String port) {
     try {
       return Integer.parseInt(port);
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Settings file of the platform, converted to the settings of control and entry processes.
@@ -27,6 +28,7 @@
 final class PlatformSettings {
   private static final String CLUSTER_NAME = "coltsfootwheel";
   private static final int ENTRY_PORT_OFFSET = 1;
+  private static final int MAX_LOGGED_SEED_LENGTH = 64;
 
   private final JsonNode root;
   private final Map<String, Double> bounds = new HashMap<>();
@@ -81,12 +83,33 @@
     return (long) (1_000 * bound("graceS", 6));
   }
 
+  /** Returns the valid seeds; the others do not prevent their use. */
   List<InstanceId> seeds() {
     List<InstanceId> seeds = new ArrayList<>();
-    root.path("seeds").forEach(s -> seeds.add(InstanceId.of(Address.parse(s.asText()).host())));
+    root.path("seeds").forEach(s -> parseSeed(s).ifPresent(seeds::add));
     return seeds;
   }
 
+  /** Returns the beginning of each seed that is not an IP address and a port. */
+  List<String> invalidSeeds() {
+    List<String> invalid = new ArrayList<>();
+    for (JsonNode seed : root.path("seeds")) {
+      if (parseSeed(seed).isEmpty()) {
+        String text = seed.asText();
+        invalid.add(text.substring(0, Math.min(MAX_LOGGED_SEED_LENGTH, text.length())));
+      }
+    }
+    return invalid;
+  }
+
+  private static Optional<InstanceId> parseSeed(JsonNode seed) {
+    try {
+      return Optional.of(InstanceId.of(Address.parseNumeric(seed.asText()).host()));
+    } catch (ColtsfootwheelException e) {
+      return Optional.empty();
+    }
+  }
+
   ControlNodeSettings control() {
     return new ControlNodeSettings(
         CLUSTER_NAME,
--- a/src/main/java/io/coltsfootwheel/platform/SettingsWatcher.java
+++ b/src/main/java/io/coltsfootwheel/platform/SettingsWatcher.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** Reloads the settings file; when it cannot be read, the last valid seeds stay in use. */
+/** Reloads the settings file; when it has no valid seed, the last valid seeds stay in use. */
 final class SettingsWatcher {
   /** The file may change without a signal to the process, so it is also polled. */
   private static final long POLL_INTERVAL_MILLIS = 2_000;
@@ -36,14 +36,27 @@
   /** Reads the file and reports changed seeds; may be called from any thread. */
   synchronized void reload() {
     try {
-      List<InstanceId> newSeeds = PlatformSettings.read(file).seeds();
-      if (!newSeeds.equals(seeds)) {
-        seeds = newSeeds;
-        log.write(LogEvent.of("settings.reloaded").with("seeds", newSeeds));
-        onSeedsChanged.accept(newSeeds);
-      }
+      apply(PlatformSettings.read(file));
     } catch (ColtsfootwheelException e) {
       log.write(LogEvent.of("settings.unreadable").with("error", e.getMessage()));
+    } catch (RuntimeException | StackOverflowError e) {
+      // An exception that escapes would end the periodic reload.
+      log.write(LogEvent.of("settings.reload.failed").with("error", e));
+    }
+  }
+
+  private void apply(PlatformSettings settings) {
+    List<InstanceId> newSeeds = settings.seeds();
+    List<String> invalidSeeds = settings.invalidSeeds();
+    if (!invalidSeeds.isEmpty()) {
+      log.write(LogEvent.of("settings.seeds.invalid").with("seeds", invalidSeeds));
+    }
+    if (newSeeds.isEmpty()) {
+      log.write(LogEvent.of("settings.seeds.missing").with("kept", seeds));
+    } else if (!newSeeds.equals(seeds)) {
+      onSeedsChanged.accept(newSeeds);
+      seeds = newSeeds;
+      log.write(LogEvent.of("settings.reloaded").with("seeds", newSeeds));
     }
   }
 }
