Bound the answers to control calls and close connections with stray bytes

Cause: the daemon buffered the whole answer of a target to a grant or a cancellation until the timeout of 200 ms, and a pooled connection without a request discarded whatever a target sent, for as long as it sent. An announcement with a host name was accepted, and resolved when its pool was opened. Names in stored records are resolved by the connection, not when the pool is opened. Result: TargetClientTest passes.

--- a/src/main/java/io/coltsfootwheel/edge/BodyReader.java
+++ b/src/main/java/io/coltsfootwheel/edge/BodyReader.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Arrays;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 
@@ -37,8 +38,16 @@
     }
     int initialBytes =
         declaredBytes > 0 ? (int) declaredBytes : Math.min(INITIAL_CHUNKED_BYTES, maxBytes);
-    return request
-        .receive()
+    return read(request.receive(), maxBytes, initialBytes);
+  }
+
+  /** Reads a body of unknown length; fails with kind BODY_TOO_LARGE if it exceeds the maximum. */
+  static Mono<byte[]> read(Flux<ByteBuf> parts, int maxBytes) {
+    return read(parts, maxBytes, Math.min(INITIAL_CHUNKED_BYTES, maxBytes));
+  }
+
+  private static Mono<byte[]> read(Flux<ByteBuf> parts, int maxBytes, int initialBytes) {
+    return parts
         .reduceWith(() -> new BodyReader(maxBytes, initialBytes), BodyReader::append)
         .map(BodyReader::toBytes);
   }
--- a/src/main/java/io/coltsfootwheel/edge/TargetControl.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetControl.java
@@ -13,6 +13,7 @@
 /** Sends grants, health checks and cancellations to one target. */
 final class TargetControl {
   private static final Duration TIMEOUT = Duration.ofMillis(200);
+  private static final int MAX_REPLY_BYTES = 16 * 1024;
   private static final int STATUS_OK = 200;
   private static final int SUCCESS_STATUS_CLASS = 2;
   private static final int STATUS_CLASS_SIZE = 100;
@@ -65,12 +66,11 @@
                                     .set(HttpHeaderNames.CONTENT_LENGTH, json.length);
                                 return Unpooled.wrappedBuffer(json);
                               })))
-              .responseSingle(
+              .response(
                   (head, content) ->
-                      content
-                          .asByteArray()
-                          .defaultIfEmpty(new byte[0])
+                      BodyReader.read(content, MAX_REPLY_BYTES)
                           .map(bytes -> new Reply(head.status().code(), bytes)))
+              .next()
               .timeout(TIMEOUT);
         });
   }
--- a/src/main/java/io/coltsfootwheel/edge/TargetPool.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetPool.java
@@ -22,6 +22,8 @@
    */
   private static final int MAX_PENDING_PER_CONNECTION = 2;
 
+  private static final UnrequestedBytesHandler UNREQUESTED_BYTES = new UnrequestedBytesHandler();
+
   private final Address address;
   private final int connections;
   private final ConnectionProvider requestProvider;
@@ -66,12 +68,17 @@
   }
 
   private HttpClient createClient(ConnectionProvider provider) {
-    InetSocketAddress remote = new InetSocketAddress(address.host(), address.port());
+    InetSocketAddress remote =
+        address.isNumeric()
+            ? new InetSocketAddress(address.host(), address.port())
+            : InetSocketAddress.createUnresolved(address.host(), address.port());
     return HttpClient.create(provider)
         .remoteAddress(() -> remote)
         .resolver(DefaultAddressResolverGroup.INSTANCE)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .doOnChannelInit(
+            (observer, channel, remoteAddress) -> channel.pipeline().addFirst(UNREQUESTED_BYTES))
         // A retry after a connection reset could execute a request twice.
         .disableRetry(true);
   }
--- a/src/main/java/io/coltsfootwheel/edge/TargetSpecParser.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetSpecParser.java
@@ -50,7 +50,7 @@
   private TargetSpec readSpec() {
     TargetId id = readText("id", TargetId::of);
     ServiceName service = readText("service", ServiceName::of);
-    Address address = readText("address", Address::parse);
+    Address address = readText("address", Address::parseNumeric);
     AvailabilityZone zone = readText("zone", AvailabilityZone::of);
     int slots = readCount("slots");
     int connections = readCount("connections");
--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -8,11 +8,14 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.TargetId;
 import io.netty.buffer.ByteBuf;
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -27,6 +30,9 @@
 class TargetClientTest {
   private static final TargetId TARGET = TargetId.of("t1");
 
+  /** Largest socket buffers of sender and receiver; bytes in them use no memory of the client. */
+  private static final long SOCKET_BUFFER_BYTES = 12L * 1024 * 1024;
+
   private final TargetClient client = TargetClient.create();
 
   /** Loads the classes of the client, because the first call can otherwise exceed its timeout. */
@@ -286,6 +292,71 @@
     }
   }
 
+  /** Guards against control calls that buffer a response without end until their timeout. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: ",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;"
+      })
+  void endlessResponseEndsAControlCall(String beginning) throws Exception {
+    AtomicLong sentBytes = new AtomicLong();
+    CountDownLatch closedByClient = new CountDownLatch(1);
+    ScriptedTargetServer.Script script =
+        (head, out, socket) -> {
+          byte[] block = "a".repeat(32 * 1024).getBytes(StandardCharsets.ISO_8859_1);
+          try {
+            out.write(beginning.getBytes(StandardCharsets.ISO_8859_1));
+            while (true) {
+              out.write(block);
+              sentBytes.addAndGet(block.length);
+            }
+          } catch (IOException e) {
+            closedByClient.countDown();
+            throw e;
+          }
+        };
+    try (ScriptedTargetServer server = new ScriptedTargetServer(script)) {
+      client.open(TARGET, server.address(), 1);
+      assertThat(client.grant(TARGET, InstanceId.of("i1"), 7, 400).block())
+          .isInstanceOf(GrantResult.Failed.class);
+      assertThat(closedByClient.await(10, TimeUnit.SECONDS)).isTrue();
+      assertThat(sentBytes.get()).isLessThan(SOCKET_BUFFER_BYTES);
+    }
+  }
+
+  /** Guards against an idle connection that receives bytes without end and is never closed. */
+  @Test
+  void endlessBytesOnAnIdleConnectionCloseIt() throws Exception {
+    CountDownLatch closedByClient = new CountDownLatch(1);
+    ScriptedTargetServer.Script script =
+        (head, out, socket) -> {
+          out.write(ScriptedTargetServer.response(200, "", "hello"));
+          try {
+            while (true) {
+              TimeUnit.MILLISECONDS.sleep(20);
+              out.write('a');
+            }
+          } catch (IOException e) {
+            closedByClient.countDown();
+            throw e;
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+          }
+        };
+    try (ScriptedTargetServer server = new ScriptedTargetServer(script)) {
+      client.open(TARGET, server.address(), 1);
+      TargetResult.Responded responded =
+          (TargetResult.Responded) client.send(TARGET, request("GET", "")).block();
+      assertThat(readText(responded.body())).isEqualTo("hello");
+      assertThat(closedByClient.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
   private static ScriptedTargetServer startServer(byte[] response) throws Exception {
     return new ScriptedTargetServer(
         (head, out, socket) -> {
