Serve requests although one stored target or limit is odd

An address with a host name was resolved on the event loop. Limits of 0 or below from a configuration made each accepted connection fail.

--- a/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
+++ b/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
@@ -55,7 +55,7 @@
 
   /** Admits or refuses a request for which a target was chosen. */
   static RoutingDecision admit(TargetStats target, RequestConstraints constraints) {
-    if (target.estimatedInFlight() >= target.spec().slots() + TARGET_QUEUE_CAPACITY) {
+    if (target.estimatedInFlight() >= target.slots() + TARGET_QUEUE_CAPACITY) {
       return refuse("target queue is full", target, constraints);
     }
     if (target.expectedResponseMillis() <= maxExpectedResponseMillis(constraints)
@@ -82,7 +82,7 @@
   }
 
   private static boolean fitsLateQueue(TargetStats target, RequestConstraints constraints) {
-    return target.estimatedInFlight() < target.spec().slots() + LATE_QUEUE_CAPACITY
+    return target.estimatedInFlight() < target.slots() + LATE_QUEUE_CAPACITY
         && target.expectedResponseMillis() * MIN_REMAINING_TIME_RATIO
             <= constraints.remainingMillis();
   }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -44,7 +44,6 @@
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
 public final class Relay implements RelayContext {
-  private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private static final int LISTEN_BACKLOG = 1_024;
@@ -143,7 +142,14 @@
   public void updateOwnership(OwnershipView view) {
     runOnEventLoop(
         () -> {
+          Set<TargetId> unusableBefore = routing.unusableTargets();
           routing.updateOwnership(view, System.nanoTime()).forEach(connections::close);
+          if (!routing.unusableTargets().equals(unusableBefore)) {
+            log.write(
+                LogEvent.of("targets.unusable")
+                    .with("targets", routing.unusableTargets())
+                    .with("reason", "the address is no IP address"));
+          }
           routingComplete = routing.isComplete();
           notifyRoutingChanged();
         });
@@ -225,8 +231,8 @@
   }
 
   private void onConnection(Connection connection) {
-    ClientLimits limits = routing.routes().limits();
-    int maxBodyBytes = (int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes());
+    ClientLimits limits = routing.routes().limits().applicable();
+    int maxBodyBytes = (int) limits.maxBodyBytes();
     connection.addHandlerLast(
         new HttpServerCodec(
             new HttpDecoderConfig()
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -12,7 +12,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** Routes, targets and key ownership known to an entry; confined to the relay's event loop. */
 final class RoutingState {
@@ -20,6 +22,7 @@
   private Map<ServiceName, List<TargetStats>> targetsByService = Map.of();
   private Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> rangesByService = Map.of();
   private RouteTable routes = RouteTable.empty();
+  private Set<TargetId> unusableTargets = Set.of();
   private boolean hasOwnership;
   private int entryCount = 1;
 
@@ -32,13 +35,19 @@
     hasOwnership = true;
     Map<ServiceName, List<TargetStats>> byService = new HashMap<>();
     List<TargetId> removed = new ArrayList<>(targets.keySet());
+    Set<TargetId> unusable = new TreeSet<>();
     for (OwnershipView.Target target : view.targets()) {
+      if (!target.address().isNumeric()) {
+        unusable.add(target.id());
+        continue;
+      }
       removed.remove(target.id());
       TargetStats stats =
           targets.computeIfAbsent(target.id(), id -> new TargetStats(target, nowNanos));
       stats.updateSpec(target, nowNanos);
       byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(stats);
     }
+    unusableTargets = unusable;
     targets.keySet().removeAll(removed);
     Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> ranges = new HashMap<>();
     for (OwnershipView.Range range : view.ranges()) {
@@ -62,6 +71,11 @@
         });
   }
 
+  /** Returns the targets whose address is no IP address; no request is sent to them. */
+  Set<TargetId> unusableTargets() {
+    return unusableTargets;
+  }
+
   RouteTable routes() {
     return routes;
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -20,6 +20,8 @@
 
   private static final int MAX_SUSPICION_DOUBLINGS = 3;
 
+  private static final int MAX_SLOTS = 100_000;
+
   private OwnershipView.Target spec;
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private int reportedInFlight;
@@ -50,6 +52,11 @@
     return spec;
   }
 
+  /** Returns the slots of the target; a stored number that no target can have is adjusted. */
+  int slots() {
+    return Math.max(1, Math.min(MAX_SLOTS, spec.slots()));
+  }
+
   int inFlight() {
     return inFlight;
   }
@@ -68,8 +75,8 @@
 
   /** Returns the expected response time of a request that is sent now. */
   long expectedResponseMillis() {
-    int queuePosition = Math.max(0, estimatedInFlight() - spec.slots() + 1);
-    return (long) loadEstimate.millisPerRequest() * queuePosition / spec.slots()
+    int queuePosition = Math.max(0, estimatedInFlight() - slots() + 1);
+    return (long) loadEstimate.millisPerRequest() * queuePosition / slots()
         + loadEstimate.millisPerRequest();
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -9,6 +9,8 @@
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationItem;
 import io.coltsfootwheel.routing.Route;
@@ -38,6 +40,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the relay over sockets against targets that misbehave. */
 class RelayTest {
@@ -321,4 +324,61 @@
                     && line.contains("r-" + "/unsafe/9".hashCode())
                     && line.contains("broken"));
   }
+
+  private static OwnershipView.Target withSlots(OwnershipView.Target target, int slots) {
+    return new OwnershipView.Target(
+        target.id(), target.service(), target.address(), target.zone(), slots, target.phase());
+  }
+
+  /** Guards against a name lookup, which blocks the event loop, for the address of one target. */
+  @Test
+  void targetWithoutAnIpAddressIsNotUsed() throws Exception {
+    OwnershipView.Target odd =
+        new OwnershipView.Target(
+            TargetId.of("odd"),
+            UNKEYED,
+            new Address("host.invalid", 80),
+            AvailabilityZone.of("z"),
+            2,
+            TargetPhase.READY);
+    ScriptedTarget sound = target("b", UNKEYED, ScriptedTarget.Step.ANSWER);
+    relay.updateOwnership(new OwnershipView(List.of(odd, sound.view()), List.of()));
+    for (int i = 0; i < 4; i++) {
+      assertThat(get("/unsafe/" + i).statusCode()).isEqualTo(200);
+    }
+    log.close();
+    assertThat(logLines)
+        .anyMatch(line -> line.contains("targets.unusable") && line.contains("odd"))
+        .noneMatch(line -> line.contains("connect_failed"));
+  }
+
+  /** Guards against requests that fail because one target has a number of slots that overflows. */
+  @ParameterizedTest
+  @ValueSource(ints = {Integer.MAX_VALUE, 0, -1, Integer.MIN_VALUE})
+  void oddNumberOfSlotsDoesNotFailRequests(int slots) throws Exception {
+    ScriptedTarget odd = target("a", UNKEYED, ScriptedTarget.Step.ANSWER);
+    relay.updateOwnership(new OwnershipView(List.of(withSlots(odd.view(), slots)), List.of()));
+    for (int i = 0; i < 4; i++) {
+      assertThat(get("/unsafe/" + i).statusCode()).isEqualTo(200);
+    }
+  }
+
+  /** Guards against stored limits that end every client connection. */
+  @ParameterizedTest
+  @CsvSource({
+    "0, 0, 0, 0",
+    "-1, -1, -1, -1",
+    "2147483647, 9223372036854775807, 9223372036854775807, 9223372036854775807"
+  })
+  void oddLimitsOfAStoredConfigurationAreAdjusted(
+      int headerBytes, long bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis)
+      throws Exception {
+    ClientLimits limits =
+        new ClientLimits(headerBytes, bodyBytes, headerTimeoutMillis, idleTimeoutMillis);
+    List<ConfigurationItem> odd = new ArrayList<>(items());
+    odd.add(ConfigurationItem.of(limits, "{}"));
+    relay.configure(new Configuration(2, odd, List.of()));
+    publishView(true, target("a", UNKEYED, ScriptedTarget.Step.ANSWER));
+    assertThat(get("/safe/1").statusCode()).isEqualTo(200);
+  }
 }
