--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -45,7 +45,6 @@
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
 public final class Relay implements RelayContext, AutoCloseable {
-  private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private static final int LISTEN_BACKLOG = 1_024;
@@ -147,7 +146,14 @@
   public void updateOwnership(OwnershipView view) {
     runOnEventLoop(
         () -> {
+          Set<TargetId> unusableBefore = routing.unusableTargets();
           routing.updateOwnership(view, System.nanoTime()).forEach(connections::close);
+          if (!routing.unusableTargets().equals(unusableBefore)) {
+            log.write(
+                LogEvent.of("targets.unusable")
+                    .with("targets", routing.unusableTargets())
+                    .with("reason", "the address is no IP address"));
+          }
           routingComplete = routing.isComplete();
           notifyRoutingChanged();
         });
@@ -242,8 +248,8 @@
   }
 
   private void onConnection(Connection connection) {
-    ClientLimits limits = routing.routes().limits();
-    int maxBodyBytes = (int) Math.min(MAX_BODY_BYTES, limits.maxBodyBytes());
+    ClientLimits limits = routing.routes().limits().applicable();
+    int maxBodyBytes = (int) limits.maxBodyBytes();
     RequestReadProgress progress = new RequestReadProgress();
     connection.addHandlerLast("received-bytes", progress.bytesHandler());
     connection.addHandlerLast(
