Compute the load of a service once in a quorum round

Cause: for each grant the leader built the load of all targets anew. It summed all keys of the service with two exponentials each, and searched the whole range table once or more for each target, so the work for a grant grew with targets x ranges, and grants grow with the targets. The range table has an index by owner; the list of targets is made once for each state.

--- a/src/main/java/io/coltsfootwheel/keyspace/DecayingSum.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/DecayingSum.java
@@ -33,8 +33,13 @@
    * @param sinceNanos time at which the observation of additions started
    */
   double ratePerSecond(long nowNanos, long sinceNanos) {
+    return valueAt(nowNanos) * ratePerValue(nowNanos, sinceNanos, timeConstantNanos);
+  }
+
+  /** Returns the factor by which {@link #ratePerSecond} multiplies a decayed sum. */
+  static double ratePerValue(long nowNanos, long sinceNanos, double timeConstantNanos) {
     double observedNanos = Math.max(MIN_OBSERVATION_NANOS, nowNanos - sinceNanos);
     double reachedShare = -Math.expm1(-observedNanos / timeConstantNanos);
-    return valueAt(nowNanos) / timeConstantNanos / reachedShare * TimeUnit.SECONDS.toNanos(1);
+    return TimeUnit.SECONDS.toNanos(1) / timeConstantNanos / reachedShare;
   }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
@@ -23,6 +23,7 @@
   private final long index;
   private final Configuration configuration;
   private final Map<TargetId, TargetRecord> targets;
+  private final List<TargetRecord> targetsInOrder;
   private final Map<ServiceName, RangeTable> tables;
 
   private FleetState(
@@ -33,6 +34,7 @@
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
+    this.targetsInOrder = List.copyOf(targets.values());
     this.tables = tables;
   }
 
@@ -72,8 +74,7 @@
    * @return MessagePack bytes
    */
   public byte[] toSnapshot() {
-    return ControlCodec.encode(
-        new Snapshot(index, configuration, List.copyOf(targets.values()), tables));
+    return ControlCodec.encode(new Snapshot(index, configuration, targetsInOrder, tables));
   }
 
   /**
@@ -100,7 +101,7 @@
    * @return the targets, ordered by identifier
    */
   public List<TargetRecord> targets() {
-    return List.copyOf(targets.values());
+    return targetsInOrder;
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/keyspace/KeyLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/KeyLoad.java
@@ -19,6 +19,10 @@
   private static final double NEGLIGIBLE_PER_SECOND = 0.01;
 
   private final TreeMap<Integer, DecayingSum> byKey = new TreeMap<>();
+
+  /** The sums of {@link #byKey} again, for ranges of many keys. */
+  private final DecayingKeySums sums = new DecayingKeySums(TIME_CONSTANT_MILLIS);
+
   private long firstNanos;
 
   void add(long nowNanos, Map<Integer, Integer> requestsByKey) {
@@ -26,20 +30,31 @@
       firstNanos = nowNanos;
     }
     requestsByKey.forEach(
-        (key, count) ->
-            byKey
-                .computeIfAbsent(key, k -> new DecayingSum(TIME_CONSTANT_MILLIS))
-                .add(nowNanos, count));
+        (key, count) -> {
+          byKey
+              .computeIfAbsent(key, k -> new DecayingSum(TIME_CONSTANT_MILLIS))
+              .add(nowNanos, count);
+          sums.add(nowNanos, key, count);
+        });
   }
 
+  /**
+   * Evicts idle keys, and computes the sums of ranges anew so that rounding errors do not add up.
+   */
   void evictIdle(long nowNanos) {
     byKey.values().removeIf(sum -> requestsPerSecond(nowNanos, sum) < NEGLIGIBLE_PER_SECOND);
+    sums.clear(nowNanos);
+    byKey.forEach((key, sum) -> sums.add(nowNanos, key, sum.valueAt(nowNanos)));
   }
 
   double requestsPerSecond(long nowNanos, KeyRange range) {
-    return loadByKey(range).values().stream()
-        .mapToDouble(s -> requestsPerSecond(nowNanos, s))
-        .sum();
+    Integer firstKey = byKey.ceilingKey(range.from());
+    if (firstKey == null || firstKey > range.to()) {
+      return 0;
+    }
+    return sums.valueAt(nowNanos, range)
+        * DecayingSum.ratePerValue(
+            nowNanos, firstNanos, TimeUnit.MILLISECONDS.toNanos(TIME_CONSTANT_MILLIS));
   }
 
   double requestsPerSecond(long nowNanos, DecayingSum key) {
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
@@ -33,14 +33,4 @@
   TargetLoad targetLoad(TargetId target) {
     return targetLoads.computeIfAbsent(target, t -> new TargetLoad());
   }
-
-  /** Returns the share of the slots of a target that a rate of requests occupies. */
-  double utilisation(long nowNanos, TargetRecord target, double requestsPerSecond) {
-    return requestsPerSecond * targetLoad(target.id()).secondsPerRequest(nowNanos) / target.slots();
-  }
-
-  /** Returns the rate of requests that occupies a share of the slots of a target. */
-  double requestsPerSecondAtUtilisation(long nowNanos, TargetRecord target, double utilisation) {
-    return utilisation * target.slots() / targetLoad(target.id()).secondsPerRequest(nowNanos);
-  }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -95,6 +95,11 @@
 
   private boolean viewChanged = true;
 
+  /** Loads of services that the answers of one quorum round share, all as of one time. */
+  private final Map<ServiceName, ServiceLoad> loadsOfRound = new HashMap<>();
+
+  private long roundNanos;
+
   /**
    * Starts a term.
    *
@@ -132,6 +137,7 @@
    * @return commands to propose and how to answer the report
    */
   public ReportOutcome report(long nowNanos, HeartbeatReport report) {
+    loadsOfRound.clear();
     TargetRecord target = report.target();
     if (heartbeats.isOutdated(report, state)) {
       return new ReportOutcome(List.of(), false, false);
@@ -208,6 +214,7 @@
    * @return commands to propose
    */
   public List<FleetCommand> tick(long nowNanos) {
+    loadsOfRound.clear();
     List<FleetCommand> commands = new ArrayList<>();
     if (nowNanos - lastEvictionNanos > EVICTION_INTERVAL_NANOS) {
       lastEvictionNanos = nowNanos;
@@ -230,6 +237,7 @@
    * @param report the observations
    */
   public void recordLoad(long nowNanos, InstanceId entry, LoadReport report) {
+    loadsOfRound.clear();
     loadStatistics.add(nowNanos, entry, report, state);
   }
 
@@ -240,6 +248,7 @@
    * @param newState the state after the command
    */
   public void applied(FleetCommand command, FleetState newState) {
+    loadsOfRound.clear();
     state = newState;
     viewChanged |= !(command instanceof FleetCommand.ChangeConfiguration);
     if (command instanceof FleetCommand.ChangeConfiguration) {
@@ -320,15 +329,17 @@
 
   private void startMoves(long nowNanos, TargetRecord target, TargetHeartbeat heartbeat) {
     List<OwnedRange> owned = stableRanges(target);
-    if (owned.isEmpty()
-        || placement.receivers(nowNanos, target.service(), target.id(), state).isEmpty()) {
+    if (owned.isEmpty()) {
+      return;
+    }
+    ServiceLoad load = loadOfRound(nowNanos, target.service());
+    if (load.receivers().stream().allMatch(t -> t.id().equals(target.id()))) {
       return;
     }
     if (target.phase() != TargetPhase.READY) {
       owned.forEach(r -> startMove(target, heartbeat, r.range(), "target is leaving"));
       return;
     }
-    ServiceLoad load = placement.load(nowNanos, target.service(), state);
     KeyLoad keys = loadStatistics.keyLoad(target.service());
     List<KeyRange> parts =
         RangePlanner.rangesToOffload(
@@ -344,6 +355,18 @@
     }
   }
 
+  /**
+   * Returns the load of a service. Grants are sent in rounds, so all grants at one time use one
+   * result until a move starts; computing it for each grant would cost the square of the targets.
+   */
+  private ServiceLoad loadOfRound(long nowNanos, ServiceName service) {
+    if (nowNanos != roundNanos) {
+      loadsOfRound.clear();
+      roundNanos = nowNanos;
+    }
+    return loadsOfRound.computeIfAbsent(service, s -> placement.load(nowNanos, s, state));
+  }
+
   /**
    * Returns whether a target should give keys to a target that has none. Each move in progress is
    * taken to supply one of the targets without keys. If n more targets have no keys, the n targets
@@ -416,6 +439,7 @@
   private void startMove(
       TargetRecord target, TargetHeartbeat heartbeat, KeyRange range, String reason) {
     viewChanged = true;
+    loadsOfRound.clear();
     moves.start(target, heartbeat, range, reason);
   }
 
--- a/src/main/java/io/coltsfootwheel/keyspace/RangeTable.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangeTable.java
@@ -5,8 +5,11 @@
 import io.coltsfootwheel.model.Fence;
 import io.coltsfootwheel.model.TargetId;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 
@@ -16,8 +19,14 @@
 
   private final List<OwnedRange> ranges;
 
+  /** Ranges by owner, so that a search for one owner does not read the ranges of all. */
+  private final Map<TargetId, List<OwnedRange>> rangesByOwner;
+
   private RangeTable(List<OwnedRange> ranges) {
     this.ranges = List.copyOf(ranges);
+    this.rangesByOwner = new HashMap<>();
+    this.ranges.forEach(
+        r -> rangesByOwner.computeIfAbsent(r.owner(), o -> new ArrayList<>()).add(r));
   }
 
   /**
@@ -57,7 +66,7 @@
    * @return the ranges in key order
    */
   public List<OwnedRange> rangesOf(TargetId owner) {
-    return ranges.stream().filter(r -> r.owner().equals(owner)).toList();
+    return Collections.unmodifiableList(rangesByOwner.getOrDefault(owner, List.of()));
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/keyspace/ServiceLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/ServiceLoad.java
@@ -3,9 +3,11 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * Predicted utilisation of the targets of one keyed service, after all moves in progress.
@@ -18,8 +20,10 @@
   private final LoadStatistics loadStatistics;
   private final Map<TargetId, TargetRecord> receivers = new LinkedHashMap<>();
   private final Map<TargetId, Double> requestsPerSecond = new LinkedHashMap<>();
+  private final Map<TargetId, Double> secondsPerRequest;
   private final RangeTable table;
   private final double meanSecondsPerRequest;
+  private OptionalDouble meanUtilisation = OptionalDouble.empty();
 
   ServiceLoad(
       long nowNanos,
@@ -31,12 +35,10 @@
     this.nowNanos = nowNanos;
     this.loadStatistics = loadStatistics;
     this.table = state.table(service);
+    this.secondsPerRequest = new HashMap<>();
     receivers.forEach(t -> this.receivers.put(t.id(), t));
     this.meanSecondsPerRequest =
-        receivers.stream()
-            .mapToDouble(t -> loadStatistics.targetLoad(t.id()).secondsPerRequest(nowNanos))
-            .average()
-            .orElse(1);
+        receivers.stream().mapToDouble(this::secondsPerRequest).average().orElse(1);
     for (OwnedRange owned : table.ranges()) {
       requestsPerSecond.merge(
           owned.owner(),
@@ -56,6 +58,7 @@
   private ServiceLoad(ServiceLoad other, TargetId excludedReceiver) {
     nowNanos = other.nowNanos;
     loadStatistics = other.loadStatistics;
+    secondsPerRequest = other.secondsPerRequest;
     table = other.table;
     meanSecondsPerRequest = other.meanSecondsPerRequest;
     receivers.putAll(other.receivers);
@@ -86,24 +89,33 @@
   }
 
   private double slownessWeight(TargetRecord target) {
-    return Math.sqrt(
-        loadStatistics.targetLoad(target.id()).secondsPerRequest(nowNanos) / meanSecondsPerRequest);
+    return Math.sqrt(secondsPerRequest(target) / meanSecondsPerRequest);
+  }
+
+  private double secondsPerRequest(TargetRecord target) {
+    return secondsPerRequest.computeIfAbsent(
+        target.id(), id -> loadStatistics.targetLoad(id).secondsPerRequest(nowNanos));
   }
 
   /** Returns the unweighted utilisation of a target by a given load alone. */
   double utilisationOf(TargetRecord target, double loadPerSecond) {
-    return loadStatistics.utilisation(nowNanos, target, loadPerSecond);
+    return loadPerSecond * secondsPerRequest(target) / target.slots();
   }
 
   /** Returns the additional load with which a target reaches a weighted utilisation. */
   double headroomPerSecond(TargetRecord target, double desiredUtilisation) {
-    return loadStatistics.requestsPerSecondAtUtilisation(
-            nowNanos, target, desiredUtilisation / slownessWeight(target))
-        - requestsPerSecond(target.id());
+    double desiredPerSecond =
+        desiredUtilisation / slownessWeight(target) * target.slots() / secondsPerRequest(target);
+    return desiredPerSecond - requestsPerSecond(target.id());
   }
 
   double meanUtilisation() {
-    return receivers.values().stream().mapToDouble(this::utilisation).average().orElse(0);
+    if (meanUtilisation.isEmpty()) {
+      meanUtilisation =
+          OptionalDouble.of(
+              receivers.values().stream().mapToDouble(this::utilisation).average().orElse(0));
+    }
+    return meanUtilisation.getAsDouble();
   }
 
   Collection<TargetRecord> receivers() {
@@ -123,5 +135,6 @@
 
   void addLoad(TargetId target, double morePerSecond) {
     requestsPerSecond.merge(target, morePerSecond, Double::sum);
+    meanUtilisation = OptionalDouble.empty();
   }
 }
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
@@ -0,0 +1,45 @@
+package io.coltsfootwheel.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class LeaderSessionTest {
+  private static final int FEW_TARGETS = 60;
+  private static final int MANY_TARGETS = 240;
+  private static final int ENTRIES = 4;
+  private static final int REQUESTS_PER_SECOND = 60;
+  private static final long START_MILLIS = 5_000;
+  private static final long MEASURED_MILLIS = 2_000;
+
+  /**
+   * Largest growth of the work for one report when the targets are four times as many. It is the
+   * geometric mean of the growth of constant work, 1, and of work for each target, 4.
+   */
+  private static final double MAX_GROWTH = 2;
+
+  /**
+   * Load: reports of 240 targets. Guards against a leader that computes the load of all targets
+   * anew for each report: the work then grows with the square of the number of targets, the leader
+   * cannot keep up, and its answers, its moves and its quorum heartbeats are late.
+   */
+  @Test
+  void workForOneReportDoesNotGrowWithTheTargets() {
+    double few = allocatedBytesPerReport(FEW_TARGETS);
+    double many = allocatedBytesPerReport(MANY_TARGETS);
+    assertThat(many / few)
+        .as(
+            "%.0f bytes for a report of %d targets, %.0f of %d",
+            many, MANY_TARGETS, few, FEW_TARGETS)
+        .isLessThan(MAX_GROWTH);
+  }
+
+  private static double allocatedBytesPerReport(int targets) {
+    LeaderLoadSimulation simulation =
+        new LeaderLoadSimulation(1, targets, ENTRIES, REQUESTS_PER_SECOND);
+    simulation.run(START_MILLIS);
+    simulation.resetMeasurements();
+    simulation.run(MEASURED_MILLIS);
+    return simulation.allocatedBytesPerReport();
+  }
+}
