Keep the requests in flight of a target as a running sum

Cause: each observation of a target by an entry added up the observations of all entries, which grows with the square of the entries. Change: observations are kept in the order of their age, with a running sum; only the oldest are checked for expiry. Result: TargetLoadTest passes.

--- a/src/main/java/io/coltsfootwheel/keyspace/TargetLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/TargetLoad.java
@@ -1,7 +1,8 @@
 package io.coltsfootwheel.keyspace;
 
 import io.coltsfootwheel.model.InstanceId;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -36,7 +37,12 @@
   /** Standard deviations from which a difference between the two averages is significant. */
   private static final double SIGNIFICANT_DEVIATIONS = 2.5;
 
-  private final Map<InstanceId, Observation> byEntry = new HashMap<>();
+  /** Last observation of each entry, the oldest first. */
+  private final Map<InstanceId, Observation> byEntry = new LinkedHashMap<>();
+
+  /** Requests in flight of all observations in {@link #byEntry}. */
+  private int inFlight;
+
   private final ServiceTime steady = new ServiceTime(STEADY_TIME_CONSTANT_MILLIS);
   private final ServiceTime recent = new ServiceTime(RECENT_TIME_CONSTANT_MILLIS);
   private long sampledNanos;
@@ -44,8 +50,10 @@
   private record Observation(long nowNanos, int inFlight) {}
 
   /** Adds a report of one entry. */
-  void add(long nowNanos, InstanceId entry, int slots, int inFlight, int completedRequests) {
-    byEntry.put(entry, new Observation(nowNanos, inFlight));
+  void add(long nowNanos, InstanceId entry, int slots, int inFlightOfEntry, int completedRequests) {
+    Observation previous = byEntry.remove(entry);
+    inFlight += inFlightOfEntry - (previous == null ? 0 : previous.inFlight());
+    byEntry.put(entry, new Observation(nowNanos, inFlightOfEntry));
     steady.recordCompleted(nowNanos, completedRequests);
     recent.recordCompleted(nowNanos, completedRequests);
     if (sampledNanos != 0) {
@@ -59,8 +67,16 @@
   }
 
   int inFlight(long nowNanos) {
-    byEntry.values().removeIf(o -> nowNanos - o.nowNanos() > REPORT_VALIDITY_NANOS);
-    return byEntry.values().stream().mapToInt(Observation::inFlight).sum();
+    Iterator<Observation> oldestFirst = byEntry.values().iterator();
+    while (oldestFirst.hasNext()) {
+      Observation oldest = oldestFirst.next();
+      if (nowNanos - oldest.nowNanos() <= REPORT_VALIDITY_NANOS) {
+        break;
+      }
+      inFlight -= oldest.inFlight();
+      oldestFirst.remove();
+    }
+    return inFlight;
   }
 
   TargetLoadEstimate estimate(long nowNanos) {
