Send an entry only the load estimates that changed

Cause: each answer to an entry carried the load estimates of all targets, ten times a second. They come in on the link that brings the bodies of responses, and the leader encodes them for each entry. Evidence: LeaderLoadMeasurement 190 62 2400: 28 KB/s of answers to each entry, 0.22 of its 4.62 Mbit/s, and 0.23 to 0.31 s of encoding a second at the leader. The new test failed on the code before: LeaderSessionTest.controlTrafficOfAnEntryStaysWithinItsLimit: Expecting actual: 28111.0564516129 to be less than: 4096.0 Change: the leader numbers the changes of estimates; an entry states the number that it has and gets the later ones, all of them in a new term and after a whole view.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -37,6 +37,7 @@
   private long configurationVersion;
   private long viewTerm;
   private long viewSequence;
+  private long estimateSequence;
   private OwnershipView view = OwnershipView.empty();
 
   /**
@@ -101,7 +102,12 @@
     links.send(
         member,
         new NodeMessage.Subscribe(
-            settings.linkAddress(), configurationVersion, viewTerm, viewSequence, load));
+            settings.linkAddress(),
+            configurationVersion,
+            viewTerm,
+            viewSequence,
+            load,
+            estimateSequence));
   }
 
   private void updateLinks() {
@@ -133,6 +139,7 @@
       log.write(LogEvent.of("leader.found").with("leader", from).with("term", update.term()));
     }
     relay.heard(update.loadEstimates(), update.entries());
+    recordEstimateSequence(update);
     update
         .configuration()
         .filter(c -> c.version() > configurationVersion)
@@ -151,6 +158,18 @@
             });
   }
 
+  /**
+   * Records which load estimates were received. Estimates of targets that were missing in the view
+   * are lost, so all are requested again after a whole view.
+   */
+  private void recordEstimateSequence(NodeMessage.Routing update) {
+    if (update.view().isPresent()) {
+      estimateSequence = 0;
+    } else if (update.estimateSequence() > 0) {
+      estimateSequence = update.estimateSequence();
+    }
+  }
+
   /**
    * Returns the view after an update, or empty when the update brings none. A change is applied
    * only to the view that directly precedes it; after a gap the next subscription requests the
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -10,6 +10,7 @@
 import io.coltsfootwheel.keyspace.OwnershipLeader;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.PublishedLoadEstimates;
 import io.coltsfootwheel.keyspace.RangeMove;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetRecord;
@@ -47,8 +48,8 @@
   private List<MemberProgress> groupProgress = List.of();
   private List<InstanceId> entries = List.of();
 
-  /** Load estimates of all targets as of the last tick. */
-  private Map<TargetId, TargetLoadEstimate> loadEstimates = Map.of();
+  /** Load estimates of all targets, updated with each tick. */
+  private final PublishedLoadEstimates loadEstimates = new PublishedLoadEstimates();
 
   /** Time of the current event; callbacks of confirmations and proposals read it. */
   private long eventNanos;
@@ -196,7 +197,8 @@
     ownership.recordLoad(nowNanos, from, subscribe.load());
     boolean hasCurrentConfiguration =
         subscribe.configurationVersion() == state.configuration().version();
-    boolean hasCurrentView = subscribe.term() == term && subscribe.viewSequence() == viewSequence;
+    boolean isSameTerm = subscribe.term() == term;
+    boolean hasCurrentView = isSameTerm && subscribe.viewSequence() == viewSequence;
     actions.send(
         from,
         routing(
@@ -204,7 +206,9 @@
                 ? Optional.empty()
                 : Optional.of(state.configuration().withoutAcceptedFingerprints()),
             hasCurrentView ? Optional.empty() : Optional.of(view),
-            Optional.empty()));
+            Optional.empty(),
+            loadEstimates.changedSince(isSameTerm ? subscribe.estimateSequence() : 0),
+            loadEstimates.sequence()));
   }
 
   void recordJoinRequest(long nowNanos, MemberId member) {
@@ -213,7 +217,7 @@
 
   void tick(long nowNanos, List<MemberProgress> progress) {
     groupProgress = progress;
-    loadEstimates = ownership.loadEstimates(nowNanos);
+    loadEstimates.update(nowNanos, ownership.loadEstimates(nowNanos));
     for (FleetCommand command : ownership.tick(nowNanos)) {
       propose(command, committed -> {});
     }
@@ -247,7 +251,9 @@
           routing(
               Optional.of(newState.configuration().withoutAcceptedFingerprints()),
               Optional.empty(),
-              Optional.empty()));
+              Optional.empty(),
+              Map.of(),
+              0));
     }
     publishView();
   }
@@ -286,14 +292,21 @@
       view = ownership.view(eventNanos);
       viewSequence++;
       broadcast(
-          routing(Optional.empty(), Optional.empty(), Optional.of(view.changesSince(before))));
+          routing(
+              Optional.empty(),
+              Optional.empty(),
+              Optional.of(view.changesSince(before)),
+              Map.of(),
+              0));
     }
   }
 
   private NodeMessage.Routing routing(
       Optional<Configuration> configuration,
       Optional<OwnershipView> wholeView,
-      Optional<OwnershipView.Change> change) {
+      Optional<OwnershipView.Change> change,
+      Map<TargetId, TargetLoadEstimate> changedEstimates,
+      long estimateSequence) {
     return new NodeMessage.Routing(
         term,
         viewSequence,
@@ -301,9 +314,10 @@
         configuration,
         wholeView,
         change,
-        change.isPresent() ? Map.of() : loadEstimates,
+        changedEstimates,
         entries.size(),
-        groupProgress.stream().map(m -> m.member().instance()).distinct().toList());
+        groupProgress.stream().map(m -> m.member().instance()).distinct().toList(),
+        estimateSequence);
   }
 
   /** Sets the entries that receive routing updates. */
--- a/src/main/java/io/coltsfootwheel/node/NodeMessage.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeMessage.java
@@ -52,9 +52,15 @@
    * @param term term of the ownership view that the entry uses
    * @param viewSequence number of that view within the term
    * @param load load that the entry observed since its last report
+   * @param estimateSequence number within the term up to which the entry received load estimates
    */
   record Subscribe(
-      Address linkAddress, long configurationVersion, long term, long viewSequence, LoadReport load)
+      Address linkAddress,
+      long configurationVersion,
+      long term,
+      long viewSequence,
+      LoadReport load,
+      long estimateSequence)
       implements NodeMessage {}
 
   /**
@@ -74,9 +80,12 @@
    * @param configuration configuration, when the entry has another version
    * @param view whole view of targets and owners, when the entry does not have the current view
    * @param change difference to the previous view, sent when the view has changed
-   * @param loadEstimates load estimate of each target over all entries
+   * @param loadEstimates load estimates over all entries, of the targets whose estimate changed
+   *     after the sequence number that the entry stated
    * @param entries number of entries with a valid subscription
    * @param members the members of the group
+   * @param estimateSequence number of the last change of load estimates, 0 in a message that
+   *     answers no subscription and carries none
    */
   record Routing(
       long term,
@@ -87,6 +96,7 @@
       Optional<OwnershipView.Change> change,
       Map<TargetId, TargetLoadEstimate> loadEstimates,
       int entries,
-      List<InstanceId> members)
+      List<InstanceId> members,
+      long estimateSequence)
       implements NodeMessage {}
 }
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -190,7 +190,7 @@
     InstanceId leader = group.leader().orElseThrow();
     NodeMessage.Subscribe subscribe =
         new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()));
+            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0);
     group.call(
         leader,
         id ->
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -53,6 +53,8 @@
   /** Exponent of the uneven distribution of requests over keys. */
   private static final double KEY_SKEW = 1.5;
 
+  private static final String BYTES_OF_ANSWERS = "bytes of answers to entries";
+  private static final String BYTES_OF_CHANGES = "bytes of changes to entries";
   private static final int FIRST_HOT_KEY = 30_000;
   private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
 
@@ -150,6 +152,7 @@
     private long configurationVersion;
     private long term;
     private long viewSequence;
+    private long estimateSequence;
     private Map<Integer, Integer> requestsByKey = new HashMap<>();
     private Map<SimulatedTarget, Integer> sent = new HashMap<>();
     private Map<SimulatedTarget, Integer> inFlight = new HashMap<>();
@@ -182,13 +185,23 @@
       LoadReport load = new LoadReport(Map.of(LEDGER, requestsByKey), observations);
       requestsByKey = new HashMap<>();
       return new NodeMessage.Subscribe(
-          new Address("10.9.0.1", 7_000), configurationVersion, term, viewSequence, load);
+          new Address("10.9.0.1", 7_000),
+          configurationVersion,
+          term,
+          viewSequence,
+          load,
+          estimateSequence);
     }
 
     private void receive(NodeMessage.Routing routing) {
       configurationVersion = routing.configurationVersion();
       term = routing.term();
       viewSequence = routing.viewSequence();
+      if (routing.view().isPresent()) {
+        estimateSequence = 0;
+      } else if (routing.estimateSequence() > 0) {
+        estimateSequence = routing.estimateSequence();
+      }
     }
   }
 
@@ -221,9 +234,9 @@
       SimulatedEntry entry = entries.get(Integer.parseInt(to.value().split("\\.")[3]));
       NodeMessage.Routing routing = (NodeMessage.Routing) message;
       byte[] bytes = measure(Work.ENCODE, () -> message.toFrame().payload());
-      String kind = routing.change().isPresent() ? "change" : "answer";
-      counts.merge("messages " + kind, 1L, Long::sum);
-      counts.merge("bytes " + kind, (long) bytes.length, Long::sum);
+      boolean isChange = routing.change().isPresent();
+      counts.merge(isChange ? "changes to entries" : "answers to entries", 1L, Long::sum);
+      counts.merge(isChange ? BYTES_OF_CHANGES : BYTES_OF_ANSWERS, (long) bytes.length, Long::sum);
       entry.receive(routing);
     }
 
@@ -370,6 +383,11 @@
     return (double) bytes / counts.get("reports");
   }
 
+  /** Returns the bytes of all messages to entries. */
+  long bytesToEntries() {
+    return counts.getOrDefault(BYTES_OF_ANSWERS, 0L) + counts.getOrDefault(BYTES_OF_CHANGES, 0L);
+  }
+
   int ranges() {
     return state.table(LEDGER).ranges().size();
   }
--- a/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
@@ -8,6 +8,12 @@
   private static final int FEW_TARGETS = 60;
   private static final int MANY_TARGETS = 240;
   private static final int ENTRIES = 4;
+  private static final int GROWN_TARGETS = 190;
+  private static final int GROWN_ENTRIES = 62;
+
+  /** Bandwidth of control messages that each instance may use. */
+  private static final double MAX_CONTROL_BYTES_PER_SECOND = 4_096;
+
   private static final int REQUESTS_PER_SECOND = 60;
   private static final long START_MILLIS = 5_000;
   private static final long MEASURED_MILLIS = 2_000;
@@ -34,6 +40,22 @@
         .isLessThan(MAX_GROWTH);
   }
 
+  /**
+   * Load: 190 targets whose load hardly changes. Guards against load estimates of all targets in
+   * each answer to an entry: the messages take bandwidth from the clients of the entry.
+   */
+  @Test
+  void controlTrafficOfAnEntryStaysWithinItsLimit() {
+    LeaderLoadSimulation simulation =
+        new LeaderLoadSimulation(1, GROWN_TARGETS, GROWN_ENTRIES, REQUESTS_PER_SECOND);
+    simulation.run(START_MILLIS);
+    simulation.resetMeasurements();
+    simulation.run(MEASURED_MILLIS);
+    double bytesPerSecond =
+        (double) simulation.bytesToEntries() / GROWN_ENTRIES * 1_000 / MEASURED_MILLIS;
+    assertThat(bytesPerSecond).isLessThan(MAX_CONTROL_BYTES_PER_SECOND);
+  }
+
   private static double allocatedBytesPerReport(int targets) {
     LeaderLoadSimulation simulation =
         new LeaderLoadSimulation(1, targets, ENTRIES, REQUESTS_PER_SECOND);
