Answer the calls in progress when a control process stops

Cause: PlatformMain closed the node of a control process at once, and the process ended with its calls in progress: an accepted change or report got no answer. Evidence: by reading; runControl had no drain, and the test needs it. Change: ControlEndpoint.drain closes the listener and waits for its close, waits until the calls in progress are answered, and closes all connections. Answers during the drain close their connection, new calls on open connections get 503 and call.refused in the log. The node, and with it a leader's heartbeats, runs until then. StopSchedule bounds the drain; each call ends within its own timeout anyway. A leader does not step down first: there is no transfer of leadership.

--- a/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -10,11 +10,17 @@
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.node.ControlAnswer;
 import io.coltsfootwheel.node.ControlNode;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -30,12 +36,18 @@
   /** Longer than the second after which callers turn to another control process. */
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_500);
 
+  private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(20);
+
   private static final String DEFAULT_BASE_VERSION = "0";
 
   private final Address address;
   private final ControlNode node;
   private final EventLog log;
   private final LoopResources loops;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final AtomicInteger callsInProgress = new AtomicInteger();
+  private Optional<DisposableServer> server = Optional.empty();
+  private volatile boolean draining;
 
   ControlEndpoint(Address address, ControlNode node, EventLog log, LoopResources loops) {
     this.address = address;
@@ -44,16 +56,66 @@
     this.loops = loops;
   }
 
-  DisposableServer start() {
-    return HttpServer.create()
-        .runOn(loops, false)
-        .host(address.host())
-        .port(address.port())
-        .handle(this::handle)
-        .bindNow();
+  void start() {
+    server =
+        Optional.of(
+            HttpServer.create()
+                .runOn(loops, false)
+                .host(address.host())
+                .port(address.port())
+                .channelGroup(connections)
+                .handle(this::handle)
+                .bindNow());
+  }
+
+  /**
+   * Closes the listener, waits until the calls in progress are answered, and closes all
+   * connections. New calls on open connections are refused.
+   *
+   * @param limitMillis longest time to wait for calls, in milliseconds
+   * @return completes when all connections are closed
+   */
+  Mono<Void> drain(long limitMillis) {
+    draining = true;
+    server.ifPresent(DisposableServer::dispose);
+    return Mono.justOrEmpty(server)
+        .flatMap(DisposableServer::onDispose)
+        .then(awaitCalls(limitMillis))
+        .then(Mono.defer(this::closeConnections));
+  }
+
+  /** Returns the number of calls whose head was read and whose response was not written. */
+  int callsInProgress() {
+    return callsInProgress.get();
+  }
+
+  private Mono<Void> awaitCalls(long limitMillis) {
+    return Mono.fromSupplier(callsInProgress::get)
+        .filter(calls -> calls == 0)
+        .repeatWhenEmpty(r -> r.delayElements(DRAIN_CHECK_INTERVAL))
+        .timeout(Duration.ofMillis(limitMillis))
+        .onErrorComplete(TimeoutException.class)
+        .then();
+  }
+
+  private Mono<Void> closeConnections() {
+    log.write(
+        LogEvent.of("stop.calls_drained")
+            .with("open_connections", connections.size())
+            .with("calls", callsInProgress.get()));
+    return Mono.create(sink -> connections.close().addListener(closed -> sink.success()));
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    if (draining) {
+      log.write(LogEvent.of("call.refused").with("uri", request.uri()));
+      return send(response, 503, error("the process is stopping"));
+    }
+    callsInProgress.incrementAndGet();
+    return Mono.from(answer(request, response)).doFinally(end -> callsInProgress.decrementAndGet());
+  }
+
+  private Publisher<Void> answer(HttpServerRequest request, HttpServerResponse response) {
     QueryStringDecoder uri = new QueryStringDecoder(request.uri());
     if (!uri.path().equals(PlatformNames.CALL_PATH)) {
       return send(response, 404, error("path not found"));
@@ -153,8 +215,11 @@
     return JsonNodeFactory.instance.objectNode().put("error", text);
   }
 
-  private static Mono<Void> send(HttpServerResponse response, int status, JsonNode body) {
+  private Mono<Void> send(HttpServerResponse response, int status, JsonNode body) {
     byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+    if (draining) {
+      response.keepAlive(false);
+    }
     return response
         .status(status)
         .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNode;
 import io.coltsfootwheel.node.EntryNode;
+import io.coltsfootwheel.node.StopSchedule;
 import io.coltsfootwheel.relay.Relay;
 import io.coltsfootwheel.relay.StopReport;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -127,12 +128,14 @@
   private void runControl(MeterRegistry registry) throws InterruptedException {
     ControlNode node = new ControlNode(settings.control(), log, registry, stopRequested::countDown);
     node.start();
-    new ControlEndpoint(settings.controlAddress(), node, log, loops).start();
+    ControlEndpoint endpoint = new ControlEndpoint(settings.controlAddress(), node, log, loops);
+    endpoint.start();
     watchSettings(node::setSeeds);
     serveMetrics();
     stopRequested.await();
     log.write(LogEvent.of("process.stopping"));
     stopWatchingSettings();
+    endpoint.drain(StopSchedule.withoutNotice(settings.graceMillis()).drainMillis()).block();
     node.close();
     closeServers();
     log.write(LogEvent.of("process.stopped").with("role", "control"));
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
@@ -0,0 +1,114 @@
+package io.coltsfootwheel.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.node.ControlNode;
+import io.coltsfootwheel.node.ControlNodeSettings;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+@Timeout(60)
+class ControlEndpointTest {
+  private static final String HOST = "127.0.0.1";
+  private static final long LIMIT_MILLIS = 20_000;
+
+  @TempDir private Path folder;
+  private final LoopResources loops = LoopResources.create("test", 1, true);
+  private final EventLog log = new EventLog(line -> {}, Map.of());
+  private ControlNode node;
+  private ControlEndpoint endpoint;
+  private int port;
+
+  @BeforeEach
+  void start() throws IOException {
+    port = freePort();
+    node =
+        new ControlNode(
+            new ControlNodeSettings(
+                "test",
+                new Address(HOST, freePort()),
+                List.of(InstanceId.of(HOST)),
+                true,
+                0,
+                OwnershipSettings.of(1_000, 10_000),
+                folder),
+            log,
+            new SimpleMeterRegistry(),
+            () -> {});
+    node.start();
+    endpoint = new ControlEndpoint(new Address(HOST, port), node, log, loops);
+    endpoint.start();
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    node.close();
+    loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+    log.close();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket probe = new ServerSocket(0)) {
+      return probe.getLocalPort();
+    }
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String readToEnd(Socket socket) throws IOException {
+    try {
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    } catch (SocketException e) {
+      return "[reset]";
+    }
+  }
+
+  private static String callHead(int length) {
+    return "POST /api/rpc?call=config.put HTTP/1.1\r\nHost: h\r\nContent-Length: "
+        + length
+        + "\r\n\r\n";
+  }
+
+  /** Guards against calls that get no answer because the process stops. */
+  @Test
+  void callsOnOpenConnectionsAreAnsweredDuringTheDrain() throws Exception {
+    try (Socket inProgress = new Socket(HOST, port);
+        Socket idle = new Socket(HOST, port);
+        Socket late = new Socket(HOST, port)) {
+      write(inProgress, callHead(2) + "{");
+      while (endpoint.callsInProgress() == 0) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      Mono<Void> drained = endpoint.drain(LIMIT_MILLIS).cache();
+      drained.subscribe();
+      write(late, callHead(2) + "{}");
+      assertThat(readToEnd(late)).startsWith("HTTP/1.1 503").contains("connection: close");
+      write(inProgress, "}");
+      assertThat(readToEnd(inProgress)).startsWith("HTTP/1.1 400").contains("connection: close");
+      drained.block();
+      assertThat(readToEnd(idle)).isEmpty();
+    }
+  }
+}
