Reject odd numbers, addresses and lists in reports and configurations

Cause: a report from another writer registered a target with any number of slots, any start time up to 2^63-1 (which no later start of the target could replace), a host name as its address, and lists of another type, which were read as holding no keys. A configuration with a weight of 1e999, limits below 0 or a text in place of a number was accepted and failed later, in every process that used it. A body of 500,000 small lists was parsed in full. Documents 100,000 levels deep and numbers beyond a long were rejected already. Change: numbers have ranges, addresses must be IP addresses, lists must be lists; documents are read up to 64 levels and 250,000 tokens. Stored documents are read without these limits, so earlier data still loads.

--- a/src/main/java/io/coltsfootwheel/platform/ConfigurationJson.java
+++ b/src/main/java/io/coltsfootwheel/platform/ConfigurationJson.java
@@ -35,6 +35,9 @@
   private static final int DEFAULT_MAX_ATTEMPTS = 1;
   private static final int DEFAULT_MAX_CONNECTIONS = 64;
 
+  /** Keeps sums of weights finite. */
+  private static final double MAX_WEIGHT = 1e9;
+
   private ConfigurationJson() {}
 
   static ConfigurationChange parseComplete(String baseVersion, byte[] body) {
@@ -142,8 +145,8 @@
         spec.has("targetLatencyMs")
             ? JsonFields.integer(spec, "targetLatencyMs")
             : JsonFields.integer(spec, "timeoutMs"),
-        spec.path("priority").asInt(0),
-        spec.path("maxAttempts").asInt(DEFAULT_MAX_ATTEMPTS),
+        integer32(spec, "priority", 0, Integer.MIN_VALUE),
+        integer32(spec, "maxAttempts", DEFAULT_MAX_ATTEMPTS, 0),
         destinations(spec));
   }
 
@@ -161,12 +164,23 @@
     }
     List<WeightedService> services = new ArrayList<>();
     for (JsonNode destination : JsonFields.list(spec, "split")) {
-      services.add(
-          new WeightedService(serviceName(destination), JsonFields.number(destination, "weight")));
+      services.add(new WeightedService(serviceName(destination), weight(destination)));
     }
     return services;
   }
 
+  private static double weight(JsonNode destination) {
+    double weight = JsonFields.number(destination, "weight");
+    if (!(weight <= MAX_WEIGHT)) {
+      throw JsonFields.invalid("field weight must be at most " + MAX_WEIGHT);
+    }
+    return weight;
+  }
+
+  private static int integer32(JsonNode spec, String name, int defaultValue, int min) {
+    return (int) JsonFields.integer(spec, name, defaultValue, min, Integer.MAX_VALUE);
+  }
+
   private static ServiceName serviceName(JsonNode parent) {
     return ServiceName.of(JsonFields.text(parent, "service"));
   }
@@ -175,15 +189,19 @@
     return new ServicePolicy(
         ServiceName.of(name),
         spec.path("sharded").asBoolean(false),
-        spec.path("maxConnections").asInt(DEFAULT_MAX_CONNECTIONS));
+        integer32(spec, "maxConnections", DEFAULT_MAX_CONNECTIONS, 0));
   }
 
   private static ClientLimits limits(JsonNode spec) {
     ClientLimits defaults = ClientLimits.DEFAULT;
     return new ClientLimits(
-        spec.path("maxHeaderBytes").asInt(defaults.maxHeaderBytes()),
-        spec.path("maxBodyBytes").asLong(defaults.maxBodyBytes()),
-        spec.path("headerTimeoutMs").asLong(defaults.headerTimeoutMillis()),
-        spec.path("idleTimeoutMs").asLong(defaults.idleTimeoutMillis()));
+        integer32(spec, "maxHeaderBytes", defaults.maxHeaderBytes(), 1),
+        nonNegative(spec, "maxBodyBytes", defaults.maxBodyBytes()),
+        nonNegative(spec, "headerTimeoutMs", defaults.headerTimeoutMillis()),
+        nonNegative(spec, "idleTimeoutMs", defaults.idleTimeoutMillis()));
+  }
+
+  private static long nonNegative(JsonNode spec, String name, long defaultValue) {
+    return JsonFields.integer(spec, name, defaultValue, 0, Long.MAX_VALUE);
   }
 }
--- a/src/main/java/io/coltsfootwheel/platform/JsonFields.java
+++ b/src/main/java/io/coltsfootwheel/platform/JsonFields.java
@@ -1,6 +1,8 @@
 package io.coltsfootwheel.platform;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -10,8 +12,26 @@
 
 /** Reads typed fields of JSON documents; errors name the field that is missing or mistyped. */
 final class JsonFields {
+  /** Deeper than any message of the platform. */
+  private static final int MAX_DEPTH = 64;
+
+  /** A parsed token uses up to 20 times its bytes, so the size of the body alone is no bound. */
+  private static final int MAX_TOKENS = 250_000;
+
+  /** Reads messages, which may come from any program. */
   private static final ObjectMapper MAPPER =
-      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+      new ObjectMapper(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder()
+                          .maxNestingDepth(MAX_DEPTH)
+                          .maxTokenCount(MAX_TOKENS)
+                          .build())
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  /** Reads stored documents, which earlier versions accepted under other limits. */
+  private static final ObjectMapper STORED_MAPPER = new ObjectMapper();
 
   private JsonFields() {}
 
@@ -30,7 +50,7 @@
 
   static JsonNode parse(String document) {
     try {
-      return MAPPER.readTree(document);
+      return STORED_MAPPER.readTree(document);
     } catch (JsonProcessingException e) {
       throw ColtsfootwheelException.of(
           ErrorKind.INVARIANT_VIOLATED, "stored configuration item is not valid JSON", e);
@@ -53,14 +73,6 @@
     return node.asLong();
   }
 
-  static int integer32(JsonNode parent, String name) {
-    long value = integer(parent, name);
-    if (value < Integer.MIN_VALUE || value > Integer.MAX_VALUE) {
-      throw invalid("field " + name + " is out of range");
-    }
-    return (int) value;
-  }
-
   static double number(JsonNode parent, String name) {
     JsonNode node = parent.path(name);
     if (!node.isNumber()) {
@@ -69,6 +81,30 @@
     return node.asDouble();
   }
 
+  /**
+   * Returns an optional integer.
+   *
+   * @param defaultValue result when the field is missing
+   * @param min smallest valid value
+   * @param max largest valid value
+   */
+  static long integer(JsonNode parent, String name, long defaultValue, long min, long max) {
+    JsonNode node = parent.path(name);
+    if (node.isMissingNode()) {
+      return defaultValue;
+    }
+    long value = integer(parent, name);
+    if (value < min || value > max) {
+      throw invalid("field " + name + " must be " + min + " to " + max);
+    }
+    return value;
+  }
+
+  /** Returns an optional list; a missing field is an empty list. */
+  static JsonNode optionalList(JsonNode parent, String name) {
+    return parent.path(name).isMissingNode() ? parent.path(name) : list(parent, name);
+  }
+
   static JsonNode list(JsonNode parent, String name) {
     JsonNode node = parent.path(name);
     if (!node.isArray()) {
--- a/src/main/java/io/coltsfootwheel/platform/ReportJson.java
+++ b/src/main/java/io/coltsfootwheel/platform/ReportJson.java
@@ -20,11 +20,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Converts the JSON heartbeat reports of the platform's targets and the answers to them. */
 final class ReportJson {
   private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
 
+  /** In the year 2286; a target with a later start could never be replaced by a real one. */
+  private static final long MAX_START_MILLIS = 10_000_000_000_000L;
+
+  private static final int MAX_SLOTS = 100_000;
+  private static final long MAX_WARMUP_MILLIS = TimeUnit.HOURS.toMillis(1);
+  private static final int MAX_HANDOVER_TOKEN_LENGTH = 256;
+
   private ReportJson() {}
 
   static HeartbeatReport parse(String id, byte[] body) {
@@ -34,20 +42,19 @@
     TargetRecord target =
         new TargetRecord(
             TargetId.of(id),
-            JsonFields.integer(root, "born"),
+            required(root, "born", 0, MAX_START_MILLIS),
             ServiceName.of(JsonFields.text(info, "service")),
-            Address.parse(JsonFields.text(root, "address")),
+            Address.parseNumeric(JsonFields.text(root, "address")),
             AvailabilityZone.of(JsonFields.text(info, "zone")),
-            slots(info),
+            (int) required(info, "capacity", 1, MAX_SLOTS),
             phase(JsonFields.text(status, "phase")));
-    long warmupLeftMillis =
-        status.path("warmupLeftMs").isNumber() ? status.path("warmupLeftMs").asLong() : 0;
+    long warmupLeftMillis = JsonFields.integer(status, "warmupLeftMs", 0, 0, MAX_WARMUP_MILLIS);
     return new HeartbeatReport(
         target,
-        JsonFields.integer(status, "sequence"),
+        required(status, "sequence", 0, Long.MAX_VALUE),
         warmupLeftMillis,
-        heldRanges(root.path("holds")),
-        releasedRanges(root.path("released")));
+        heldRanges(JsonFields.optionalList(root, "holds")),
+        releasedRanges(JsonFields.optionalList(root, "released")));
   }
 
   /**
@@ -74,12 +81,9 @@
     return answer;
   }
 
-  private static int slots(JsonNode info) {
-    int slots = JsonFields.integer32(info, "capacity");
-    if (slots < 1) {
-      throw JsonFields.invalid("field capacity must be at least 1");
-    }
-    return slots;
+  private static long required(JsonNode parent, String name, long min, long max) {
+    JsonFields.integer(parent, name);
+    return JsonFields.integer(parent, name, min, min, max);
   }
 
   private static TargetPhase phase(String text) {
@@ -93,7 +97,7 @@
   private static List<HeldRange> heldRanges(JsonNode rows) {
     List<HeldRange> ranges = new ArrayList<>();
     for (JsonNode row : rows) {
-      ranges.add(new HeldRange(range(row), Fence.of(row.path(2).asLong())));
+      ranges.add(new HeldRange(range(row), fence(row.path(2))));
     }
     return ranges;
   }
@@ -101,11 +105,26 @@
   private static List<ReleasedRange> releasedRanges(JsonNode rows) {
     List<ReleasedRange> ranges = new ArrayList<>();
     for (JsonNode row : rows) {
-      ranges.add(new ReleasedRange(range(row), row.path(2).asText("")));
+      ranges.add(new ReleasedRange(range(row), handoverToken(row.path(2))));
     }
     return ranges;
   }
 
+  private static Fence fence(JsonNode node) {
+    if (!node.isIntegralNumber() || !node.canConvertToLong() || node.asLong() < 0) {
+      throw JsonFields.invalid("each held range of keys must end with a whole number");
+    }
+    return Fence.of(node.asLong());
+  }
+
+  private static String handoverToken(JsonNode node) {
+    if (!node.isMissingNode() && !node.isTextual()
+        || node.asText("").length() > MAX_HANDOVER_TOKEN_LENGTH) {
+      throw JsonFields.invalid("each released range of keys must end with a short text");
+    }
+    return node.asText("");
+  }
+
   private static KeyRange range(JsonNode row) {
     if (!row.path(0).isInt() || !row.path(1).isInt()) {
       throw JsonFields.invalid("each range of keys must begin with two integers");
--- a/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
@@ -101,4 +101,58 @@
     assertThat(patch.complete()).isFalse();
     assertThat(patch.removals()).hasSize(1);
   }
+
+  /** Guards against numbers that are accepted and fail later, in every process that uses them. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "\"weight\":90|\"weight\":1e999",
+        "\"weight\":90|\"weight\":1e308",
+        "\"weight\":90|\"weight\":-1",
+        "\"timeoutMs\":1200|\"timeoutMs\":1e999",
+        "\"timeoutMs\":1200|\"timeoutMs\":9223372036854775808",
+        "\"priority\":2|\"priority\":1e999",
+        "\"priority\":2|\"priority\":2147483648",
+        "\"priority\":2|\"priority\":[]",
+        "\"maxAttempts\":2|\"maxAttempts\":99999999999",
+        "\"maxConnections\":130|\"maxConnections\":-1",
+        "\"maxConnections\":130|\"maxConnections\":0.5",
+        "\"maxHeaderBytes\":100|\"maxHeaderBytes\":0",
+        "\"maxHeaderBytes\":100|\"maxHeaderBytes\":-5",
+        "\"maxBodyBytes\":100|\"maxBodyBytes\":-1",
+        "\"maxBodyBytes\":100|\"maxBodyBytes\":9223372036854775808",
+        "\"idleTimeoutMs\":100|\"idleTimeoutMs\":-1",
+        "\"idleTimeoutMs\":100|\"idleTimeoutMs\":\"x\"",
+      })
+  void oddNumberIsRejected(String part, String replacement) {
+    String limits =
+        "{\"resourceType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":100,"
+            + "\"maxBodyBytes\":100,\"headerTimeoutMs\":100,\"idleTimeoutMs\":100}}";
+    String sound =
+        "{\"version\":\"r7\",\"resources\":[" + ROUTE + "," + SERVICE + "," + limits + "]}";
+    assertThat(Configuration.empty().evaluate(ConfigurationJson.parseComplete("0", body(sound))))
+        .isInstanceOf(ChangeOutcome.Applicable.class);
+    String odd = sound.replace(part, replacement);
+    assertThat(odd).isNotEqualTo(sound);
+    assertThat(isRejected(odd)).isTrue();
+  }
+
+  private static boolean isRejected(String text) {
+    try {
+      ConfigurationChange change = ConfigurationJson.parseComplete("0", body(text));
+      return !(Configuration.empty().evaluate(change) instanceof ChangeOutcome.Applicable);
+    } catch (ColtsfootwheelException e) {
+      return true;
+    }
+  }
+
+  /** Guards against documents that exhaust the stack or the memory of the reader. */
+  @ParameterizedTest
+  @ValueSource(strings = {"[", "{\"a\":", "[],"})
+  void excessiveDocumentIsRejected(String part) {
+    String text = "{\"version\":\"r7\",\"resources\":[],\"x\":[" + part.repeat(500_000) + "[]]}";
+    assertThatThrownBy(() -> ConfigurationJson.parseComplete("r0", body(text)))
+        .isInstanceOf(ColtsfootwheelException.class);
+  }
 }
--- a/src/test/java/io/coltsfootwheel/platform/ReportJsonTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ReportJsonTest.java
@@ -16,9 +16,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ReportJsonTest {
   private static final String REPORT =
@@ -58,6 +60,40 @@
         "[0,9,7]|[\"a\",9,7]",
         "10.1.0.9:80|nowhere",
         "\"service\":\"s\"|\"service\":5",
+        "\"born\":1700000000000|\"born\":1e999",
+        "\"born\":1700000000000|\"born\":-1",
+        "\"born\":1700000000000|\"born\":1.5",
+        "\"born\":1700000000000|\"born\":9223372036854775807",
+        "\"born\":1700000000000|\"born\":9223372036854775808",
+        "\"sequence\":4|\"sequence\":-1",
+        "\"sequence\":4|\"sequence\":4.0",
+        "\"capacity\":3|\"capacity\":2147483647",
+        "\"capacity\":3|\"capacity\":2147483648",
+        "\"capacity\":3|\"capacity\":true",
+        "\"warmupLeftMs\":700|\"warmupLeftMs\":1e999",
+        "\"warmupLeftMs\":700|\"warmupLeftMs\":-1",
+        "\"warmupLeftMs\":700|\"warmupLeftMs\":\"x\"",
+        "\"warmupLeftMs\":700|\"warmupLeftMs\":9223372036854775807",
+        "10.1.0.9:80|10.1.0.9:0",
+        "10.1.0.9:80|10.1.0.9:65536",
+        "10.1.0.9:80|10.1.0.9:-1",
+        "10.1.0.9:80|10.1.0.9:80:80",
+        "10.1.0.9:80|10.1.0.999:80",
+        "10.1.0.9:80|10.1.9:80",
+        "10.1.0.9:80|host.invalid:80",
+        "10.1.0.9:80|:80",
+        "10.1.0.9:80|[]:80",
+        "[[0,9,7]]|5",
+        "[[0,9,7]]|{\"a\":[0,9,7]}",
+        "[0,9,7]|[0,65536,7]",
+        "[0,9,7]|[-1,9,7]",
+        "[0,9,7]|[0,9,-7]",
+        "[0,9,7]|[0,9,7.5]",
+        "[0,9,7]|[0,9,1e999]",
+        "[0,9,7]|[0,9]",
+        "[0,9,7]|[0,9,9223372036854775808]",
+        "[10,19,\"tok\"]|[10,19,5]",
+        "[10,19,\"tok\"]|[10,19,[]]",
       })
   void malformedReportIsRejected(String part, String replacement) {
     String malformed = REPORT.replace(part, replacement == null ? "" : replacement);
@@ -78,4 +114,32 @@
     assertThat(ReportJson.write(Optional.of(grant), leader).toString())
         .contains("\"holds\":[[0,9,7,\"tok\"]],\"holdMs\":3000");
   }
+
+  /** Guards against documents that exhaust the stack or the memory of the reader. */
+  @ParameterizedTest
+  @ValueSource(strings = {"[", "{\"a\":", "[],", "9"})
+  void excessiveDocumentIsRejected(String part) {
+    String text = REPORT.replace("\"released\":[[", "\"released\":[" + part.repeat(100_000) + "[");
+    assertThatThrownBy(() -> ReportJson.parse("i-1", bytes(text)))
+        .isInstanceOf(ColtsfootwheelException.class);
+  }
+
+  /** Guards against odd reports that end the caller by another exception than a rejection. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void randomlyChangedReportIsReadOrRejected(long seed) {
+    Random random = new Random(seed);
+    String[] odd = {"null", "[]", "{}", "1e999", "-0", "\"\\u0000\"", "99999999999999999999", ""};
+    for (int i = 0; i < 2_000; i++) {
+      int from = random.nextInt(REPORT.length());
+      int to = Math.min(REPORT.length(), from + random.nextInt(20));
+      String text =
+          REPORT.substring(0, from) + odd[random.nextInt(odd.length)] + REPORT.substring(to);
+      try {
+        ReportJson.parse("i-1", bytes(text));
+      } catch (ColtsfootwheelException e) {
+        assertThat(e.getMessage()).isNotEmpty();
+      }
+    }
+  }
 }
