Read the body of a call to control only up to its limit

Cause: the whole body was aggregated before its size was compared with the limit, so a body without end grew until the time limit of the call, 2.5 s, and the connection stayed open and was read on after the answer. A URI that cannot be decoded closed the connection without an answer. A connection whose body was not read to its end is closed. Unexpected exceptions are answered 503 and logged as call.failed.

--- a/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -25,7 +25,8 @@
 
 /** HTTP server of a control process for the platform's targets and operators. */
 final class ControlEndpoint {
-  private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+  private static final int MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_REPORT_BYTES = 256 * 1024;
 
   /** Longer than the second after which callers turn to another control process. */
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(2_500);
@@ -55,18 +56,23 @@
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     QueryStringDecoder uri = new QueryStringDecoder(request.uri());
-    if (!uri.path().equals(PlatformNames.CALL_PATH)) {
-      return send(response, 404, error("path not found"));
+    try {
+      return uri.path().equals(PlatformNames.CALL_PATH)
+          ? call(parameter(uri, "call"), uri, request, response)
+          : send(response, 404, error("path not found"));
+    } catch (IllegalArgumentException e) {
+      log.write(LogEvent.of("call.unreadable").with("error", e.getMessage()));
+      return send(response, 400, error("the URI is not valid"));
     }
-    String call = parameter(uri, "call");
-    return request
-        .receive()
-        .aggregate()
-        .asByteArray()
-        .defaultIfEmpty(new byte[0])
-        .flatMap(
-            body ->
-                body.length > MAX_BODY_BYTES ? bodyTooLarge() : execute(call, uri, request, body))
+  }
+
+  private Mono<Void> call(
+      String call, QueryStringDecoder uri, HttpServerRequest request, HttpServerResponse response) {
+    // A connection whose body was not read to its end cannot be used again.
+    response.keepAlive(false);
+    return CallBody.read(request.receive(), maxBodyBytes(call))
+        .doOnNext(body -> response.keepAlive(true))
+        .flatMap(body -> execute(call, uri, request, body))
         .timeout(
             CALL_TIMEOUT,
             Mono.just(
@@ -74,6 +80,7 @@
         .onErrorResume(
             ColtsfootwheelException.class,
             e -> Mono.just(new ControlAnswer.Invalid(e.getMessage())))
+        .onErrorResume(RuntimeException.class, e -> Mono.just(unexpected(call, e)))
         .flatMap(answer -> respond(call, uri, request, response, answer));
   }
 
@@ -90,8 +97,15 @@
     };
   }
 
-  private static Mono<ControlAnswer> bodyTooLarge() {
-    return Mono.just(new ControlAnswer.Invalid("the request body is too large"));
+  private static int maxBodyBytes(String call) {
+    boolean isConfiguration =
+        call.equals(PlatformNames.PUT_CALL) || call.equals(PlatformNames.PATCH_CALL);
+    return isConfiguration ? MAX_CONFIGURATION_BYTES : MAX_REPORT_BYTES;
+  }
+
+  private ControlAnswer unexpected(String call, RuntimeException error) {
+    log.write(LogEvent.of("call.failed").with("call", call).with("error", error));
+    return new ControlAnswer.Unavailable("the call failed unexpectedly");
   }
 
   private Mono<Void> respond(
