Close the connection of a client whose request body has no end

Cause: a request that declared a body above the limit got status 413, and its connection stayed open and was read on, without a log line. The bodies of all clients together could use 64 MB each of the 32 MB of direct memory. Evidence: endlessRequestClosesItsConnection with an excessive Content-Length failed before: "Expecting actual: 134217728L to be less than: 46137344L", the whole amount that the test sends. Endless chunks and headers passed before. Change: status 413 closes the connection and is logged as request.rejected; incomplete request bodies count in the budget of incomplete bodies. Result: EndlessBytesTest and RelayTest pass.

--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.ArrayList;
@@ -238,7 +237,21 @@
             new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes())));
-    connection.addHandlerLast(new HttpObjectAggregator(maxBodyBytes));
+    connection.addHandlerLast(
+        new BufferedBodyLimiter(
+            bodyBudget,
+            () -> {
+              log.write(LogEvent.of("client.closed").with("reason", "bodies use too much memory"));
+              connection.channel().close();
+            }));
+    connection.addHandlerLast(
+        new RequestAggregator(
+            maxBodyBytes,
+            () ->
+                log.write(
+                    LogEvent.of("request.rejected")
+                        .with("reason", "body too large")
+                        .with("max_bytes", maxBodyBytes))));
     connection.addHandlerLast(
         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
     connection.addHandlerLast(new ClientHandler(this));
--- a/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
@@ -35,6 +35,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the relay against peers that send bytes without end until the relay closes. */
 @Timeout(60)
@@ -54,6 +55,8 @@
   /** Largest socket buffers of sender and receiver; bytes in them use no memory of the relay. */
   private static final long SOCKET_BUFFER_BYTES = 12L * 1024 * 1024;
 
+  private static final long SENT_BYTES_LIMIT = 4 * DIRECT_MEMORY_BYTES;
+
   private static final String HEAD = "HTTP/1.1 200 OK\r\nsignature: s\r\n";
   private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
   private static final String ANSWER = HEAD + "Content-Length: 6\r\n\r\nanswer";
@@ -261,4 +264,37 @@
     publish(target.view());
     assertThat(send("/brief/1").get().body()).isEqualTo("answer");
   }
+
+  private long sendUntilClosed(String head, String part) throws IOException {
+    byte[] block = part.repeat(64).getBytes(StandardCharsets.ISO_8859_1);
+    long sentBytes = 0;
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+      while (sentBytes < SENT_BYTES_LIMIT) {
+        socket.getOutputStream().write(block);
+        sentBytes += block.length;
+      }
+    } catch (IOException e) {
+      // The relay closed the connection.
+    }
+    return sentBytes;
+  }
+
+  /** Guards against a client that sends a request without end and is read on for ever. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "Content-Length: 9000000000000000000\r\n\r\n",
+        "x-header: "
+      })
+  void endlessRequestClosesItsConnection(String header) throws Exception {
+    publish(scripted("a").view());
+    String part =
+        header.contains("chunked") ? "1000\r\n" + "a".repeat(0x1000) + "\r\n" : "a".repeat(0x1000);
+    long sentBytes =
+        sendUntilClosed("POST /unsafe/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nid: r\r\n" + header, part);
+    assertThat(sentBytes).isLessThan(DIRECT_MEMORY_BYTES + SOCKET_BUFFER_BYTES);
+    assertThat(send("/unsafe/2").get().statusCode()).isEqualTo(200);
+  }
 }
