Answer pipelined requests that follow a request refused at once

Cause: a request was processed while the decoder still held the requests behind it in the same read. When it was refused at once during a stop, its response closed the connection, and the later requests were discarded. RelayStopTest.pipelinedRequestsBehindARefusedOneAreAnswered failed before: "Expecting actual: 404 to match pattern: (404|503) (404|503) 200". Change: requests are queued as they are decoded, and the first one starts when the read is complete, so the response that closes is the last one.

--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -120,19 +120,26 @@
     hasReadRequest = true;
     if (lastResponseWritten) {
       relay.recordDiscarded(request.headers());
-    } else if (currentExchange.isPresent()) {
-      enqueue(request.retain());
+    } else if (queuedRequests.size() > MAX_PIPELINED_REQUESTS) {
+      channelContext.close();
     } else {
-      process(request.retain());
+      queuedRequests.add(request.retain());
     }
   }
 
-  private void enqueue(FullHttpRequest request) {
-    if (queuedRequests.size() >= MAX_PIPELINED_REQUESTS) {
-      request.release();
-      channelContext.close();
-    } else {
-      queuedRequests.add(request);
+  /**
+   * Starts the first request only now, because its response must not close the connection while
+   * later requests of the same read are still to be decoded.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    processNext();
+    context.fireChannelReadComplete();
+  }
+
+  private void processNext() {
+    if (currentExchange.isEmpty() && !queuedRequests.isEmpty()) {
+      process(queuedRequests.poll());
     }
   }
 
@@ -191,8 +198,8 @@
     write(response, !keepAlive || closesForStop);
     if (!keepAlive) {
       releaseQueuedRequests();
-    } else if (!queuedRequests.isEmpty()) {
-      process(queuedRequests.poll());
+    } else {
+      processNext();
     }
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
@@ -213,6 +213,20 @@
     }
   }
 
+  /**
+   * Guards against pipelined requests that are discarded because the first one is refused before
+   * the others are decoded (bin/stop-soak --seed 2).
+   */
+  @Test
+  void pipelinedRequestsBehindARefusedOneAreAnswered() throws Exception {
+    startTarget(ScriptedTarget.Step.ANSWER);
+    relay.beginStop();
+    try (Socket socket = connect()) {
+      write(socket, request("/none/1") + request("/none/2") + request("/any/3"));
+      assertThat(statusesOf(readToEnd(socket))).matches("(404|503) (404|503) 200");
+    }
+  }
+
   /** Guards against a malformed request that takes the response of the request before it. */
   @Test
   void malformedRequestIsAnsweredAfterTheOneInProgress() throws Exception {
