Handle the platform's signals from the first moment of a process

Cause: the signal handlers were installed after the settings, the metrics and the log library were loaded. A SIGHUP before that ends the Java machine. Change: ProcessSignals is the first static field of the main class. The time in which the Java machine itself starts remains.

--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
@@ -28,10 +27,12 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
-import sun.misc.Signal;
 
 /** Main class on machines of the platform; starts an {@code entry} or {@code control} process. */
 public final class PlatformMain {
+  /** First of the static fields, because loading the classes of the others takes long. */
+  private static final ProcessSignals SIGNALS = ProcessSignals.install();
+
   /** Port on which every process serves its metrics. */
   static final int METRICS_PORT = 9464;
 
@@ -51,7 +52,6 @@
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final LoopResources loops = LoopResources.create("http", 1, true);
-  private final CountDownLatch stopRequested = new CountDownLatch(1);
 
   private PlatformMain(Path settingsFile, PlatformSettings settings) {
     this.settingsFile = settingsFile;
@@ -114,8 +114,7 @@
   }
 
   private void run(String role) throws InterruptedException {
-    Signal.handle(new Signal("TERM"), signal -> stopRequested.countDown());
-    Signal.handle(new Signal("HUP"), signal -> reload());
+    SIGNALS.onSettingsChanged(this::reload);
     log.write(LogEvent.of("process.started").with("role", role).with("ip", settings.ip()));
     switch (role) {
       case "control" -> runControl(meters);
@@ -126,13 +125,13 @@
   }
 
   private void runControl(MeterRegistry registry) throws InterruptedException {
-    ControlNode node = new ControlNode(settings.control(), log, registry, stopRequested::countDown);
+    ControlNode node = new ControlNode(settings.control(), log, registry, SIGNALS::requestStop);
     node.start();
     ControlEndpoint endpoint = new ControlEndpoint(settings.controlAddress(), node, log, loops);
     endpoint.start();
     watchSettings(node::setSeeds);
     serveMetrics();
-    stopRequested.await();
+    SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     stopWatchingSettings();
     endpoint.drain(StopSchedule.withoutNotice(settings.graceMillis()).drainMillis()).block();
@@ -148,7 +147,7 @@
     serveReadiness(relay);
     watchSettings(node::addSeeds);
     serveMetrics();
-    stopRequested.await();
+    SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     StopReport report = node.stop(settings.graceMillis()).block();
     stopWatchingSettings();
