Let the stop soak write the threads of a process before it kills it

Change: the soak prints the name, lets the Java machine write the stacks of its threads (SIGQUIT), kills it and waits for its end, so it counts once.

--- a/src/test/java/io/coltsfootwheel/bench/StopSoak.java
+++ b/src/test/java/io/coltsfootwheel/bench/StopSoak.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,8 @@
   private static final int CLIENT_COUNT = 24;
   private static final int TARGET_COUNT = 3;
   private static final int MIN_SERVING_ENTRIES = 1;
+  private static final int THREAD_DUMP_MILLIS = 300;
+  private static final int KILL_TIMEOUT_SECONDS = 10;
   private static final long REPORT_INTERVAL_MILLIS = 300;
   private static final int MIN_ACTION_INTERVAL_MILLIS = 150;
   private static final int MAX_ACTION_INTERVAL_MILLIS = 600;
@@ -268,12 +271,21 @@
         cluster.start(name, false);
         stopNanosByProcess.remove(name);
       } else if (elapsedMillis > StopSoakCluster.GRACE_MILLIS) {
-        killCount++;
-        cluster.processes().signal(name, "KILL");
+        kill(name);
       }
     }
   }
 
+  /** Kills a process that did not end in time, after it has written the stacks of its threads. */
+  private void kill(String name) throws Exception {
+    killCount++;
+    System.err.println(Instant.now() + " " + name + " did not end within the grace period");
+    signalIfAlive(name, "QUIT");
+    TimeUnit.MILLISECONDS.sleep(THREAD_DUMP_MILLIS);
+    signalIfAlive(name, "KILL");
+    cluster.processes().awaitExit(name, KILL_TIMEOUT_SECONDS);
+  }
+
   private void recordUnexpectedEnds() {
     for (String name : cluster.names()) {
       if (!stopNanosByProcess.containsKey(name) && !cluster.processes().isAlive(name)) {
