Iterate replicated lists and control members in a defined order

Cause: MemberChanges.controlMembers was a Set.copyOf, whose iteration order differs from process to process, so the requests to join were sent in another order and a random run could not be repeated from its seed. Change: control members in the order of the settings, requests to join in the order of arrival, lists in the order of their keys (SortedCopy), known control processes of an entry in the order in which they were learned. Looked at and left, because only looked up, summed or sorted: the other uses of Set.of, Set.copyOf, Map.of, Map.copyOf and toSet of control, consensus, dispatch, keyspace, node and daemon.

--- a/src/main/java/io/coltsfootwheel/control/Command.java
+++ b/src/main/java/io/coltsfootwheel/control/Command.java
@@ -10,6 +10,7 @@
 import io.coltsfootwheel.model.PlanName;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.ServiceSpec;
+import io.coltsfootwheel.model.SortedCopy;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.model.TargetSpec;
 import io.coltsfootwheel.model.TargetStatus;
@@ -217,8 +218,8 @@
       implements Command {
     /** Copies both lists. */
     public ApplyLists {
-      plans = Map.copyOf(plans);
-      allowances = Map.copyOf(allowances);
+      plans = SortedCopy.ofMap(plans);
+      allowances = SortedCopy.ofMap(allowances);
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/daemon/MemberChanges.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberChanges.java
@@ -9,6 +9,8 @@
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +26,12 @@
   private static final long STEP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long JOIN_REQUEST_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /**
+   * In the order of the settings, because the order of effects must not differ between processes.
+   */
   private final Set<InstanceId> controlMembers;
-  private final Map<MemberId, Long> joinRequestNanos = new HashMap<>();
+
+  private final Map<MemberId, Long> joinRequestNanos = new LinkedHashMap<>();
   private final Map<Long, Removal> removalByProposal = new HashMap<>();
   private Optional<Long> nextStepNanos = Optional.empty();
   private Optional<Long> nextJoinNanos = Optional.empty();
@@ -42,7 +48,7 @@
   }
 
   MemberChanges(List<InstanceId> controlMembers) {
-    this.controlMembers = Set.copyOf(controlMembers);
+    this.controlMembers = new LinkedHashSet<>(controlMembers);
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/model/Allowance.java
+++ b/src/main/java/io/coltsfootwheel/model/Allowance.java
@@ -12,8 +12,8 @@
  */
 public record Allowance(
     double ratePerSecond, int burst, int concurrency, Set<ServiceName> services) {
-  /** Copies the set. */
+  /** Copies the set, in the order of the names. */
   public Allowance {
-    services = Set.copyOf(services);
+    services = SortedCopy.ofSet(services);
   }
 }
--- a/src/main/java/io/coltsfootwheel/model/PolicyLists.java
+++ b/src/main/java/io/coltsfootwheel/model/PolicyLists.java
@@ -12,10 +12,10 @@
  */
 public record PolicyLists(
     long revision, Map<CustomerId, PlanName> plans, Map<PlanName, Allowance> allowances) {
-  /** Copies both lists. */
+  /** Copies both lists, in the order of their keys. */
   public PolicyLists {
-    plans = Map.copyOf(plans);
-    allowances = Map.copyOf(allowances);
+    plans = SortedCopy.ofMap(plans);
+    allowances = SortedCopy.ofMap(allowances);
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/node/LeaderFinder.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderFinder.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.node;
 
 import io.coltsfootwheel.model.InstanceId;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -29,7 +30,7 @@
   }
 
   Set<InstanceId> known() {
-    return Set.copyOf(known);
+    return Collections.unmodifiableSet(new LinkedHashSet<>(known));
   }
 
   Optional<InstanceId> leader() {
--- a/src/test/java/io/coltsfootwheel/daemon/MemberChangesTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/MemberChangesTest.java
@@ -67,6 +67,17 @@
     assertThat(changes.nextStep(2 * SECOND, List.of(member('a', true, true)))).isEmpty();
   }
 
+  /** Guards against effects whose order differs from process to process. */
+  @Test
+  void joinRequestsAreSentInTheOrderOfTheSettings() {
+    List<InstanceId> members =
+        "gcaebfdh".chars().mapToObj(c -> InstanceId.of(String.valueOf((char) c))).toList();
+    List<InstanceEffect> effects = new MemberChanges(members).joinRequestsIfDue(0, id('x'));
+    assertThat(effects)
+        .extracting(effect -> ((InstanceEffect.SendMessage) effect).to())
+        .isEqualTo(members);
+  }
+
   private static MemberId id(char name) {
     return new MemberId(InstanceId.of(String.valueOf(name)), "disk-" + name);
   }
--- a/src/test/java/io/coltsfootwheel/daemon/RandomRunTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/RandomRunTest.java
@@ -2,6 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -32,4 +38,39 @@
   void repeatsARunFromItsSeed() {
     assertThat(new RandomRun(7, 5_000).run()).isEqualTo(new RandomRun(7, 5_000).run());
   }
+
+  /**
+   * Guards against an iteration order that differs between processes, such as that of {@code
+   * Set.copyOf}. Four processes, because two of them often have the same order.
+   */
+  @Test
+  void repeatsARunFromItsSeedInOtherProcesses() throws Exception {
+    List<Process> processes = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      processes.add(startRandomRun());
+    }
+    List<String> outputs = new ArrayList<>();
+    for (Process process : processes) {
+      outputs.add(
+          new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip());
+    }
+    assertThat(outputs).allMatch(output -> output.contains("digest="));
+    assertThat(Set.copyOf(outputs)).hasSize(1);
+  }
+
+  private static Process startRandomRun() throws IOException {
+    return new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx256m",
+            "-XX:+UseSerialGC",
+            "-cp",
+            System.getProperty("java.class.path"),
+            RandomRunMain.class.getName(),
+            "--seed",
+            "1",
+            "--events",
+            "5000")
+        .redirectError(ProcessBuilder.Redirect.DISCARD)
+        .start();
+  }
 }
