Let tests of calls to a target give them more time

Evidence: parsesGrantResponse[3] and [6], reportsProbeAndCancelResult[2], each after 0.22 to 0.34 s.

--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -72,7 +72,7 @@
 
   private final LinkTransport link;
   private final ResponseRelay relay;
-  private final TargetClient targets = TargetClient.create();
+  private final TargetClient targets = TargetClient.create(TargetClient.CONTROL_TIMEOUT_MILLIS);
   private final TargetPools targetPools;
   private final EntryDriver entryDriver;
   private final DispatchDriver dispatchDriver;
--- a/src/main/java/io/coltsfootwheel/edge/NettyTargetClient.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyTargetClient.java
@@ -11,8 +11,13 @@
 final class NettyTargetClient implements TargetClient {
   private static final String NO_POOL = "no connection pool of this target is open";
 
+  private final long controlTimeoutMillis;
   private final Map<TargetId, TargetPool> pools = new ConcurrentHashMap<>();
 
+  NettyTargetClient(long controlTimeoutMillis) {
+    this.controlTimeoutMillis = controlTimeoutMillis;
+  }
+
   @Override
   public void open(TargetId target, Address address, int connections) {
     TargetPool[] replaced = new TargetPool[1];
@@ -23,7 +28,7 @@
             return existing;
           }
           replaced[0] = existing;
-          return new TargetPool(target, address, connections);
+          return new TargetPool(target, address, connections, controlTimeoutMillis);
         });
     if (replaced[0] != null) {
       replaced[0].close();
--- a/src/main/java/io/coltsfootwheel/edge/TargetClient.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetClient.java
@@ -13,13 +13,18 @@
  * <p>Usage: {@code client.open(target, address, 4); client.send(target, request).subscribe(...)}.
  */
 public interface TargetClient extends AutoCloseable {
+  /** Time limit of a grant, a health check and a cancellation, in milliseconds. */
+  long CONTROL_TIMEOUT_MILLIS = 200;
+
   /**
    * Returns a client without targets.
    *
+   * @param controlTimeoutMillis time limit of a grant, a health check and a cancellation, in
+   *     milliseconds
    * @return the client
    */
-  static TargetClient create() {
-    return new NettyTargetClient();
+  static TargetClient create(long controlTimeoutMillis) {
+    return new NettyTargetClient(controlTimeoutMillis);
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/edge/TargetControl.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetControl.java
@@ -12,7 +12,6 @@
 
 /** Sends grants, health checks and cancellations to one target. */
 final class TargetControl {
-  private static final Duration TIMEOUT = Duration.ofMillis(200);
   private static final int MAX_REPLY_BYTES = 16 * 1024;
   private static final int STATUS_OK = 200;
   private static final int SUCCESS_STATUS_CLASS = 2;
@@ -20,8 +19,10 @@
   private static final int STATUS_CONFLICT = 409;
 
   private final HttpClient client;
+  private final Duration timeout;
 
-  TargetControl(HttpClient client) {
+  TargetControl(HttpClient client, long timeoutMillis) {
+    this.timeout = Duration.ofMillis(timeoutMillis);
     this.client =
         client.headers(
             headers ->
@@ -39,7 +40,7 @@
         .get()
         .uri("/health")
         .responseSingle((head, body) -> body.then(Mono.just(head.status().code())))
-        .timeout(TIMEOUT)
+        .timeout(timeout)
         .map(TargetControl::isSuccess)
         .onErrorReturn(false);
   }
@@ -71,7 +72,7 @@
                       BodyReader.read(content, MAX_REPLY_BYTES)
                           .map(bytes -> new Reply(head.status().code(), bytes)))
               .next()
-              .timeout(TIMEOUT);
+              .timeout(timeout);
         });
   }
 
--- a/src/main/java/io/coltsfootwheel/edge/TargetPool.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetPool.java
@@ -31,13 +31,13 @@
   private final TargetRequests requests;
   private final TargetControl control;
 
-  TargetPool(TargetId target, Address address, int connections) {
+  TargetPool(TargetId target, Address address, int connections, long controlTimeoutMillis) {
     this.address = address;
     this.connections = connections;
     this.requestProvider = createProvider("requests-" + target, connections);
     this.controlProvider = createProvider("control-" + target, CONTROL_CONNECTIONS);
     this.requests = new TargetRequests(createClient(requestProvider));
-    this.control = new TargetControl(createClient(controlProvider));
+    this.control = new TargetControl(createClient(controlProvider), controlTimeoutMillis);
   }
 
   TargetRequests requests() {
