Count the grace period from the SIGTERM, also while a process starts

Cause: the notice and the drain began when the main thread reached its wait for a stop. A SIGTERM that came while the process still started its servers was answered late, with the whole grace period ahead, so the process lived longer than its grace period and was killed. Change: ProcessSignals keeps the time of the first request to stop, and the stop gets what is left of the grace period.

--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -134,7 +134,7 @@
     SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     stopWatchingSettings();
-    endpoint.drain(StopSchedule.withoutNotice(settings.graceMillis()).drainMillis()).block();
+    endpoint.drain(StopSchedule.withoutNotice(remainingGraceMillis()).drainMillis()).block();
     node.close();
     closeServers();
     log.write(LogEvent.of("process.stopped").with("role", "control"));
@@ -149,7 +149,7 @@
     serveMetrics();
     SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
-    StopReport report = node.stop(settings.graceMillis()).block();
+    StopReport report = node.stop(remainingGraceMillis()).block();
     stopWatchingSettings();
     node.close();
     closeServers();
@@ -173,6 +173,11 @@
     settingsWatcher = Optional.of(watcher);
   }
 
+  /** Returns what is left of the grace period; a stop may be requested while the process starts. */
+  private long remainingGraceMillis() {
+    return Math.max(0, settings.graceMillis() - SIGNALS.millisSinceStopRequest());
+  }
+
   private void stopWatchingSettings() {
     settingsWatcher = Optional.empty();
     scheduler.shutdownNow();
--- a/src/main/java/io/coltsfootwheel/platform/ProcessSignals.java
+++ b/src/main/java/io/coltsfootwheel/platform/ProcessSignals.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.platform;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import sun.misc.Signal;
 
 /**
@@ -9,9 +10,10 @@
  */
 final class ProcessSignals {
   private final CountDownLatch stopRequested = new CountDownLatch(1);
+  private long stopRequestedNanos;
   private volatile Runnable settingsListener = () -> {};
 
-  private ProcessSignals() {}
+  ProcessSignals() {}
 
   /** Replaces the Java machine's handling of SIGTERM and SIGHUP. */
   static ProcessSignals install() {
@@ -27,8 +29,16 @@
   }
 
   /** Requests the stop of the process; a repeated request has no effect. */
-  void requestStop() {
-    stopRequested.countDown();
+  synchronized void requestStop() {
+    if (stopRequested.getCount() > 0) {
+      stopRequestedNanos = System.nanoTime();
+      stopRequested.countDown();
+    }
+  }
+
+  /** Returns the time since the first request to stop, which counts against the grace period. */
+  synchronized long millisSinceStopRequest() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopRequestedNanos);
   }
 
   void awaitStop() throws InterruptedException {
