Draw the random cost of a target once for each choice

Cause: the cost has a random part and was computed in a comparator, so each comparison drew it anew. The minimum of n equal targets was the last one for half of the requests, the one before it for a quarter, at every entry alike. The new test failed before the change: equalTargetsReceiveEqualShares: Expected size: 10 but was: 9 in: {t0=3, t2=4, t3=3, t4=17, t5=37, t6=53, t7=134, t8=230, t9=519} Change: one cost for each candidate, computed once. Result: no target gets twice its even share in the test.

--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -6,7 +6,6 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.RouteKind;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -93,12 +92,19 @@
     if (candidates.isEmpty()) {
       return new RoutingDecision.Refuse("service has no targets", MAX_RETRY_DELAY_MILLIS);
     }
-    return candidates.stream()
-        .min(
-            Comparator.comparingDouble(
-                t -> costMillis(t, triedTargets.contains(t.spec().id()), constraints)))
-        .map(t -> AdmissionPolicy.admit(t, constraints))
-        .orElseThrow();
+    TargetStats cheapest = candidates.get(0);
+    double lowestCostMillis = Double.POSITIVE_INFINITY;
+    // The cost is random, so it is computed once for each candidate. A comparator would draw it
+    // anew for each comparison, which prefers the last candidates.
+    for (TargetStats candidate : candidates) {
+      boolean alreadyTried = triedTargets.contains(candidate.spec().id());
+      double costMillis = costMillis(candidate, alreadyTried, constraints);
+      if (costMillis < lowestCostMillis) {
+        lowestCostMillis = costMillis;
+        cheapest = candidate;
+      }
+    }
+    return AdmissionPolicy.admit(cheapest, constraints);
   }
 
   private double costMillis(
--- a/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
@@ -12,6 +12,7 @@
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.RouteKind;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,10 +24,16 @@
 class TargetChooserTest {
   private static final ServiceName SERVICE = ServiceName.of("s");
   private static final TargetId FIRST = TargetId.of("t0");
+  private static final int EQUAL_TARGETS = 10;
+  private static final int REQUESTS_PER_TARGET = 100;
 
   private final TargetChooser chooser =
       new TargetChooser(RandomSource.SPLIT_MIX_64.create(1), AvailabilityZone.of("z0"), 2_000);
 
+  /** Chooser of an entry in a zone without targets, to which all targets are equally far. */
+  private final TargetChooser remoteChooser =
+      new TargetChooser(RandomSource.SPLIT_MIX_64.create(2), AvailabilityZone.of("remote"), 2_000);
+
   static RoutingState routing(int targetCount, boolean granted, int readyInMillis) {
     List<OwnershipView.Target> targetViews = new ArrayList<>();
     for (int i = 0; i < targetCount; i++) {
@@ -137,6 +144,23 @@
     assertThat(((RoutingDecision.Send) decision).target().spec().id()).isEqualTo(TargetId.of("t1"));
   }
 
+  /**
+   * Guards against a random cost that is drawn anew for each comparison: half of the requests of
+   * all entries would go to the last of several equal targets.
+   */
+  @Test
+  void equalTargetsReceiveEqualShares() {
+    RoutingState routing = routing(EQUAL_TARGETS, true, 0);
+    Map<TargetId, Integer> requests = new HashMap<>();
+    for (int i = 0; i < EQUAL_TARGETS * REQUESTS_PER_TARGET; i++) {
+      RoutingDecision decision =
+          remoteChooser.chooseAny(routing, Set.of(), constraints(1, 1_000, 400));
+      requests.merge(((RoutingDecision.Send) decision).target().spec().id(), 1, Integer::sum);
+    }
+    assertThat(requests).hasSize(EQUAL_TARGETS);
+    assertThat(requests.values()).allMatch(n -> n < 2 * REQUESTS_PER_TARGET);
+  }
+
   /** Guards against downloads from another zone while the local zone has capacity. */
   @Test
   void downloadStaysInTheLocalZone() {
