Give old load estimates less weight in the choice of a target

Cause: while no leader responds, all entries keep the same load estimates for seconds, and all send unkeyed requests to the targets that were idle at that moment; these reject them, and their neighbours stay idle. Admission of unkeyed requests uses the same weight; keyed requests have one owner and are admitted as before.

--- a/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
+++ b/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
@@ -55,11 +55,21 @@
 
   /** Admits or refuses a request for which a target was chosen. */
   static RoutingDecision admit(TargetStats target, RequestConstraints constraints) {
-    if (target.estimatedInFlight() >= target.spec().slots() + TARGET_QUEUE_CAPACITY) {
+    return admit(target, constraints, 1);
+  }
+
+  /**
+   * Admits or refuses a request for which a target was chosen.
+   *
+   * @param othersWeight weight of the requests of other entries, from 0 to 1
+   */
+  static RoutingDecision admit(
+      TargetStats target, RequestConstraints constraints, double othersWeight) {
+    if (target.estimatedInFlight(othersWeight) >= target.spec().slots() + TARGET_QUEUE_CAPACITY) {
       return refuse("target queue is full", target, constraints);
     }
-    if (target.expectedResponseMillis() <= maxExpectedResponseMillis(constraints)
-        || fitsLateQueue(target, constraints)) {
+    if (target.expectedResponseMillis(othersWeight) <= maxExpectedResponseMillis(constraints)
+        || fitsLateQueue(target, constraints, othersWeight)) {
       return new RoutingDecision.Send(target);
     }
     return refuse("not enough time left", target, constraints);
@@ -81,9 +91,10 @@
         objectiveRatio * constraints.remainingObjectiveMillis());
   }
 
-  private static boolean fitsLateQueue(TargetStats target, RequestConstraints constraints) {
-    return target.estimatedInFlight() < target.spec().slots() + LATE_QUEUE_CAPACITY
-        && target.expectedResponseMillis() * MIN_REMAINING_TIME_RATIO
+  private static boolean fitsLateQueue(
+      TargetStats target, RequestConstraints constraints, double othersWeight) {
+    return target.estimatedInFlight(othersWeight) < target.spec().slots() + LATE_QUEUE_CAPACITY
+        && target.expectedResponseMillis(othersWeight) * MIN_REMAINING_TIME_RATIO
             <= constraints.remainingMillis();
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -156,7 +156,7 @@
     runOnEventLoop(
         () -> {
           lastLeaderContactNanos = System.nanoTime();
-          routing.updateLoadEstimates(loadEstimates, entryCount);
+          routing.updateLoadEstimates(lastLeaderContactNanos, loadEstimates, entryCount);
         });
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -12,16 +12,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 /** Routes, targets and key ownership known to an entry; confined to the relay's event loop. */
 final class RoutingState {
+  /** Age of the load estimates from which they lose weight: three missed answers of the leader. */
+  private static final long FRESH_ESTIMATE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /** Age at which load estimates have no weight; requests in flight then are answered by now. */
+  private static final long EXPIRED_ESTIMATE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   private final Map<TargetId, TargetStats> targets = new HashMap<>();
   private Map<ServiceName, List<TargetStats>> targetsByService = Map.of();
   private Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> rangesByService = Map.of();
   private RouteTable routes = RouteTable.empty();
   private boolean hasOwnership;
   private int entryCount = 1;
+  private OptionalLong estimatesConfirmedNanos = OptionalLong.empty();
 
   void updateConfiguration(Configuration configuration) {
     routes = RouteTable.of(configuration);
@@ -51,7 +60,10 @@
     return removed;
   }
 
-  void updateLoadEstimates(Map<TargetId, TargetLoadEstimate> loadEstimates, int newEntryCount) {
+  /** Updates the estimates that changed; the leader confirms all others by its message. */
+  void updateLoadEstimates(
+      long nowNanos, Map<TargetId, TargetLoadEstimate> loadEstimates, int newEntryCount) {
+    estimatesConfirmedNanos = OptionalLong.of(nowNanos);
     entryCount = Math.max(1, newEntryCount);
     loadEstimates.forEach(
         (id, loadEstimate) -> {
@@ -62,6 +74,21 @@
         });
   }
 
+  /**
+   * Returns the weight of the other entries' requests in flight according to the load estimates: 1
+   * while the leader responds, and less with the age of the estimates when it does not.
+   */
+  double loadEstimateWeight(long nowNanos) {
+    if (estimatesConfirmedNanos.isEmpty()) {
+      return 0;
+    }
+    long ageNanos = nowNanos - estimatesConfirmedNanos.getAsLong();
+    double weight =
+        (double) (EXPIRED_ESTIMATE_NANOS - ageNanos)
+            / (EXPIRED_ESTIMATE_NANOS - FRESH_ESTIMATE_NANOS);
+    return Math.max(0, Math.min(1, weight));
+  }
+
   RouteTable routes() {
     return routes;
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -82,9 +82,15 @@
     return AdmissionPolicy.admit(owner.get(), constraints);
   }
 
-  /** Decides on an unkeyed request; a target already tried is used only if no other is left. */
+  /**
+   * Decides on an unkeyed request; a target already tried is used only if no other is left.
+   *
+   * <p>Without a leader, all entries keep the same old load estimates. They would all send to the
+   * targets that were idle then, so old estimates lose their weight, which spreads the requests.
+   */
   RoutingDecision chooseAny(
       RoutingState routing, Set<TargetId> triedTargets, RequestConstraints constraints) {
+    double othersWeight = routing.loadEstimateWeight(constraints.nowNanos());
     List<TargetStats> candidates =
         routing.targetsOf(constraints.service()).stream()
             .filter(t -> t.acceptsRequests(constraints.nowNanos(), drainMillis))
@@ -98,23 +104,26 @@
     // anew for each comparison, which prefers the last candidates.
     for (TargetStats candidate : candidates) {
       boolean alreadyTried = triedTargets.contains(candidate.spec().id());
-      double costMillis = costMillis(candidate, alreadyTried, constraints);
+      double costMillis = costMillis(candidate, alreadyTried, constraints, othersWeight);
       if (costMillis < lowestCostMillis) {
         lowestCostMillis = costMillis;
         cheapest = candidate;
       }
     }
-    return AdmissionPolicy.admit(cheapest, constraints);
+    return AdmissionPolicy.admit(cheapest, constraints, othersWeight);
   }
 
   private double costMillis(
-      TargetStats target, boolean alreadyTried, RequestConstraints constraints) {
+      TargetStats target,
+      boolean alreadyTried,
+      RequestConstraints constraints,
+      double othersWeight) {
     double jitterFactor = 1 + JITTER_RATIO * random.nextDouble();
     double crossZonePenaltyMillis =
         constraints.kind() == RouteKind.DOWNLOAD
             ? CROSS_ZONE_DOWNLOAD_PENALTY_MILLIS
             : CROSS_ZONE_PENALTY_MILLIS;
-    return target.expectedResponseMillis() * jitterFactor
+    return target.expectedResponseMillis(othersWeight) * jitterFactor
         + (target.spec().zone().equals(zone) ? 0 : crossZonePenaltyMillis)
         + (alreadyTried ? TRIED_PENALTY_MILLIS : 0)
         + (target.isSuspect(constraints.nowNanos()) ? SUSPECT_PENALTY_MILLIS : 0)
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -59,7 +59,16 @@
    * entry's share replaced by its current count.
    */
   int estimatedInFlight() {
-    return Math.max(0, loadEstimate.inFlight() - reportedInFlight) + inFlight;
+    return estimatedInFlight(1);
+  }
+
+  /**
+   * Returns the estimated requests in flight, of which those of other entries have a weight from 0
+   * to 1.
+   */
+  int estimatedInFlight(double othersWeight) {
+    int inFlightOfOthers = Math.max(0, loadEstimate.inFlight() - reportedInFlight);
+    return (int) Math.round(othersWeight * inFlightOfOthers) + inFlight;
   }
 
   int millisPerRequest() {
@@ -68,7 +77,12 @@
 
   /** Returns the expected response time of a request that is sent now. */
   long expectedResponseMillis() {
-    int queuePosition = Math.max(0, estimatedInFlight() - spec.slots() + 1);
+    return expectedResponseMillis(1);
+  }
+
+  /** Returns the expected response time for a weight of the requests of other entries. */
+  long expectedResponseMillis(double othersWeight) {
+    int queuePosition = Math.max(0, estimatedInFlight(othersWeight) - spec.slots() + 1);
     return (long) loadEstimate.millisPerRequest() * queuePosition / spec.slots()
         + loadEstimate.millisPerRequest();
   }
--- a/src/test/java/io/coltsfootwheel/relay/OverloadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/relay/OverloadSimulation.java
@@ -184,7 +184,8 @@
     entry.reportedInFlight = entry.owner().inFlight();
     int inFlight = entries.stream().mapToInt(e -> e.reportedInFlight).sum();
     TargetLoadEstimate loadEstimate = new TargetLoadEstimate(inFlight, (int) meanServiceMillis());
-    entry.routing.updateLoadEstimates(Map.of(OWNER, loadEstimate), ENTRIES);
+    entry.routing.updateLoadEstimates(
+        (long) (nowMillis * 1e6), Map.of(OWNER, loadEstimate), ENTRIES);
     schedule(nowMillis + REPORT_INTERVAL_MILLIS, () -> report(entry));
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
@@ -57,7 +57,7 @@
 
   /** Returns the owner after setting its requests in flight from other entries. */
   static TargetStats owner(RoutingState routing, int inFlight) {
-    routing.updateLoadEstimates(Map.of(FIRST, new TargetLoadEstimate(inFlight, 100)), 1);
+    routing.updateLoadEstimates(1, Map.of(FIRST, new TargetLoadEstimate(inFlight, 100)), 1);
     return routing.target(FIRST).orElseThrow();
   }
 
@@ -77,7 +77,7 @@
   void overloadedOwnerAnswersAdmittedRequestsInTime(int priority) {
     RoutingState routing = routing(1, true, 0);
     TargetStats owner = routing.target(FIRST).orElseThrow();
-    routing.updateLoadEstimates(Map.of(FIRST, new TargetLoadEstimate(0, 100)), 1);
+    routing.updateLoadEstimates(1, Map.of(FIRST, new TargetLoadEstimate(0, 100)), 1);
     long objectiveMillis = 400;
     double[] slotAvailableMillis = new double[2];
     List<Double> completionMillis = new ArrayList<>();
@@ -113,7 +113,7 @@
   @Test
   void lowerPriorityRequestsAreRefusedEarlier() {
     RoutingState routing = routing(1, true, 0);
-    routing.updateLoadEstimates(Map.of(FIRST, new TargetLoadEstimate(5, 110)), 1);
+    routing.updateLoadEstimates(1, Map.of(FIRST, new TargetLoadEstimate(5, 110)), 1);
     assertThat(chooser.chooseOwner(routing, 5, constraints(1, 1_000, 400)))
         .isInstanceOf(RoutingDecision.Send.class);
     assertThat(chooser.chooseOwner(routing, 5, constraints(3, 1_000, 400)))
