Send changes of the view once a tick

Cause: the leader sent each step of each move to each entry at once. With the load of a service computed once a round it starts about 75 moves a second at full load, with up to three changes of the view each, for 62 entries. Change: changes of the view since the last tick, 20 ms, are one message. Result: changesOfTheViewAreSentAtMostOncePerTick passes; it needs no more messages than ticks.

--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -107,7 +107,6 @@
     Optional<LeaseGrant> grant =
         ownership.grant(eventNanos, target.id(), target.incarnationMillis());
     ownership.takeStartedMoves().forEach(this::logMove);
-    publishView();
     actions.answer(requestId, new ControlAnswer.Acknowledged(grant, self));
   }
 
@@ -255,7 +254,6 @@
               Map.of(),
               0));
     }
-    publishView();
   }
 
   void onProposalResult(long proposalId, boolean committed) {
@@ -286,6 +284,10 @@
     proposals.put(actions.propose(command), onResult);
   }
 
+  /**
+   * Sends the changes of the view since the last tick. Each entry processes each message, so the
+   * rate of messages must not grow with the moves.
+   */
   private void publishView() {
     if (ownership.takeViewChanged()) {
       OwnershipView before = view;
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -43,8 +43,9 @@
  * subscribe with the load of keyed requests. Commands are committed within a tick.
  */
 final class LeaderLoadSimulation {
+  static final long TICK_MILLIS = 20;
+
   private static final ServiceName LEDGER = ServiceName.of("ledger");
-  private static final long TICK_MILLIS = 20;
   private static final long REPORT_INTERVAL_MILLIS = 870;
   private static final long SUBSCRIBE_INTERVAL_MILLIS = 100;
   private static final int SLOTS = 2;
@@ -53,6 +54,8 @@
   /** Exponent of the uneven distribution of requests over keys. */
   private static final double KEY_SKEW = 1.5;
 
+  private static final String ANSWERS = "answers to entries";
+  private static final String CHANGES = "changes to entries";
   private static final String BYTES_OF_ANSWERS = "bytes of answers to entries";
   private static final String BYTES_OF_CHANGES = "bytes of changes to entries";
   private static final int FIRST_HOT_KEY = 30_000;
@@ -235,7 +238,7 @@
       NodeMessage.Routing routing = (NodeMessage.Routing) message;
       byte[] bytes = measure(Work.ENCODE, () -> message.toFrame().payload());
       boolean isChange = routing.change().isPresent();
-      counts.merge(isChange ? "changes to entries" : "answers to entries", 1L, Long::sum);
+      counts.merge(isChange ? CHANGES : ANSWERS, 1L, Long::sum);
       counts.merge(isChange ? BYTES_OF_CHANGES : BYTES_OF_ANSWERS, (long) bytes.length, Long::sum);
       entry.receive(routing);
     }
@@ -388,6 +391,11 @@
     return counts.getOrDefault(BYTES_OF_ANSWERS, 0L) + counts.getOrDefault(BYTES_OF_CHANGES, 0L);
   }
 
+  /** Returns the number of messages to entries that carry a change of the view. */
+  long changesToEntries() {
+    return counts.getOrDefault(CHANGES, 0L);
+  }
+
   int ranges() {
     return state.table(LEDGER).ranges().size();
   }
--- a/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
@@ -15,6 +15,9 @@
   private static final double MAX_CONTROL_BYTES_PER_SECOND = 4_096;
 
   private static final int REQUESTS_PER_SECOND = 60;
+  private static final int HIGH_REQUESTS_PER_SECOND = 2_400;
+  private static final int HOT_KEYS = 200;
+  private static final double HOT_SHARE = 0.4;
   private static final long START_MILLIS = 5_000;
   private static final long MEASURED_MILLIS = 2_000;
 
@@ -56,6 +59,22 @@
     assertThat(bytesPerSecond).isLessThan(MAX_CONTROL_BYTES_PER_SECOND);
   }
 
+  /**
+   * Load: hot keys, so that many ranges move. Guards against a message to each entry for each step
+   * of each move: the entries then spend their processor time on them.
+   */
+  @Test
+  void changesOfTheViewAreSentAtMostOncePerTick() {
+    LeaderLoadSimulation simulation =
+        new LeaderLoadSimulation(1, GROWN_TARGETS, ENTRIES, HIGH_REQUESTS_PER_SECOND);
+    simulation.run(START_MILLIS);
+    simulation.setHotKeys(HOT_KEYS, HOT_SHARE);
+    simulation.resetMeasurements();
+    simulation.run(MEASURED_MILLIS);
+    assertThat(simulation.changesToEntries() / ENTRIES)
+        .isLessThanOrEqualTo(MEASURED_MILLIS / LeaderLoadSimulation.TICK_MILLIS);
+  }
+
   private static double allocatedBytesPerReport(int targets) {
     LeaderLoadSimulation simulation =
         new LeaderLoadSimulation(1, targets, ENTRIES, REQUESTS_PER_SECOND);
