Start a term with a view of the replicated targets

Cause: a new leader answered subscriptions before its first tick with the empty view of its start. Entries took it, since its term is newer, and refused requests until the next update; at 62 entries, 12 subscribe within a tick. The new test failed before the change: newLeaderSendsItsTargetsBeforeItsFirstTick: Expecting actual: [] to contain exactly (and in same order): [t] Change: the first view of a term is built from the replicated state. Result: the test passes.

--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -55,7 +55,9 @@
   private long eventNanos;
 
   private long viewSequence;
-  private OwnershipView view = OwnershipView.empty();
+
+  /** The view that entries were sent last; at first the one at the start of the term. */
+  private OwnershipView view;
 
   private record PendingChange(long requestId, ConfigurationChange change) {}
 
@@ -72,6 +74,7 @@
     this.actions = actions;
     this.state = state;
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
+    this.view = ownership.view(nowNanos);
     this.membership = new GroupMembership(wantedVoters, nowNanos);
   }
 
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -2,8 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.coltsfootwheel.consensus.MemberId;
+import io.coltsfootwheel.consensus.MembershipChange;
+import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.keyspace.FleetCommand;
+import io.coltsfootwheel.keyspace.FleetState;
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.LoadReport;
+import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
 import io.coltsfootwheel.keyspace.TargetRecord;
 import io.coltsfootwheel.model.Address;
@@ -14,6 +21,7 @@
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.routing.ConfigurationItem;
 import io.coltsfootwheel.routing.ServicePolicy;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -204,4 +212,58 @@
                 m instanceof NodeMessage.Routing r
                     && r.configuration().filter(c -> c.version() == 1).isPresent());
   }
+
+  /**
+   * Guards against a new leader that sends an entry a view without targets before its first tick:
+   * the entry would refuse all requests until the next update.
+   */
+  @Test
+  void newLeaderSendsItsTargetsBeforeItsFirstTick() {
+    TargetRecord target = report("t", 1, TargetPhase.READY).target();
+    FleetState state = FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target));
+    List<NodeMessage> sent = new ArrayList<>();
+    LeaderSession session =
+        new LeaderSession(
+            FIRST,
+            2,
+            new RecordingActions(sent),
+            OwnershipSettings.of(870, 10_000),
+            5,
+            state,
+            group.nowNanos());
+    session.subscribe(
+        group.nowNanos(),
+        InstanceId.of("10.9.0.1"),
+        new NodeMessage.Subscribe(
+            new Address("10.9.0.1", 7_000), 0, 1, 7, new LoadReport(Map.of(), List.of()), 0));
+    OwnershipView view = ((NodeMessage.Routing) sent.get(0)).view().orElseThrow();
+    assertThat(view.targets()).extracting(OwnershipView.Target::id).containsExactly(target.id());
+  }
+
+  /** Records the messages of a leader and ignores its other actions. */
+  private record RecordingActions(List<NodeMessage> sent) implements LeaderActions {
+    @Override
+    public long propose(FleetCommand command) {
+      return 0;
+    }
+
+    @Override
+    public long confirmLeadership() {
+      return 0;
+    }
+
+    @Override
+    public void changeMembership(MembershipChange change, MemberId member) {}
+
+    @Override
+    public void send(InstanceId to, NodeMessage message) {
+      sent.add(message);
+    }
+
+    @Override
+    public void answer(long requestId, ControlAnswer answer) {}
+
+    @Override
+    public void log(LogEvent event) {}
+  }
 }
