--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -55,7 +55,9 @@
   private long eventNanos;
 
   private long viewSequence;
-  private OwnershipView view = OwnershipView.empty();
+
+  /** The view that entries were sent last; at first the one at the start of the term. */
+  private OwnershipView view;
 
   private record PendingChange(long requestId, ConfigurationChange change) {}
 
@@ -72,6 +74,7 @@
     this.actions = actions;
     this.state = state;
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
+    this.view = ownership.view(nowNanos);
     this.membership = new GroupMembership(wantedVoters, nowNanos);
   }
 
@@ -107,7 +110,6 @@
     Optional<LeaseGrant> grant =
         ownership.grant(eventNanos, target.id(), target.incarnationMillis());
     ownership.takeStartedMoves().forEach(this::logMove);
-    publishView();
     actions.answer(requestId, new ControlAnswer.Acknowledged(grant, self));
   }
 
@@ -255,7 +257,6 @@
               Map.of(),
               0));
     }
-    publishView();
   }
 
   void onProposalResult(long proposalId, boolean committed) {
@@ -286,6 +287,10 @@
     proposals.put(actions.propose(command), onResult);
   }
 
+  /**
+   * Sends the changes of the view since the last tick. Each entry processes each message, so the
+   * rate of messages must not grow with the moves.
+   */
   private void publishView() {
     if (ownership.takeViewChanged()) {
       OwnershipView before = view;
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -168,7 +168,7 @@
     runOnEventLoop(
         () -> {
           lastLeaderContactNanos = System.nanoTime();
-          routing.updateLoadEstimates(loadEstimates, entryCount);
+          routing.updateLoadEstimates(lastLeaderContactNanos, loadEstimates, entryCount);
         });
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -6,7 +6,6 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.RouteKind;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -83,9 +82,15 @@
     return AdmissionPolicy.admit(owner.get(), constraints);
   }
 
-  /** Decides on an unkeyed request; a target already tried is used only if no other is left. */
+  /**
+   * Decides on an unkeyed request; a target already tried is used only if no other is left.
+   *
+   * <p>Without a leader, all entries keep the same old load estimates. They would all send to the
+   * targets that were idle then, so old estimates lose their weight, which spreads the requests.
+   */
   RoutingDecision chooseAny(
       RoutingState routing, Set<TargetId> triedTargets, RequestConstraints constraints) {
+    double othersWeight = routing.loadEstimateWeight(constraints.nowNanos());
     List<TargetStats> candidates =
         routing.targetsOf(constraints.service()).stream()
             .filter(t -> t.acceptsRequests(constraints.nowNanos(), drainMillis))
@@ -93,22 +98,32 @@
     if (candidates.isEmpty()) {
       return new RoutingDecision.Refuse("service has no targets", MAX_RETRY_DELAY_MILLIS);
     }
-    return candidates.stream()
-        .min(
-            Comparator.comparingDouble(
-                t -> costMillis(t, triedTargets.contains(t.spec().id()), constraints)))
-        .map(t -> AdmissionPolicy.admit(t, constraints))
-        .orElseThrow();
+    TargetStats cheapest = candidates.get(0);
+    double lowestCostMillis = Double.POSITIVE_INFINITY;
+    // The cost is random, so it is computed once for each candidate. A comparator would draw it
+    // anew for each comparison, which prefers the last candidates.
+    for (TargetStats candidate : candidates) {
+      boolean alreadyTried = triedTargets.contains(candidate.spec().id());
+      double costMillis = costMillis(candidate, alreadyTried, constraints, othersWeight);
+      if (costMillis < lowestCostMillis) {
+        lowestCostMillis = costMillis;
+        cheapest = candidate;
+      }
+    }
+    return AdmissionPolicy.admit(cheapest, constraints, othersWeight);
   }
 
   private double costMillis(
-      TargetStats target, boolean alreadyTried, RequestConstraints constraints) {
+      TargetStats target,
+      boolean alreadyTried,
+      RequestConstraints constraints,
+      double othersWeight) {
     double jitterFactor = 1 + JITTER_RATIO * random.nextDouble();
     double crossZonePenaltyMillis =
         constraints.kind() == RouteKind.DOWNLOAD
             ? CROSS_ZONE_DOWNLOAD_PENALTY_MILLIS
             : CROSS_ZONE_PENALTY_MILLIS;
-    return target.expectedResponseMillis() * jitterFactor
+    return target.expectedResponseMillis(othersWeight) * jitterFactor
         + (target.spec().zone().equals(zone) ? 0 : crossZonePenaltyMillis)
         + (alreadyTried ? TRIED_PENALTY_MILLIS : 0)
         + (target.isSuspect(constraints.nowNanos()) ? SUSPECT_PENALTY_MILLIS : 0)
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -53,6 +53,8 @@
   /** Exponent of the uneven distribution of requests over keys. */
   private static final double KEY_SKEW = 1.5;
 
+  private static final String ANSWERS = "answers to entries";
+  private static final String CHANGES = "changes to entries";
   private static final String BYTES_OF_ANSWERS = "bytes of answers to entries";
   private static final String BYTES_OF_CHANGES = "bytes of changes to entries";
   private static final int FIRST_HOT_KEY = 30_000;
@@ -70,6 +72,7 @@
   private long nowMillis = 1_000;
   private long index = 1;
   private long nextId = 1;
+  private long maxChangesPerTick;
   private FleetState state;
 
   private final Map<Work, Cost> costs = new EnumMap<>(Work.class);
@@ -235,7 +238,7 @@
       NodeMessage.Routing routing = (NodeMessage.Routing) message;
       byte[] bytes = measure(Work.ENCODE, () -> message.toFrame().payload());
       boolean isChange = routing.change().isPresent();
-      counts.merge(isChange ? "changes to entries" : "answers to entries", 1L, Long::sum);
+      counts.merge(isChange ? CHANGES : ANSWERS, 1L, Long::sum);
       counts.merge(isChange ? BYTES_OF_CHANGES : BYTES_OF_ANSWERS, (long) bytes.length, Long::sum);
       entry.receive(routing);
     }
@@ -293,6 +296,7 @@
     long endMillis = nowMillis + millis;
     while (nowMillis < endMillis) {
       nowMillis += TICK_MILLIS;
+      long changesBefore = changesToEntries();
       session.setEventTime(nanos());
       sendRequests();
       for (SimulatedEntry entry : entries) {
@@ -319,6 +323,7 @@
       while (!results.isEmpty()) {
         measure(Work.RESULT, () -> results.poll().run());
       }
+      maxChangesPerTick = Math.max(maxChangesPerTick, changesToEntries() - changesBefore);
     }
   }
 
@@ -367,6 +372,7 @@
   void resetMeasurements() {
     costs.clear();
     counts.clear();
+    maxChangesPerTick = 0;
   }
 
   Map<Work, Cost> costs() {
@@ -388,6 +394,15 @@
     return counts.getOrDefault(BYTES_OF_ANSWERS, 0L) + counts.getOrDefault(BYTES_OF_CHANGES, 0L);
   }
 
+  /** Returns the most messages within a tick, to all entries, that carry a change of the view. */
+  long maxChangesPerTick() {
+    return maxChangesPerTick;
+  }
+
+  private long changesToEntries() {
+    return counts.getOrDefault(CHANGES, 0L);
+  }
+
   int ranges() {
     return state.table(LEDGER).ranges().size();
   }
