Give on a range whose owner is lost before the first grant

Evidence: before the change rangeMovesOnWhenItsOwnerIsLostBeforeTheFirstGrant "expected: "staying" but was: "lost"", and rangeIsNotGrantedWhileItMovesOn failed because nothing moved. Change: at each tick the leader starts moves of the ranges of targets that missed a report (1.6 intervals) whose fence is above the index of the owner's last answer, and proposes them at once with the handover token of the holder before. Safe because an answer is recorded before it is sent, so no answer of this term contains such a range; a new term takes all ranges of its start as granted; and the move omits the range from the owner's answers from the proposal on. The replicated state still checks the previous owner.

--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -215,6 +215,7 @@
     }
     updateEndedLeases(nowNanos);
     commands.addAll(assign(nowNanos, moves.expired(nowNanos, heartbeats)));
+    commands.addAll(assign(nowNanos, startUngrantedMoves(nowNanos)));
     commands.addAll(removals(nowNanos));
     for (ServiceName service : keyedServices) {
       assignGaps(nowNanos, service).ifPresent(commands::add);
@@ -344,6 +345,41 @@
     }
   }
 
+  /**
+   * Starts moves of the ranges whose owner stopped to report before it was granted them. No answer
+   * of this term contains such a range, and the new term took all ranges of its start as granted,
+   * so there is no lease whose end must be awaited.
+   */
+  private List<RangeMove> startUngrantedMoves(long nowNanos) {
+    List<RangeMove> started = new ArrayList<>();
+    for (TargetRecord target : state.targets()) {
+      boolean isLost = isKeyed(target) && !heartbeats.isReporting(nowNanos, target.id());
+      if (isLost && !pendingRemovals.contains(target.id())) {
+        started.addAll(startUngrantedMoves(nowNanos, target));
+      }
+    }
+    return started;
+  }
+
+  private List<RangeMove> startUngrantedMoves(long nowNanos, TargetRecord owner) {
+    Optional<TargetHeartbeat> heartbeat =
+        heartbeats.find(owner.id()).filter(h -> h.incarnationMillis() == owner.incarnationMillis());
+    List<OwnedRange> whole = state.table(owner.service()).rangesOf(owner.id());
+    List<OwnedRange> ungranted =
+        stableRanges(owner).stream()
+            .filter(whole::contains)
+            .filter(r -> heartbeat.filter(h -> r.fence().value() > h.grantedIndex()).isPresent())
+            .toList();
+    if (ungranted.isEmpty()
+        || placement.receivers(nowNanos, owner.service(), owner.id(), state).isEmpty()) {
+      return List.of();
+    }
+    viewChanged = true;
+    return ungranted.stream()
+        .map(r -> moves.startUngranted(owner, heartbeat.orElseThrow(), r, "owner was lost"))
+        .toList();
+  }
+
   /**
    * Returns whether a target should give keys to a target that has none. Each move in progress is
    * taken to supply one of the targets without keys. If n more targets have no keys, the n targets
--- a/src/main/java/io/coltsfootwheel/keyspace/RangeMoves.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangeMoves.java
@@ -18,6 +18,28 @@
 
   /** Starts a move: from now on the range is omitted from the answers to its owner. */
   void start(TargetRecord owner, TargetHeartbeat heartbeat, KeyRange range, String reason) {
+    start(owner, heartbeat, range, List.of(), reason);
+  }
+
+  /**
+   * Starts a move of a range that its owner was never granted. The handover token of the holder
+   * before it is still valid for the next owner.
+   */
+  RangeMove startUngranted(
+      TargetRecord owner, TargetHeartbeat heartbeat, OwnedRange owned, String reason) {
+    List<ReleasedRange> tokens =
+        owned.handoverToken().isEmpty()
+            ? List.of()
+            : List.of(new ReleasedRange(owned.range(), owned.handoverToken()));
+    return start(owner, heartbeat, owned.range(), tokens, reason);
+  }
+
+  private RangeMove start(
+      TargetRecord owner,
+      TargetHeartbeat heartbeat,
+      KeyRange range,
+      List<ReleasedRange> handoverTokens,
+      String reason) {
     RangeMove move =
         new RangeMove(
             owner.service(),
@@ -27,10 +49,11 @@
             heartbeat.sequence(),
             heartbeat.leaseEndNanos(),
             false,
-            List.of(),
+            handoverTokens,
             reason);
     moves.add(move);
     started.add(move);
+    return move;
   }
 
   /** Returns the moves started since the last call. */
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -48,10 +48,31 @@
     apply(List.of(new FleetCommand.AssignRanges(LEDGER, List.of(assignment))));
   }
 
-  /** Sends a report of a target, applies the resulting commands and grants the lease. */
-  void reportAndGrant(String name, TargetPhase phase) {
+  /**
+   * Sends a report of a target, applies the resulting commands and grants the lease.
+   *
+   * @return the ranges granted
+   */
+  List<KeyRange> reportAndGrant(String name, TargetPhase phase) {
     apply(report(name, phase));
-    leader.grant(nowNanos, TargetId.of(name), 1);
+    return leader.grant(nowNanos, TargetId.of(name), 1).map(LeaseGrant::ranges).stream()
+        .flatMap(List::stream)
+        .map(OwnedRange::range)
+        .toList();
+  }
+
+  /** Replaces the leader, as an election does. */
+  void electLeader() {
+    leader = new OwnershipLeader(SETTINGS, state, nowNanos);
+  }
+
+  /** Returns the owner of a key. */
+  String owner(int key) {
+    return owners().ranges().stream()
+        .filter(r -> r.range().contains(key))
+        .map(r -> r.owner().value())
+        .findFirst()
+        .orElse("");
   }
 
   /** Sends a report of a target that holds no keys, and returns the commands to propose. */
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -142,6 +142,60 @@
     assertThat(harness.owners().ranges()).isEqualTo(owners.ranges());
   }
 
+  /**
+   * Guards against a range without a holder for a whole lease, because its new owner was lost
+   * before it was granted the range (inc-9326). A range that was granted must wait for that end.
+   */
+  @Test
+  void rangeMovesOnWhenItsOwnerIsLostBeforeTheFirstGrant() {
+    OwnershipLeaderHarness harness = harnessWithLostOwner();
+    harness.apply(harness.tick());
+    assertThat(harness.owner(60_000)).isEqualTo("staying");
+    assertThat(harness.owner(0)).isEqualTo("lost");
+  }
+
+  /**
+   * Guards against a grant of a range to its previous owner while the assignment to the next owner
+   * is proposed and not yet applied.
+   */
+  @Test
+  void rangeIsNotGrantedWhileItMovesOn() {
+    OwnershipLeaderHarness harness = harnessWithLostOwner();
+    List<FleetCommand> proposed = harness.tick();
+    assertThat(harness.reportAndGrant("lost", TargetPhase.READY))
+        .containsExactly(new KeyRange(0, 999));
+    harness.apply(proposed);
+    assertThat(harness.owner(60_000)).isEqualTo("staying");
+    assertThat(harness.reportAndGrant("lost", TargetPhase.READY))
+        .containsExactly(new KeyRange(0, 999));
+  }
+
+  /**
+   * Guards against a new leader that takes a range as never granted, which the last one granted.
+   */
+  @Test
+  void rangeOfEarlierTermIsTakenAsGranted() {
+    OwnershipLeaderHarness harness = harnessWithLostOwner();
+    harness.electLeader();
+    harness.advance(1_500);
+    harness.reportAndGrant("staying", TargetPhase.READY);
+    harness.apply(harness.tick());
+    assertThat(harness.owner(60_000)).isEqualTo("lost");
+  }
+
+  /** Returns a leader whose target "lost" was granted keys 0 to 999, but not the rest it owns. */
+  private static OwnershipLeaderHarness harnessWithLostOwner() {
+    OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
+    harness.register("lost");
+    harness.register("staying");
+    harness.assign(new KeyRange(0, 999), "lost");
+    harness.reportAndGrant("lost", TargetPhase.READY);
+    harness.assign(new KeyRange(1_000, KeyRange.MAX_KEY), "lost");
+    harness.advance(1_500);
+    harness.reportAndGrant("staying", TargetPhase.READY);
+    return harness;
+  }
+
   /**
    * Load: the hot range changes every two seconds for minutes. Guards against ranges that are split
    * into ever more parts until all targets have the maximum number of ranges, after which released
