Notice bytes that arrive just after the response of a target

Cause: SurplusByteGuard asked whether Reactor Netty had bound an operation to the connection, which stays so for a moment after the response is complete; bytes that arrived in that moment reached the decoder and the connection was reused. Change: a handler behind the codec marks the connection as in use from the request to the last content of its final response, and bytes outside that time close it. Bytes in the same read as the end of a response are still not noticed here.

--- a/src/main/java/io/coltsfootwheel/edge/TargetPool.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetPool.java
@@ -22,8 +22,6 @@
    */
   private static final int MAX_PENDING_PER_CONNECTION = 2;
 
-  private static final SurplusByteGuard SURPLUS_BYTE_GUARD = new SurplusByteGuard();
-
   private final Address address;
   private final int connections;
   private final ConnectionProvider requestProvider;
@@ -74,8 +72,7 @@
         .resolver(DefaultAddressResolverGroup.INSTANCE)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
-        .doOnChannelInit(
-            (observer, channel, remoteAddress) -> channel.pipeline().addFirst(SURPLUS_BYTE_GUARD))
+        .doOnChannelInit((observer, channel, remoteAddress) -> SurplusByteGuard.addTo(channel))
         // A retry after a connection reset could execute a request twice.
         .disableRetry(true);
   }
