--- a/src/main/java/io/coltsfootwheel/edge/TargetPool.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetPool.java
@@ -22,8 +22,6 @@
    */
   private static final int MAX_PENDING_PER_CONNECTION = 2;
 
-  private static final UnrequestedBytesHandler UNREQUESTED_BYTES = new UnrequestedBytesHandler();
-
   private final Address address;
   private final int connections;
   private final ConnectionProvider requestProvider;
@@ -77,8 +75,7 @@
         .resolver(DefaultAddressResolverGroup.INSTANCE)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
-        .doOnChannelInit(
-            (observer, channel, remoteAddress) -> channel.pipeline().addFirst(UNREQUESTED_BYTES))
+        .doOnChannelInit((observer, channel, remoteAddress) -> UnrequestedBytesHandler.addTo(channel))
         // A retry after a connection reset could execute a request twice.
         .disableRetry(true);
   }
