Keep the daemon running at SIGHUP

Cause: the JVM ends a process at SIGHUP when no handler is installed. DaemonSignalTest failed before: "DaemonSignalTest.hangupDoesNotEndTheDaemon:58 Expecting value to be true but was false". Change: a handler logs that SIGHUP is ignored, since settings are read only at the start. Result: DaemonSignalTest passes. A SIGTERM during the start has no test of its own yet.

--- a/src/main/java/io/coltsfootwheel/daemon/Main.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Main.java
@@ -12,6 +12,7 @@
 import org.apache.commons.cli.ParseException;
 import org.apache.logging.log4j.LogManager;
 import reactor.core.publisher.Mono;
+import sun.misc.Signal;
 
 /**
  * Main class of the daemon.
@@ -37,6 +38,7 @@
     try {
       DaemonSettings settings = SettingsFile.read(configFile(args));
       System.setProperty("coltsfootwheel.log.format", settings.logFormat().text());
+      ignoreHangup();
       return serve(new Daemon(settings));
     } catch (ParseException | SettingsException e) {
       System.err.println(e.getMessage());
@@ -53,10 +55,25 @@
     }
   }
 
+  /** Without a handler, the JVM would end the process at SIGHUP. */
+  private static void ignoreHangup() {
+    Signal.handle(
+        new Signal("HUP"),
+        signal ->
+            LogManager.getLogger(Main.class)
+                .info("SIGHUP ignored: settings are read only when the daemon starts"));
+  }
+
   private static int serve(Daemon daemon) throws InterruptedException {
-    daemon.start();
     Thread shutdown = new Thread(() -> shutDown(daemon), "shutdown");
     Runtime.getRuntime().addShutdownHook(shutdown);
+    try {
+      daemon.start();
+    } catch (RuntimeException e) {
+      // The hook would end the process as after a graceful shutdown.
+      Runtime.getRuntime().removeShutdownHook(shutdown);
+      throw e;
+    }
     Mono.defer(() -> Mono.delay(daemon.refreshHealth())).repeat().subscribe();
     daemon.awaitFailure();
     Runtime.getRuntime().halt(EXIT_FAILED);
--- a/src/test/java/io/coltsfootwheel/bench/ProcessGroup.java
+++ b/src/test/java/io/coltsfootwheel/bench/ProcessGroup.java
@@ -54,6 +54,11 @@
     }
   }
 
+  /** Waits until a process exits or a time has passed; returns whether it has exited. */
+  boolean exits(String name, int timeoutMillis) throws InterruptedException {
+    return processes.get(name).waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
+  }
+
   /** Waits until a process exits, and returns its exit status. */
   int awaitExit(String name, int timeoutSeconds) throws InterruptedException {
     Process process = processes.get(name);
