Wait for dispatched requests and for a lease at a shutdown

Cause: a shutdown counted as ready as soon as the lease had run out, although requests of other entries were at targets and the control group still named the instance as dispatcher. A stop of the leader at the same time is enough. InstanceShutdownTest failed before, both tests: "Expecting actual [..., ShutdownReady[]] to not have any elements of the following types" (lines 70 and 86). Change: readiness requires idle dispatchers in all sessions, and waits up to 2 s for a lease that has ended, because only a leaseholder can return grants. Result: InstanceShutdownTest passes.

--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -13,6 +13,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Reducer of all events of one instance.
@@ -21,6 +22,13 @@
  * itself are applied directly, without a link. Not thread-safe.
  */
 final class InstanceReducer {
+  /**
+   * Time for which a shutdown waits for a lease that has ended, for example because the control
+   * leader stops too. Without a lease, the grants cannot be returned, and entries would still
+   * forward requests to this instance.
+   */
+  private static final long LEASE_RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private final InstanceId self;
   private final List<InstanceId> controlMembers;
   private final Optional<MemberReducer> member;
@@ -174,7 +182,8 @@
   }
 
   private void reportShutdownIfReady(long nowNanos, List<InstanceEffect> effects) {
-    if (shuttingDown && !shutdownReported && (!holdsGrants() || !lease.isLeased(nowNanos))) {
+    boolean withoutGrants = !holdsGrants() || lease.hasEndedBefore(nowNanos, LEASE_RECOVERY_NANOS);
+    if (shuttingDown && !shutdownReported && withoutGrants && requests.isIdle()) {
       shutdownReported = true;
       effects.add(new InstanceEffect.ShutdownReady());
     }
--- a/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
@@ -187,6 +187,17 @@
     return leaseUntilNanos - nowNanos > 0;
   }
 
+  /**
+   * Returns whether the lease ended long ago.
+   *
+   * @param nowNanos monotonic time
+   * @param agoNanos time since the end of the lease
+   * @return true when the lease ended at least that time ago
+   */
+  boolean hasEndedBefore(long nowNanos, long agoNanos) {
+    return nowNanos - leaseUntilNanos >= agoNanos;
+  }
+
   /**
    * Returns whether the lists may be too old to admit requests.
    *
--- a/src/main/java/io/coltsfootwheel/daemon/RequestReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/RequestReducer.java
@@ -73,6 +73,16 @@
     return dispatchReducer.reports(nowNanos);
   }
 
+  /**
+   * Tells whether the dispatchers of all sessions have neither queued requests nor requests in
+   * flight.
+   *
+   * @return true when no entry waits for a dispatcher of this instance
+   */
+  boolean isIdle() {
+    return dispatchReducer.isIdle() && endedSessions.stream().allMatch(DispatchReducer::isIdle);
+  }
+
   /**
    * Applies a newer control state to the dispatchers and the entry router.
    *
--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchReducer.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchReducer.java
@@ -113,6 +113,16 @@
     return dispatcher == null ? 0 : dispatcher.load();
   }
 
+  /**
+   * Tells whether no request is queued or in flight at a target.
+   *
+   * @return true when no entry waits for this instance
+   */
+  public boolean isIdle() {
+    return dispatchers.values().stream().allMatch(TargetDispatcher::isIdle)
+        && closedDispatchers.stream().allMatch(TargetDispatcher::isIdle);
+  }
+
   private void offered(DispatchEvent.RequestOffered event, List<DispatchEffect> out) {
     DispatchRequest request = event.request();
     if (dispatcherByRequest.containsKey(request.requestId())) {
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -103,6 +103,10 @@
     return inFlightRequests.inFlightCount() + queue.size();
   }
 
+  boolean isIdle() {
+    return queue.size() == 0 && inFlightRequests.inFlightCount() == 0;
+  }
+
   /** Tells whether no requests are in flight, so that a closed dispatcher can be removed. */
   boolean hasNoneInFlight() {
     return inFlightRequests.inFlightCount() == 0;
@@ -274,10 +278,6 @@
     return hashSlots.takeHottest(intervalNanos);
   }
 
-  private boolean isIdle() {
-    return queue.size() == 0 && inFlightRequests.inFlightCount() == 0;
-  }
-
   private boolean isShutdownComplete() {
     return shuttingDown && isIdle();
   }
