Close connections and answer calls in progress at a shutdown

Cause: close() of the HTTP servers closed only the listeners. Connections stayed open until the process was gone, which takes about 320 ms in Runtime.halt, and announcements and operator calls in progress were cut. A request could also pass the check for a shutdown before it was counted, so that the drain missed it. Three tests failed before: "closeEndsIdleConnections SocketTimeout Read timed out", "closeWaitsForAnnouncementInProgress Expecting value to be true but was false", "closeWaitsForCallInProgress Expecting AtomicBoolean(false) to have value". Change: close() waits up to 2.5 s for calls in progress, then closes the open connections. Requests are counted before the check for a shutdown. Result: the three tests pass. The race between check and count has no test: nothing can stop the server between them. A connection that the kernel has accepted but the server has not is still reset when the listener closes.

--- a/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyCallerServer.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -27,7 +29,9 @@
   private static final int REQUEST_LINE_EXTRA_BYTES = 32;
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
-  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+  /** Longer than the 2 s after which a change without an answer of the control group fails. */
+  private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(2_500);
 
   /**
    * Time for callers to send another request on their idle connections, whose response closes the
@@ -37,12 +41,14 @@
   private static final long DRAIN_TIMEOUT_MILLIS = 1_000;
 
   private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
+  private static final Logger LOGGER = LogManager.getLogger(CallerServer.class);
 
   private final CallerServerSettings settings;
   private final RequestHandler handler;
   private final ResponseWriter writer;
   private final AnnouncementEndpoint announcementEndpoint;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final CallsInProgress announcementsInProgress = new CallsInProgress();
   private final AtomicLong lastRequestId = new AtomicLong();
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
@@ -101,6 +107,12 @@
     if (startedServer != null) {
       startedServer.channel().close().syncUninterruptibly();
       awaitConnectionsClosed();
+      announcementsInProgress.awaitNone(CLOSE_TIMEOUT);
+      if (!connections.isEmpty()) {
+        LOGGER.info(
+            "closing {} connections, {} requests in flight", connections.size(), inFlight.get());
+      }
+      connections.close().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
       startedServer.disposeNow(CLOSE_TIMEOUT);
     }
   }
@@ -125,17 +137,20 @@
       return handleCallerRequest(request, response);
     }
     if (uri.startsWith(AnnouncementEndpoint.PATH_PREFIX)) {
-      return announcementEndpoint.handle(request, response);
+      return announcementsInProgress.count(announcementEndpoint.handle(request, response));
     }
     return writer.writeFailure(
         response, ColtsfootwheelException.of(ErrorKind.NOT_FOUND, "no endpoint " + uri));
   }
 
   private Mono<Void> handleCallerRequest(HttpServerRequest request, HttpServerResponse response) {
+    // Counted before the check: a shutdown refuses new requests first and then reads the count.
+    int requestsInFlight = inFlight.incrementAndGet();
     if (refusingNew) {
+      inFlight.decrementAndGet();
       return refuseWhileShuttingDown(request, response);
     }
-    if (inFlight.incrementAndGet() > settings.maxRequests()) {
+    if (requestsInFlight > settings.maxRequests()) {
       inFlight.decrementAndGet();
       return writer.writeError(
           response,
--- a/src/main/java/io/coltsfootwheel/edge/NettyOperatorServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyOperatorServer.java
@@ -4,8 +4,11 @@
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.time.Duration;
@@ -30,12 +33,16 @@
   private static final String JSON = "application/json";
   private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(75);
-  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+  /** Longer than the 2 s after which a change without an answer of the control group fails. */
+  private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(2_500);
 
   private final String host;
   private final int port;
   private final byte[] token;
   private final List<RouteMatcher> routes;
+  private final CallsInProgress callsInProgress = new CallsInProgress();
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
   private volatile DisposableServer server;
 
@@ -54,6 +61,7 @@
               .host(host)
               .port(port)
               .idleTimeout(IDLE_TIMEOUT)
+              .doOnChannelInit((observer, channel, remote) -> connections.add(channel))
               .handle(this::handle)
               .bindNow();
     } catch (RuntimeException e) {
@@ -69,14 +77,18 @@
   public void close() {
     DisposableServer startedServer = server;
     if (startedServer != null) {
+      startedServer.channel().close().syncUninterruptibly();
+      callsInProgress.awaitNone(CLOSE_TIMEOUT);
+      connections.close().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
       startedServer.disposeNow(CLOSE_TIMEOUT);
     }
   }
 
   private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-    return Mono.defer(() -> route(request))
-        .onErrorResume(error -> Mono.just(toErrorResponse(response, error)))
-        .flatMap(result -> write(response, result));
+    return callsInProgress.count(
+        Mono.defer(() -> route(request))
+            .onErrorResume(error -> Mono.just(toErrorResponse(response, error)))
+            .flatMap(result -> write(response, result)));
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/edge/CallerShutdownTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/CallerShutdownTest.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.model.TargetSpec;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -17,8 +18,13 @@
 
 @Timeout(60)
 class CallerShutdownTest implements RequestHandler, TargetAnnouncements {
+  /** Longer than the time for which the server waits for idle connections to be closed. */
+  private static final Duration REMOVAL_TIME = Duration.ofMillis(1_400);
+
   private final Sinks.One<CallerResponse> handlerResponse = Sinks.one();
   private final CountDownLatch requestHandled = new CountDownLatch(1);
+  private final CountDownLatch removalStarted = new CountDownLatch(1);
+  private volatile boolean removalDone;
   private final CallerServer server =
       CallerServer.of(CallerServerSettings.of("127.0.0.1", 0), this, this, () -> "stamp");
 
@@ -60,6 +66,40 @@
     }
   }
 
+  /**
+   * Guards against a connection that stays open without a reader until the process ends: a request
+   * on it would wait for that end and be reset.
+   */
+  @Test
+  void closeEndsIdleConnections() throws Exception {
+    Address address = server.start();
+    handlerResponse.tryEmitValue(
+        new CallerResponse.Relayed(TargetId.of("t1"), 204, List.of(), Flux.empty()));
+    try (Socket idleConnection = openAndSendRequest(address)) {
+      assertThat(idleConnection.getInputStream().read()).isEqualTo('H');
+      server.refuseNewRequests(true);
+      server.close();
+      assertThat(readToEnd(idleConnection)).startsWith("TTP/1.1 204");
+    }
+  }
+
+  /** Guards against a change of a target that is cut by the end of the process. */
+  @Test
+  void closeWaitsForAnnouncementInProgress() throws Exception {
+    Address address = server.start();
+    try (Socket socket = new Socket(address.host(), address.port())) {
+      socket.setSoTimeout(10_000);
+      socket
+          .getOutputStream()
+          .write("DELETE /v1/targets/t1 HTTP/1.1\r\nHost: h\r\n\r\n".getBytes());
+      removalStarted.await();
+      server.refuseNewRequests(true);
+      server.close();
+      assertThat(removalDone).isTrue();
+      assertThat(readToEnd(socket)).startsWith("HTTP/1.1 200");
+    }
+  }
+
   @Override
   public Mono<CallerResponse> handle(CallerRequest request) {
     requestHandled.countDown();
@@ -81,7 +121,8 @@
 
   @Override
   public Mono<Void> remove(TargetId target) {
-    return Mono.empty();
+    removalStarted.countDown();
+    return Mono.delay(REMOVAL_TIME).doOnNext(ignored -> removalDone = true).then();
   }
 
   private static Socket openAndSendRequest(Address address) throws Exception {
--- a/src/test/java/io/coltsfootwheel/edge/OperatorServerTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/OperatorServerTest.java
@@ -9,8 +9,13 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,4 +85,35 @@
       assertThat(response.body()).contains(expectedText);
     }
   }
+
+  /** Guards against an operator's change that is cut by the end of the process. */
+  @Test
+  void closeWaitsForCallInProgress() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    AtomicBoolean done = new AtomicBoolean();
+    Mono<OperatorResponse> slowCall =
+        Mono.delay(Duration.ofMillis(500))
+            .map(
+                ignored -> {
+                  done.set(true);
+                  return new OperatorResponse(200, "changed");
+                })
+            .doOnSubscribe(ignored -> started.countDown());
+    OperatorServer server =
+        OperatorServer.of(
+            "127.0.0.1",
+            0,
+            "secret",
+            List.of(OperatorRoute.unauthenticated("/slow", request -> slowCall)));
+    Address address = server.start();
+    CompletableFuture<HttpResponse<String>> response =
+        HttpClient.newHttpClient()
+            .sendAsync(
+                HttpRequest.newBuilder(URI.create("http://" + address + "/slow")).build(),
+                HttpResponse.BodyHandlers.ofString());
+    started.await();
+    server.close();
+    assertThat(done).isTrue();
+    assertThat(response.get().body()).isEqualTo("changed");
+  }
 }
