Refuse as not run what a stopped instance never received

Cause: an entry reported the outcome unknown for each request that it had forwarded to an instance whose data connection was lost or could not be established, also when no byte of the request had been written. A stopping instance dropped requests that arrived after its decision loop had ended, and did not wait until responses were relayed and written. Change: OutboundConnection reports data frames that it never wrote, and the entry retries their requests as not run. The shutdown waits for responses that are being relayed, keeps its link open for 500 ms more to write its queue and to refuse late requests, waits 2 s longer than the longest deadline, and logs what is left then. A shutdown waits for a start in progress.

--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -20,6 +20,7 @@
 import io.coltsfootwheel.journal.Journal;
 import io.coltsfootwheel.link.ForwardFrame;
 import io.coltsfootwheel.link.Frame;
+import io.coltsfootwheel.link.FrameKind;
 import io.coltsfootwheel.link.LinkChannel;
 import io.coltsfootwheel.link.LinkListener;
 import io.coltsfootwheel.link.LinkSettings;
@@ -60,6 +61,16 @@
   private static final long SHUTDOWN_POLL_MILLIS = 20;
   private static final long TICK_MILLIS = 10;
 
+  /** Time after the longest deadline within which the entry and the dispatchers answer requests. */
+  private static final long SHUTDOWN_GRACE_MILLIS = 2_000;
+
+  /**
+   * Time for which the link stays open after the last response was queued. In this time the queue
+   * is written, and requests of entries that have not learned yet that the grants have moved are
+   * refused; without a refusal, their outcome would be unknown.
+   */
+  private static final long LINK_LINGER_MILLIS = 500;
+
   private final DaemonSettings settings;
   private final InstanceId self;
   private final Map<InstanceId, Address> memberAddresses;
@@ -158,8 +169,8 @@
         failed::countDown);
   }
 
-  /** Starts the journal, the decision loop and the servers. */
-  void start() {
+  /** Starts the journal, the decision loop and the servers. A shutdown waits for the end of it. */
+  synchronized void start() {
     link.start(this);
     link.replacePeers(peers(ControlState.empty()));
     journal.ifPresent(JournalDriver::start);
@@ -187,31 +198,44 @@
   }
 
   /**
-   * Shuts down gracefully: refuses new requests as not run, waits until the requests in flight have
-   * ended and the dispatch grants are returned, then closes the servers. The wait ends after the
-   * longest deadline that a request may have.
+   * Shuts down gracefully: refuses new requests as not run, waits until the requests in flight here
+   * and at its dispatchers have ended, their responses are relayed and the dispatch grants are
+   * returned, then closes the servers. The wait ends after the longest deadline that a request may
+   * have.
    */
-  void shutDown() {
+  synchronized void shutDown() {
     LOG.info(
         "shutting down: waiting for {} requests in flight and the return of dispatch grants",
         callerServer.inFlight());
     callerServer.refuseNewRequests(true);
     post(new InstanceEvent.ShutdownRequested(System.nanoTime()));
-    long deadlineNanos =
-        System.nanoTime()
-            + TimeUnit.MILLISECONDS.toNanos(settings.limits().deadlineMaximumMillis());
+    long timeoutMillis = settings.limits().deadlineMaximumMillis() + SHUTDOWN_GRACE_MILLIS;
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     try {
-      shutdownReady.await(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
-      while (callerServer.inFlight() > 0 && System.nanoTime() - deadlineNanos < 0) {
+      boolean ready = shutdownReady.await(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+      while (hasUnfinishedResponses() && System.nanoTime() - deadlineNanos < 0) {
         TimeUnit.MILLISECONDS.sleep(SHUTDOWN_POLL_MILLIS);
       }
-      close();
+      if (!ready || hasUnfinishedResponses()) {
+        LOG.warn(
+            "shutdown incomplete after {} ms: dispatchers ended {}, {} requests in flight,"
+                + " {} responses being relayed",
+            timeoutMillis,
+            ready,
+            callerServer.inFlight(),
+            relay.outgoingResponses());
+      }
+      close(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LINK_LINGER_MILLIS));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
     LOG.info("shutdown complete, {} requests in flight were aborted", callerServer.inFlight());
   }
 
+  private boolean hasUnfinishedResponses() {
+    return callerServer.inFlight() > 0 || relay.outgoingResponses() > 0;
+  }
+
   @Override
   public void received(InstanceId from, String session, Frame frame) {
     if (frame.kind().channel() == LinkChannel.CONTROL) {
@@ -226,6 +250,13 @@
     }
   }
 
+  @Override
+  public void notWritten(InstanceId peer, Frame frame) {
+    if (frame.kind() == FrameKind.FORWARD) {
+      entryDriver.forwardNotWritten(peer, ForwardFrame.decode(frame.payload()).requestId());
+    }
+  }
+
   @Override
   public void disconnected(InstanceId peer, LinkChannel channel) {
     if (channel == LinkChannel.DATA) {
@@ -363,9 +394,11 @@
     return Duration.ofMillis(100);
   }
 
-  private void close() throws InterruptedException {
+  /** Closes the servers, and the link not before a given time. */
+  private void close(long linkCloseNanos) throws InterruptedException {
     callerServer.close();
     operatorServer.close();
+    TimeUnit.NANOSECONDS.sleep(linkCloseNanos - System.nanoTime());
     targets.close();
     loop.close();
     relay.close();
--- a/src/main/java/io/coltsfootwheel/daemon/EntryDriver.java
+++ b/src/main/java/io/coltsfootwheel/daemon/EntryDriver.java
@@ -172,6 +172,24 @@
     }
   }
 
+  /**
+   * Handles a request that was queued for another instance but never written to it, so that it was
+   * not run there.
+   *
+   * @param dispatcher the other instance
+   * @param number number of the attempt
+   */
+  void forwardNotWritten(InstanceId dispatcher, long number) {
+    attemptByRequestId.forEach(
+        (requestId, attempt) -> {
+          if (attempt.number() == number && attempt.dispatcher().equals(dispatcher)) {
+            attempt.response().dispose();
+            relay.remove(dispatcher, number);
+            forwardFailed(requestId, false);
+          }
+        });
+  }
+
   private static ForwardFrame forwardFrame(
       long attempt, CallerRequest caller, DispatchRequest request) {
     long remainingMillis =
--- a/src/main/java/io/coltsfootwheel/edge/LinkResponseRelay.java
+++ b/src/main/java/io/coltsfootwheel/edge/LinkResponseRelay.java
@@ -101,6 +101,11 @@
     }
   }
 
+  @Override
+  public int outgoingResponses() {
+    return outgoing.size();
+  }
+
   @Override
   public void received(InstanceId from, Frame frame) {
     byte[] payload = frame.payload();
--- a/src/main/java/io/coltsfootwheel/edge/ResponseRelay.java
+++ b/src/main/java/io/coltsfootwheel/edge/ResponseRelay.java
@@ -62,6 +62,13 @@
    */
   void cancel(InstanceId entry, long requestId);
 
+  /**
+   * Returns the number of responses that are being sent to entry instances.
+   *
+   * @return number of responses whose last frame is not queued yet
+   */
+  int outgoingResponses();
+
   /**
    * Handles a frame of kind RESPONSE_* or CREDIT; other kinds are ignored.
    *
--- a/src/main/java/io/coltsfootwheel/link/LinkListener.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkListener.java
@@ -30,4 +30,13 @@
    * @param channel channel of the connection
    */
   void disconnected(InstanceId peer, LinkChannel channel);
+
+  /**
+   * Called for each data frame that was queued but never written because its connection ended or
+   * could not be established; {@link #disconnected} follows.
+   *
+   * @param peer receiver of the frame
+   * @param frame the frame
+   */
+  default void notWritten(InstanceId peer, Frame frame) {}
 }
--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -125,6 +125,7 @@
    */
   void onClosed(Optional<Channel> closedChannel, Optional<LinkFailure> failure) {
     boolean lost;
+    List<Frame> unwritten;
     synchronized (this) {
       boolean isCurrent =
           closedChannel.isPresent()
@@ -135,7 +136,7 @@
       }
       lost = state == State.CONNECTED || !queue.isEmpty();
       activeChannel = null;
-      clearQueue();
+      unwritten = takeQueue();
       state = State.BACKOFF;
       failedAttempts++;
     }
@@ -145,9 +146,7 @@
     } else {
       context.failureLog().connectionLost(logName());
     }
-    if (lost) {
-      context.listener().disconnected(peer, linkChannel);
-    }
+    reportLoss(lost, unwritten);
     context.schedule(this::retry, context.backoffMillis(failedAttempts));
   }
 
@@ -166,19 +165,18 @@
   void shutdown() {
     Channel channelToClose;
     boolean lost;
+    List<Frame> unwritten;
     synchronized (this) {
       lost = state == State.CONNECTED || !queue.isEmpty();
       state = State.CLOSED;
       channelToClose = activeChannel;
       activeChannel = null;
-      clearQueue();
+      unwritten = takeQueue();
     }
     if (channelToClose != null) {
       channelToClose.close();
     }
-    if (lost) {
-      context.listener().disconnected(peer, linkChannel);
-    }
+    reportLoss(lost, unwritten);
   }
 
   boolean isShutDown() {
@@ -270,10 +268,22 @@
     return linkChannel == LinkChannel.CONTROL && state != State.CONNECTED;
   }
 
-  private void clearQueue() {
+  private List<Frame> takeQueue() {
+    List<Frame> frames = List.copyOf(queue);
     queue.clear();
     queuedCostBytes = 0;
     writeScheduled = false;
+    return frames;
+  }
+
+  /** Reports frames that were not written first: the peer has certainly not received them. */
+  private void reportLoss(boolean lost, List<Frame> unwritten) {
+    if (linkChannel == LinkChannel.DATA) {
+      unwritten.forEach(frame -> context.listener().notWritten(peer, frame));
+    }
+    if (lost) {
+      context.listener().disconnected(peer, linkChannel);
+    }
   }
 
   private static int queueCostBytes(Frame frame) {
--- a/src/test/java/io/coltsfootwheel/daemon/DispatchDriverTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/DispatchDriverTest.java
@@ -111,6 +111,11 @@
   @Override
   public void cancel(InstanceId entry, long requestId) {}
 
+  @Override
+  public int outgoingResponses() {
+    return 0;
+  }
+
   @Override
   public void received(InstanceId from, Frame frame) {}
 
--- a/src/test/java/io/coltsfootwheel/edge/ResponseRelayTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/ResponseRelayTest.java
@@ -115,6 +115,26 @@
     done.get();
   }
 
+  /**
+   * Guards against a shutdown that ends while a response of a target waits for credit of its entry,
+   * although the target has already sent all of it.
+   */
+  @Test
+  void responseThatWaitsForCreditIsOutgoing() throws Exception {
+    byte[] content = content(1, 4 * LinkResponseRelay.CREDIT_WINDOW_BYTES);
+    Mono<CallerResponse> expected = entry.expect(DISPATCHER, 1);
+    dispatcher
+        .send(ENTRY, 1, relayed(Flux.just(Unpooled.wrappedBuffer(content))))
+        .subscribe(ignored -> {}, error -> {});
+    CallerResponse.Relayed response = (CallerResponse.Relayed) expected.block();
+    assertThat(dispatcher.outgoingResponses()).isEqualTo(1);
+    assertThat(join(response.body()).block()).isEqualTo(content);
+    // The end may be received before the dispatcher has removed the response.
+    while (dispatcher.outgoingResponses() > 0) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+  }
+
   /** Guards against a failed target response that appears complete to the entry instance. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
