--- a/src/main/java/io/coltsfootwheel/edge/TargetPool.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetPool.java
@@ -75,7 +75,8 @@
         .resolver(DefaultAddressResolverGroup.INSTANCE)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
-        .doOnChannelInit((observer, channel, remoteAddress) -> UnrequestedBytesHandler.addTo(channel))
+        .doOnChannelInit(
+            (observer, channel, remoteAddress) -> UnrequestedBytesHandler.addTo(channel))
         // A retry after a connection reset could execute a request twice.
         .disableRetry(true);
   }
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
@@ -2,8 +2,10 @@
 
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Load that one entry observed since its last report.
@@ -19,6 +21,35 @@
     targets = List.copyOf(targets);
   }
 
+  /**
+   * Returns the report without counts that are not positive or belong to no key. An instance of
+   * another version may send them.
+   *
+   * @return this report if all its counts are valid, otherwise a report with the valid ones
+   */
+  public LoadReport withValidCounts() {
+    boolean isValid =
+        requestsByKey.values().stream()
+            .flatMap(counts -> counts.entrySet().stream())
+            .allMatch(LoadReport::isValid);
+    if (isValid) {
+      return this;
+    }
+    Map<ServiceName, Map<Integer, Integer>> valid = new HashMap<>();
+    requestsByKey.forEach((service, counts) -> valid.put(service, validCounts(counts)));
+    return new LoadReport(valid, targets);
+  }
+
+  private static Map<Integer, Integer> validCounts(Map<Integer, Integer> counts) {
+    return counts.entrySet().stream()
+        .filter(LoadReport::isValid)
+        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+  }
+
+  private static boolean isValid(Map.Entry<Integer, Integer> count) {
+    return KeyRange.ALL.contains(count.getKey()) && count.getValue() > 0;
+  }
+
   /**
    * Observation of one target.
    *
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.keyspace.FleetState;
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.LeaseGrant;
+import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipLeader;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.keyspace.OwnershipView;
@@ -195,8 +196,16 @@
     evaluateQueuedChanges();
   }
 
+  private void recordLoad(long nowNanos, InstanceId from, LoadReport load) {
+    LoadReport valid = load.withValidCounts();
+    if (!valid.equals(load)) {
+      actions.log(LogEvent.of("load.report.invalid").with("entry", from));
+    }
+    ownership.recordLoad(nowNanos, from, valid);
+  }
+
   void subscribe(long nowNanos, InstanceId from, NodeMessage.Subscribe subscribe) {
-    ownership.recordLoad(nowNanos, from, subscribe.load());
+    recordLoad(nowNanos, from, subscribe.load());
     boolean hasCurrentConfiguration =
         subscribe.configurationVersion() == state.configuration().version();
     boolean isSameTerm = subscribe.term() == term;
