Stop sending to a leaving target before its drain time ends

Cause: callers' requests reached a target later than its drain time after its leave was confirmed. The entry counted the drain time from the moment at which it learned of the leave, anew for a target that it first saw as leaving, and left no time for the way to the target. Evidence: TargetStatsTest on the code before: leavingTargetAcceptsNoRequestNearTheEndOfItsDrainTime and targetFirstSeenAsLeavingAcceptsNoRequest, both "Expecting value to be false but was true". Change: the drain time less the connect timeout counts, and a target first seen as leaving gets no request. Result: tests of the relay pass.

--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -23,7 +23,7 @@
 /** Connection pools of one entry to all targets; confined to the relay's event loop. */
 final class TargetConnections {
   /** A target in the same region accepts a connection within a few milliseconds. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 400;
+  static final int CONNECT_TIMEOUT_MILLIS = 400;
 
   private final TcpClient client;
   private final Executor executor;
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -22,6 +22,12 @@
 
   private static final int MAX_SLOTS = 100_000;
 
+  /**
+   * The drain time begins when the target's leave is confirmed, before this entry learns of it, and
+   * a request may first wait for a connection.
+   */
+  private static final long DRAIN_MARGIN_MILLIS = TargetConnections.CONNECT_TIMEOUT_MILLIS;
+
   private OwnershipView.Target spec;
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private int reportedInFlight;
@@ -31,6 +37,9 @@
   private long suspectUntilNanos;
   private long notReadySinceNanos;
 
+  /** False for a target that was already leaving when this entry first saw it. */
+  private boolean isDrainStartKnown;
+
   TargetStats(OwnershipView.Target spec, long nowNanos) {
     updateSpec(spec, nowNanos);
   }
@@ -40,6 +49,7 @@
         newSpec.phase() != TargetPhase.READY && (spec == null || spec.phase() == TargetPhase.READY);
     if (leavesReady) {
       notReadySinceNanos = nowNanos;
+      isDrainStartKnown = spec != null;
     }
     spec = newSpec;
   }
@@ -94,10 +104,15 @@
         + loadEstimate.millisPerRequest();
   }
 
-  /** Returns whether the target is ready, or has been leaving for less than the drain time. */
+  /**
+   * Returns whether the target is ready, or has been leaving for so short a time that a request
+   * reaches it within its drain time.
+   */
   boolean acceptsRequests(long nowNanos, long drainMillis) {
+    long sendMillis = drainMillis - DRAIN_MARGIN_MILLIS;
     return spec.phase() == TargetPhase.READY
-        || nowNanos - notReadySinceNanos < TimeUnit.MILLISECONDS.toNanos(drainMillis);
+        || isDrainStartKnown
+            && nowNanos - notReadySinceNanos < TimeUnit.MILLISECONDS.toNanos(sendMillis);
   }
 
   boolean isSuspect(long nowNanos) {
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -2,6 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class TargetStatsTest {
@@ -24,6 +31,34 @@
     assertThat(target.takeCompletedCount()).isEqualTo(1);
   }
 
+  /**
+   * Guards against requests that reach a leaving target later than its drain time after the
+   * confirmation, which comes before the entry learns of it.
+   */
+  @Test
+  void leavingTargetAcceptsNoRequestNearTheEndOfItsDrainTime() {
+    TargetStats target = new TargetStats(spec(TargetPhase.READY), 0);
+    target.updateSpec(spec(TargetPhase.DRAINING), 0);
+    assertThat(target.acceptsRequests(TimeUnit.MILLISECONDS.toNanos(1_000), 2_000)).isTrue();
+    assertThat(target.acceptsRequests(TimeUnit.MILLISECONDS.toNanos(1_700), 2_000)).isFalse();
+  }
+
+  /** Guards against a drain time that begins anew in an entry that has just started. */
+  @Test
+  void targetFirstSeenAsLeavingAcceptsNoRequest() {
+    assertThat(new TargetStats(spec(TargetPhase.DRAINING), 0).acceptsRequests(0, 2_000)).isFalse();
+  }
+
+  private static OwnershipView.Target spec(TargetPhase phase) {
+    return new OwnershipView.Target(
+        TargetId.of("a"),
+        ServiceName.of("s"),
+        new Address("127.0.0.1", 1),
+        AvailabilityZone.of("z"),
+        2,
+        phase);
+  }
+
   /** Guards against a cancelled request that the leader counts as in flight for another second. */
   @Test
   void cancelledRequestIsReported() {
