Refuse operator calls that begin while the server closes

Evidence: OperatorServerTest#callThatBeginsDuringTheCloseIsRefused on the code before: the second call got 200 and no connection: close where 503 was expected.

--- a/src/main/java/io/coltsfootwheel/edge/NettyOperatorServer.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyOperatorServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -23,6 +26,8 @@
 
 /** Operator server based on Reactor Netty. */
 final class NettyOperatorServer implements OperatorServer {
+  private static final Logger LOGGER = LogManager.getLogger(NettyOperatorServer.class);
+
   /**
    * Leaves room for both lists, which are uploaded in full; protects the memory from larger
    * uploads.
@@ -45,6 +50,7 @@
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
   private volatile DisposableServer server;
+  private volatile boolean closing;
 
   NettyOperatorServer(String host, int port, String token, List<OperatorRoute> routes) {
     this.host = host;
@@ -77,6 +83,7 @@
   public void close() {
     DisposableServer startedServer = server;
     if (startedServer != null) {
+      closing = true;
       startedServer.channel().close().syncUninterruptibly();
       callsInProgress.awaitNone(CLOSE_TIMEOUT);
       connections.close().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
@@ -86,11 +93,20 @@
 
   private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     return callsInProgress.count(
-        Mono.defer(() -> route(request))
+        Mono.defer(() -> closing ? refuse(request, response) : route(request))
             .onErrorResume(error -> Mono.just(toErrorResponse(response, error)))
             .flatMap(result -> write(response, result)));
   }
 
+  /** Refuses a call on an open connection during the close; it has not been run. */
+  private static Mono<OperatorResponse> refuse(
+      HttpServerRequest request, HttpServerResponse response) {
+    LOGGER.info("call {} is refused: the server is closing", request.uri());
+    response.header(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return Mono.error(
+        ColtsfootwheelException.of(ErrorKind.SHUTTING_DOWN, "instance is shutting down"));
+  }
+
   /**
    * Unauthenticated clients get the same error for existing and unknown paths, so that they cannot
    * find out which routes exist.
--- a/src/test/java/io/coltsfootwheel/edge/OperatorServerTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/OperatorServerTest.java
@@ -5,21 +5,28 @@
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 @Timeout(30)
 class OperatorServerTest {
@@ -116,4 +123,56 @@
     assertThat(done).isTrue();
     assertThat(response.get().body()).isEqualTo("changed");
   }
+
+  /**
+   * Guards against a call that begins on an open connection while the server closes, and is cut
+   * after the server counted no more calls.
+   */
+  @Test
+  void callThatBeginsDuringTheCloseIsRefused() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    Sinks.One<OperatorResponse> slowCall = Sinks.one();
+    OperatorServer server =
+        OperatorServer.of(
+            "127.0.0.1",
+            0,
+            "secret",
+            List.of(
+                OperatorRoute.unauthenticated(
+                    "/slow", request -> slowCall.asMono().doOnSubscribe(s -> started.countDown())),
+                OperatorRoute.unauthenticated(
+                    "/fast", request -> Mono.just(new OperatorResponse(200, "done")))));
+    Address address = server.start();
+    try (Socket inProgress = new Socket(address.host(), address.port());
+        Socket idle = new Socket(address.host(), address.port())) {
+      call(idle, "/fast");
+      assertThat(idle.getInputStream().read()).isEqualTo('H');
+      call(inProgress, "/slow");
+      started.await();
+      CompletableFuture<Void> closed = CompletableFuture.runAsync(server::close);
+      awaitListenerClosed(address);
+      call(idle, "/fast");
+      String responses = new String(idle.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(responses).contains("HTTP/1.1 503", "connection: close");
+      slowCall.tryEmitValue(new OperatorResponse(200, "changed"));
+      closed.get();
+      assertThat(new String(inProgress.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+          .contains("changed");
+    }
+  }
+
+  private static void call(Socket socket, String path) throws IOException {
+    String request = "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void awaitListenerClosed(Address address) throws IOException {
+    while (true) {
+      try (Socket probe = new Socket(address.host(), address.port())) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+      } catch (ConnectException e) {
+        return;
+      }
+    }
+  }
 }
