Close connections whose target moved or was removed while in use

Cause: a connection that was in use while its target got another address, or was removed, returned to the pool afterwards, so later requests went to the former address, where another target may listen by then. Evidence: RelayTest#connectionToTheFormerAddressOfATargetIsNotReused on the code before: "Expected size: 1 but was: 2" requests at the former address. Change: a connection returns to the pool only if the pool is in use and has the address of the connection.

--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -34,9 +34,14 @@
   private long openedCount;
 
   private static final class Pool {
+    private final TargetId target;
     private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
     private Address address;
     private int openCount;
+
+    Pool(TargetId target) {
+      this.target = target;
+    }
   }
 
   /** Handle of a request in progress. */
@@ -92,7 +97,7 @@
       FullHttpRequest request,
       String requestId,
       CallListener listener) {
-    Pool pool = pools.computeIfAbsent(target.id(), t -> new Pool());
+    Pool pool = pools.computeIfAbsent(target.id(), Pool::new);
     if (!target.address().equals(pool.address)) {
       closeIdle(pool);
       pool.address = target.address();
@@ -152,7 +157,8 @@
     client
         .remoteAddress(() -> new InetSocketAddress(address.host(), address.port()))
         .doOnConnected(
-            connection -> onConnected(pool, connection, request, requestId, listener, call))
+            connection ->
+                onConnected(pool, address, connection, request, requestId, listener, call))
         .connect()
         .subscribe(
             connection -> {},
@@ -171,6 +177,7 @@
 
   private void onConnected(
       Pool pool,
+      Address address,
       Connection connection,
       FullHttpRequest request,
       String requestId,
@@ -182,13 +189,13 @@
         new TargetConnection(
             headerNames,
             decoder,
-            () -> pool.idle.addFirst(connectionReference[0]),
+            () -> returnToPool(pool, address, connectionReference[0]),
             () -> {
               pool.openCount--;
               pool.idle.remove(connectionReference[0]);
             });
     connectionReference[0] = targetConnection;
-    addHandlers(connection, decoder, targetConnection, pool.address);
+    addHandlers(connection, decoder, targetConnection, address);
     connection.channel().config().setAutoRead(true);
     if (call.cancelled) {
       request.release();
@@ -200,6 +207,15 @@
     targetConnection.send(request, requestId, listener);
   }
 
+  /** Keeps a connection for reuse, unless its target was removed or has another address now. */
+  private void returnToPool(Pool pool, Address address, TargetConnection connection) {
+    if (pools.get(pool.target) == pool && address.equals(pool.address)) {
+      pool.idle.addFirst(connection);
+    } else {
+      connection.close();
+    }
+  }
+
   private void addHandlers(
       Connection connection,
       TargetResponseDecoder decoder,
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -32,6 +32,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -150,6 +151,29 @@
         .build();
   }
 
+  /**
+   * Guards against requests on a connection to the former address of a target, which was in use
+   * while the target moved.
+   */
+  @Test
+  void connectionToTheFormerAddressOfATargetIsNotReused() throws Exception {
+    ScriptedTarget former = target("a", UNKEYED, ScriptedTarget.Step.ANSWER_WHEN_RELEASED);
+    ScriptedTarget current = target("a", UNKEYED, ScriptedTarget.Step.ANSWER);
+    publishView(true, former);
+    CompletableFuture<HttpResponse<String>> first =
+        client.sendAsync(request("/safe/1"), HttpResponse.BodyHandlers.ofString());
+    while (former.requests().isEmpty()) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    publishView(true, current);
+    get("/safe/2");
+    former.release();
+    assertThat(first.get().body()).isEqualTo("answer");
+    get("/safe/3");
+    assertThat(former.requests()).hasSize(1);
+    assertThat(current.requests()).hasSize(2);
+  }
+
   /** Guards against responses that the relay changes. */
   @Test
   void responseIsForwardedUnchanged() throws Exception {
