Accept routes for uploads

Cause: the kind 'upload' was unknown, so the first configuration of a deployment with upload routes was answered 400 by every process and no request was ever served. Change: the kind exists; its requests may run once at most, like those of unsafe routes, and targets in the entry's availability zone are preferred as for downloads. Test: ConfigurationJsonTest#kindDecidesWhetherRequestsMayBeRepeated failed for 'upload' before ('kind upload is unknown') and passes now.

--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -5,7 +5,6 @@
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
-import io.coltsfootwheel.routing.RouteKind;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -19,8 +18,8 @@
  * mainly its expected response time. {@link AdmissionPolicy} then admits or refuses the request.
  */
 final class TargetChooser {
-  /** Traffic between availability zones is expensive, and a download transfers many bytes. */
-  private static final double CROSS_ZONE_DOWNLOAD_PENALTY_MILLIS = 150;
+  /** Traffic between availability zones is expensive, and bulk requests transfer many bytes. */
+  private static final double CROSS_ZONE_BULK_PENALTY_MILLIS = 150;
 
   private static final double CROSS_ZONE_PENALTY_MILLIS = 10;
 
@@ -120,9 +119,7 @@
       double othersWeight) {
     double jitterFactor = 1 + JITTER_RATIO * random.nextDouble();
     double crossZonePenaltyMillis =
-        constraints.kind() == RouteKind.DOWNLOAD
-            ? CROSS_ZONE_DOWNLOAD_PENALTY_MILLIS
-            : CROSS_ZONE_PENALTY_MILLIS;
+        constraints.kind().isBulk() ? CROSS_ZONE_BULK_PENALTY_MILLIS : CROSS_ZONE_PENALTY_MILLIS;
     return target.expectedResponseMillis(othersWeight) * jitterFactor
         + (target.spec().zone().equals(zone) ? 0 : crossZonePenaltyMillis)
         + (alreadyTried ? TRIED_PENALTY_MILLIS : 0)
--- a/src/main/java/io/coltsfootwheel/routing/RouteKind.java
+++ b/src/main/java/io/coltsfootwheel/routing/RouteKind.java
@@ -22,6 +22,13 @@
     public boolean isIdempotent() {
       return true;
     }
+  },
+  /** Request bodies are large; each request that a client sends may be executed at most once. */
+  UPLOAD {
+    @Override
+    public boolean isIdempotent() {
+      return false;
+    }
   };
 
   /**
@@ -30,4 +37,14 @@
    * @return true when a second execution is harmless
    */
   public abstract boolean isIdempotent();
+
+  /**
+   * Returns whether requests or responses are large, so that links between availability zones limit
+   * the choice of a target.
+   *
+   * @return true for uploads and downloads
+   */
+  public boolean isBulk() {
+    return this == DOWNLOAD || this == UPLOAD;
+  }
 }
--- a/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
@@ -57,6 +57,24 @@
     assertThat(route.services().get(0).weight()).isEqualTo(90);
   }
 
+  /**
+   * Guards against a valid configuration that is refused because of the kind of a route, and
+   * against a kind whose requests are repeated although they may run only once.
+   */
+  @ParameterizedTest
+  @CsvSource({"safe, true", "download, true", "unsafe, false", "upload, false"})
+  void kindDecidesWhetherRequestsMayBeRepeated(String kind, boolean idempotent) {
+    String text = ROUTE.replace("\"safe\"", "\"" + kind + "\"");
+    Route route =
+        ConfigurationJson.parseComplete(
+                "r0", body("{\"version\":\"r7\",\"resources\":[" + text + "," + SERVICE + "]}"))
+            .items()
+            .get(0)
+            .route()
+            .orElseThrow();
+    assertThat(route.kind().isIdempotent()).isEqualTo(idempotent);
+  }
+
   /** Guards against malformed changes that are accepted or fail with an unexpected exception. */
   @ParameterizedTest
   @ValueSource(
