--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -6,7 +6,9 @@
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.routing.ConfigurationItem;
+import io.coltsfootwheel.routing.GrantMethod;
 import io.coltsfootwheel.routing.ServicePolicy;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +32,12 @@
   private OwnershipLeader leader;
 
   OwnershipLeaderHarness() {
-    ConfigurationItem service = ConfigurationItem.of(new ServicePolicy(LEDGER, true, 100), "{}");
+    this(GrantMethod.HEARTBEAT);
+  }
+
+  OwnershipLeaderHarness(GrantMethod grantMethod) {
+    ConfigurationItem service =
+        ConfigurationItem.of(new ServicePolicy(LEDGER, true, 100, grantMethod), "{}");
     ConfigurationChange change =
         new ConfigurationChange(0, 1, "c", true, List.of(service), List.of());
     state = FleetState.empty().apply(index, new FleetCommand.ChangeConfiguration(change));
@@ -61,6 +68,11 @@
         .toList();
   }
 
+  /** Answers a report of an incarnation of a target. */
+  void grant(String name, long incarnationMillis) {
+    leader.grant(nowNanos, TargetId.of(name), incarnationMillis);
+  }
+
   /** Replaces the leader, as an election does. */
   void electLeader() {
     leader = new OwnershipLeader(SETTINGS, state, nowNanos);
@@ -77,13 +89,17 @@
 
   /** Sends a report of a target that holds no keys, and returns the commands to propose. */
   List<FleetCommand> report(String name, TargetPhase phase) {
+    return report(name, 1, 1_000 + Math.floorMod(name.hashCode(), 1_000), phase);
+  }
+
+  /** Sends a report of a target that holds no keys, and returns the commands to propose. */
+  List<FleetCommand> report(String name, long incarnationMillis, int port, TargetPhase phase) {
     nowNanos += STEP_NANOS;
     long sequence = sequences.merge(name, 1L, Long::sum);
-    int port = 1_000 + Math.floorMod(name.hashCode(), 1_000);
     TargetRecord target =
         new TargetRecord(
             TargetId.of(name),
-            1,
+            incarnationMillis,
             LEDGER,
             new Address("10.0.0.1", port),
             AvailabilityZone.of("z"),
@@ -93,6 +109,24 @@
     return leader.report(nowNanos, report).commands();
   }
 
+  /** Takes the due calls, ends each with an outcome, and returns the commands to propose. */
+  List<FleetCommand> endDueCalls(TargetCallResult.Outcome outcome) {
+    List<FleetCommand> commands = new ArrayList<>();
+    for (TargetCall call : leader.takeDueCalls(nowNanos)) {
+      commands.addAll(leader.callCompleted(nowNanos, call, TargetCallResult.of(outcome)));
+    }
+    return commands;
+  }
+
+  /** Takes the due calls without ending them. */
+  List<TargetCall> takeDueCalls() {
+    return leader.takeDueCalls(nowNanos);
+  }
+
+  long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos);
+  }
+
   void advance(long millis) {
     nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
   }
