Send an entry nothing again that is under way

Cause: a subscription states the view that an entry had when it was sent. While changes were under way, which on a busy link and with moving ranges is always, the leader answered it with the whole view: 10 a second to each entry. Change: EntryProgress holds what was sent to each entry. Links deliver in order, so the view, the configuration and load estimates are sent again only when the entry makes no progress for 1 s, or says that it missed a change.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -37,6 +37,10 @@
   private long configurationVersion;
   private long viewTerm;
   private long viewSequence;
+
+  /** True while the view is older than a change that was received and could not be applied. */
+  private boolean hasMissedChange;
+
   private long estimateSequence;
   private OwnershipView view = OwnershipView.empty();
 
@@ -102,7 +106,7 @@
             settings.linkAddress(),
             configurationVersion,
             viewTerm,
-            viewSequence,
+            hasMissedChange ? EntryProgress.NO_VIEW : viewSequence,
             load,
             estimateSequence));
   }
@@ -157,6 +161,7 @@
             next -> {
               viewTerm = update.term();
               viewSequence = update.viewSequence();
+              hasMissedChange = false;
               view = next;
               relay.updateOwnership(next);
             });
@@ -176,11 +181,14 @@
 
   /**
    * Returns the view after an update, or empty when the update brings none. A change is applied
-   * only to the view that directly precedes it; after a gap the next subscription requests the
+   * only to the view that directly precedes it; after a gap the next subscriptions request the
    * whole view.
    */
   private Optional<OwnershipView> nextView(NodeMessage.Routing update) {
-    boolean follows = update.term() == viewTerm && update.viewSequence() == viewSequence + 1;
+    boolean isSameTerm = update.term() == viewTerm;
+    boolean follows = isSameTerm && update.viewSequence() == viewSequence + 1;
+    hasMissedChange |=
+        isSameTerm && update.change().isPresent() && update.viewSequence() > viewSequence + 1;
     return update
         .change()
         .filter(c -> follows)
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -56,6 +56,7 @@
   private FleetState state;
   private List<MemberProgress> groupProgress = List.of();
   private List<InstanceId> entries = List.of();
+  private final Map<InstanceId, EntryProgress> progressByEntry = new HashMap<>();
 
   /** Load estimates of all targets, updated with each tick. */
   private final PublishedLoadEstimates loadEstimates = new PublishedLoadEstimates();
@@ -214,22 +215,40 @@
 
   void subscribe(long nowNanos, InstanceId from, NodeMessage.Subscribe subscribe) {
     recordLoad(nowNanos, from, subscribe.load());
-    boolean hasCurrentConfiguration =
-        subscribe.configurationVersion() == state.configuration().version();
+    EntryProgress progress = progressByEntry.computeIfAbsent(from, e -> new EntryProgress());
     boolean isSameTerm = subscribe.term() == term;
-    boolean hasCurrentView = isSameTerm && subscribe.viewSequence() == viewSequence;
+    long statedSequence = isSameTerm ? subscribe.viewSequence() : EntryProgress.NO_VIEW;
+    boolean needsView = progress.needsWholeView(nowNanos, statedSequence, viewSequence);
+    Optional<Configuration> configuration =
+        configurationFor(nowNanos, progress, subscribe.configurationVersion());
+    if (needsView) {
+      progress.wholeViewSent(nowNanos);
+      actions.send(from, routing(configuration, Optional.of(view), Optional.empty(), Map.of(), 0));
+      return;
+    }
+    long estimatesAfter =
+        progress.estimatesSentAfter(
+            nowNanos, isSameTerm ? subscribe.estimateSequence() : 0, loadEstimates.sequence());
     actions.send(
         from,
         routing(
-            hasCurrentConfiguration
-                ? Optional.empty()
-                : Optional.of(state.configuration().withoutAcceptedFingerprints()),
-            hasCurrentView ? Optional.empty() : Optional.of(view),
+            configuration,
             Optional.empty(),
-            loadEstimates.changedSince(isSameTerm ? subscribe.estimateSequence() : 0),
+            Optional.empty(),
+            loadEstimates.changedSince(estimatesAfter),
             loadEstimates.sequence()));
   }
 
+  private Optional<Configuration> configurationFor(
+      long nowNanos, EntryProgress progress, long statedVersion) {
+    long version = state.configuration().version();
+    if (!progress.needsConfiguration(nowNanos, statedVersion, version)) {
+      return Optional.empty();
+    }
+    progress.configurationSent(nowNanos, version);
+    return Optional.of(state.configuration().withoutAcceptedFingerprints());
+  }
+
   void recordJoinRequest(long nowNanos, MemberId member) {
     membership.recordJoinRequest(nowNanos, member);
   }
@@ -308,6 +327,11 @@
     ownership.applied(command, newState);
     logApplied(command);
     if (before.version() != newState.configuration().version()) {
+      entries.forEach(
+          e ->
+              progressByEntry
+                  .computeIfAbsent(e, unknown -> new EntryProgress())
+                  .configurationSent(eventNanos, newState.configuration().version()));
       broadcast(
           routing(
               Optional.of(newState.configuration().withoutAcceptedFingerprints()),
@@ -355,13 +379,17 @@
       OwnershipView before = view;
       view = ownership.view(eventNanos);
       viewSequence++;
-      broadcast(
+      NodeMessage.Routing change =
           routing(
               Optional.empty(),
               Optional.empty(),
               Optional.of(view.changesSince(before)),
               Map.of(),
-              0));
+              0);
+      entries.stream()
+          .filter(e -> progressByEntry.containsKey(e))
+          .filter(e -> progressByEntry.get(e).hasBeenSentView())
+          .forEach(e -> actions.send(e, change));
     }
   }
 
@@ -387,6 +415,7 @@
   /** Sets the entries that receive routing updates. */
   void setEntries(List<InstanceId> currentEntries) {
     entries = currentEntries;
+    progressByEntry.keySet().retainAll(currentEntries);
   }
 
   private void broadcast(NodeMessage message) {
--- a/src/main/java/io/coltsfootwheel/node/NodeMessage.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeMessage.java
@@ -50,7 +50,8 @@
    * @param linkAddress address for links to the entry
    * @param configurationVersion version of the configuration that the entry uses
    * @param term term of the ownership view that the entry uses
-   * @param viewSequence number of that view within the term
+   * @param viewSequence number of that view within the term, or {@link EntryProgress#NO_VIEW} when
+   *     a change after it was missed
    * @param load load that the entry observed since its last report
    * @param estimateSequence number within the term up to which the entry received load estimates
    */
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -56,6 +56,7 @@
 
   private static final String ANSWERS = "answers to entries";
   private static final String CHANGES = "changes to entries";
+  private static final String WHOLE_VIEWS = "whole views to entries";
   private static final String BYTES_OF_ANSWERS = "bytes of answers to entries";
   private static final String BYTES_OF_CHANGES = "bytes of changes to entries";
   private static final int FIRST_HOT_KEY = 30_000;
@@ -68,6 +69,7 @@
   private final Queue<Runnable> results = new ArrayDeque<>();
   private final LeaderSession session;
   private final int requestsPerSecond;
+  private final long messageDelayMillis;
   private int hotKeyCount;
   private double hotShare;
   private long nowMillis = 1_000;
@@ -150,6 +152,8 @@
     }
   }
 
+  private record DelayedRouting(long arrivalMillis, NodeMessage.Routing routing) {}
+
   private final class SimulatedEntry {
     private final InstanceId id;
     private long nextSubscribeMillis;
@@ -160,6 +164,7 @@
     private Map<Integer, Integer> requestsByKey = new HashMap<>();
     private Map<SimulatedTarget, Integer> sent = new HashMap<>();
     private Map<SimulatedTarget, Integer> inFlight = new HashMap<>();
+    private final Queue<DelayedRouting> underWay = new ArrayDeque<>();
 
     private SimulatedEntry(int number) {
       id = InstanceId.of("10.9.0." + number);
@@ -167,6 +172,9 @@
     }
 
     private NodeMessage.Subscribe subscribe() {
+      while (!underWay.isEmpty() && underWay.peek().arrivalMillis() <= nowMillis) {
+        apply(underWay.poll().routing());
+      }
       nextSubscribeMillis += SUBSCRIBE_INTERVAL_MILLIS;
       List<LoadReport.TargetObservation> observations = new ArrayList<>();
       Map<SimulatedTarget, Integer> all = new HashMap<>(inFlight);
@@ -198,9 +206,17 @@
     }
 
     private void receive(NodeMessage.Routing routing) {
+      underWay.add(new DelayedRouting(nowMillis + messageDelayMillis, routing));
+    }
+
+    /** Applies an update as {@link EntryNode} does. */
+    private void apply(NodeMessage.Routing routing) {
       configurationVersion = routing.configurationVersion();
-      term = routing.term();
-      viewSequence = routing.viewSequence();
+      boolean follows = routing.term() == term && routing.viewSequence() == viewSequence + 1;
+      if (routing.view().isPresent() || routing.change().isPresent() && follows) {
+        term = routing.term();
+        viewSequence = routing.viewSequence();
+      }
       if (routing.view().isPresent()) {
         estimateSequence = 0;
       } else if (routing.estimateSequence() > 0) {
@@ -240,6 +256,7 @@
       byte[] bytes = measure(Work.ENCODE, () -> message.toFrame().payload());
       boolean isChange = routing.change().isPresent();
       counts.merge(isChange ? CHANGES : ANSWERS, 1L, Long::sum);
+      counts.merge(WHOLE_VIEWS, routing.view().isPresent() ? 1L : 0L, Long::sum);
       counts.merge(isChange ? BYTES_OF_CHANGES : BYTES_OF_ANSWERS, (long) bytes.length, Long::sum);
       entry.receive(routing);
     }
@@ -262,6 +279,17 @@
   }
 
   LeaderLoadSimulation(long seed, int targetCount, int entryCount, int requestsPerSecond) {
+    this(seed, targetCount, entryCount, requestsPerSecond, 0);
+  }
+
+  /**
+   * Creates a simulation.
+   *
+   * @param messageDelayMillis time that a message of the leader takes to an entry
+   */
+  LeaderLoadSimulation(
+      long seed, int targetCount, int entryCount, int requestsPerSecond, long messageDelayMillis) {
+    this.messageDelayMillis = messageDelayMillis;
     this.requestsPerSecond = requestsPerSecond;
     random = new Random(seed);
     ConfigurationChange change =
@@ -394,6 +422,10 @@
   }
 
   /** Returns the bytes of all messages to entries. */
+  long wholeViews() {
+    return counts.getOrDefault(WHOLE_VIEWS, 0L);
+  }
+
   long bytesToEntries() {
     return counts.getOrDefault(BYTES_OF_ANSWERS, 0L) + counts.getOrDefault(BYTES_OF_CHANGES, 0L);
   }
--- a/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
@@ -18,6 +18,7 @@
   private static final int HIGH_REQUESTS_PER_SECOND = 2_400;
   private static final int HOT_KEYS = 200;
   private static final double HOT_SHARE = 0.4;
+  private static final long MESSAGE_DELAY_MILLIS = 120;
   private static final long START_MILLIS = 5_000;
   private static final long MEASURED_MILLIS = 2_000;
 
@@ -59,6 +60,23 @@
     assertThat(bytesPerSecond).isLessThan(MAX_CONTROL_BYTES_PER_SECOND);
   }
 
+  /**
+   * Load: targets of a large fleet on links on which messages are under way for a while, with moves
+   * of ranges. Guards against a whole view for each entry that has not received the last change
+   * yet: the views then fill the links, and everything on them is late.
+   */
+  @Test
+  void changesUnderWayAreNotAnsweredWithWholeViews() {
+    LeaderLoadSimulation simulation =
+        new LeaderLoadSimulation(
+            1, GROWN_TARGETS, ENTRIES, HIGH_REQUESTS_PER_SECOND, MESSAGE_DELAY_MILLIS);
+    simulation.run(START_MILLIS);
+    simulation.setHotKeys(HOT_KEYS, HOT_SHARE);
+    simulation.resetMeasurements();
+    simulation.run(MEASURED_MILLIS);
+    assertThat(simulation.wholeViews()).isZero();
+  }
+
   /**
    * Load: hot keys, so that many ranges move. Guards against a message to each entry for each step
    * of each move: the entries then spend their processor time on them.
