--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -262,6 +262,36 @@
         .isInstanceOf(TargetResult.NotSent.class);
   }
 
+  /**
+   * Guards against a response whose head breaks off and that appears complete, with or without
+   * body.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "HTTP/1.1 20",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Cut",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\nX-Close: a\r\n"
+      })
+  void truncatedHeadIsNoResponse(String head) throws Exception {
+    byte[] bytes = head.getBytes(StandardCharsets.ISO_8859_1);
+    ScriptedTargetServer.Script script =
+        (requestHead, out, socket) -> {
+          out.write(bytes);
+          return false;
+        };
+    try (ScriptedTargetServer server = new ScriptedTargetServer(script)) {
+      client.open(TARGET, server.address(), 1);
+      assertThat(client.send(TARGET, request("POST", "")).block())
+          .isNotInstanceOf(TargetResult.Responded.class)
+          .isNotInstanceOf(TargetResult.NotSent.class);
+    }
+  }
+
   /** Guards against a truncated body that appears complete. */
   @ParameterizedTest
   @ValueSource(
