Let requests in flight end when a grant moves or a session expires

Change: TargetClient.retire sends nothing more and closes the pool after the last response; LingeringPeers keeps the link of a removed instance for the longest deadline of a request. A new incarnation of a target still ends the requests to the old one.

--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -85,6 +85,7 @@
   private final ResponseRelay relay;
   private final TargetClient targets = TargetClient.create(TargetClient.CONTROL_TIMEOUT_MILLIS);
   private final TargetPools targetPools;
+  private final LingeringPeers lingeringPeers;
   private final EntryDriver entryDriver;
   private final DispatchDriver dispatchDriver;
   private final PendingAnswers answers;
@@ -120,6 +121,9 @@
                 key));
     this.relay = ResponseRelay.of(link, RELAY_IDLE_MILLIS);
     this.targetPools = new TargetPools(self, targets);
+    this.lingeringPeers =
+        new LingeringPeers(
+            TimeUnit.MILLISECONDS.toNanos(settings.limits().deadlineMaximumMillis()));
     this.recorder = new RequestRecorder(meters, System::nanoTime, settings.objectives());
     this.errorBudget =
         new FleetErrorBudget(
@@ -172,7 +176,7 @@
   /** Starts the journal, the decision loop and the servers. A shutdown waits for the end of it. */
   synchronized void start() {
     link.start(this);
-    link.replacePeers(peers(ControlState.empty()));
+    link.replacePeers(linkedPeers(ControlState.empty()));
     journal.ifPresent(JournalDriver::start);
     loop.start();
     callerServer.start();
@@ -316,17 +320,21 @@
     recorder.recordOwnerChanges(state, newState);
     state = newState;
     stamp = signer.format(newState.appliedIndex());
-    link.replacePeers(peers(newState));
+    link.replacePeers(linkedPeers(newState));
     targetPools.update(newState);
   }
 
   private void addPeer(InstanceEffect.AddPeer peer) {
     Address previousAddress = subscriberAddresses.put(peer.instance(), peer.linkAddress());
     if (!peer.linkAddress().equals(previousAddress)) {
-      link.replacePeers(peers(state));
+      link.replacePeers(linkedPeers(state));
     }
   }
 
+  private Map<InstanceId, Address> linkedPeers(ControlState current) {
+    return lingeringPeers.replace(System.nanoTime(), peers(current));
+  }
+
   private Map<InstanceId, Address> peers(ControlState current) {
     Map<InstanceId, Address> peers = new HashMap<>(subscriberAddresses);
     peers.putAll(memberAddresses);
--- a/src/main/java/io/coltsfootwheel/daemon/TargetPools.java
+++ b/src/main/java/io/coltsfootwheel/daemon/TargetPools.java
@@ -45,16 +45,20 @@
         }
       }
     }
-    closeUngranted(granted);
+    retireUngranted(granted);
     granted.forEach(this::open);
   }
 
-  private void closeUngranted(Map<TargetId, TargetSpec> granted) {
+  /**
+   * A grant that has moved or ended does not end the requests that were sent under it: the target
+   * goes on working on them, and their callers wait for the responses.
+   */
+  private void retireUngranted(Map<TargetId, TargetSpec> granted) {
     Iterator<TargetId> open = openSpecs.keySet().iterator();
     while (open.hasNext()) {
       TargetId target = open.next();
       if (!granted.containsKey(target)) {
-        targetClient.close(target);
+        targetClient.retire(target);
         open.remove();
       }
     }
@@ -68,7 +72,7 @@
             && openSpec.connections() == spec.connections()
             && openSpec.incarnation().equals(spec.incarnation());
     if (!isSame) {
-      if (openSpec != null) {
+      if (openSpec != null && !openSpec.incarnation().equals(spec.incarnation())) {
         targetClient.close(id);
       }
       int connections = Math.min(spec.connections(), spec.slots() * CONNECTIONS_PER_SLOT);
--- a/src/main/java/io/coltsfootwheel/edge/NettyTargetClient.java
+++ b/src/main/java/io/coltsfootwheel/edge/NettyTargetClient.java
@@ -31,7 +31,15 @@
           return new TargetPool(target, address, connections, controlTimeoutMillis);
         });
     if (replaced[0] != null) {
-      replaced[0].close();
+      replaced[0].retire();
+    }
+  }
+
+  @Override
+  public void retire(TargetId target) {
+    TargetPool removed = pools.remove(target);
+    if (removed != null) {
+      removed.retire();
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/edge/TargetClient.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetClient.java
@@ -28,7 +28,7 @@
   }
 
   /**
-   * Opens the pool of a target, replacing an existing pool with another address or size.
+   * Opens the pool of a target. An existing pool with another address or size is retired.
    *
    * @param target the target
    * @param address its HTTP address
@@ -43,6 +43,14 @@
    */
   void close(TargetId target);
 
+  /**
+   * Ends the pool of a target without ending its requests in flight: no further request is sent,
+   * and the pool is closed when the last response is complete.
+   *
+   * @param target the target
+   */
+  void retire(TargetId target);
+
   /**
    * Sends a request on subscription; cancelling the subscription closes the connection.
    *
--- a/src/main/java/io/coltsfootwheel/edge/TargetPool.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetPool.java
@@ -50,8 +50,17 @@
     return address.equals(newAddress) && connections == newConnections;
   }
 
+  /** Closes the pool when its requests in flight have ended. */
+  void retire() {
+    requests.retire(this::dispose);
+  }
+
   void close() {
     requests.close();
+    dispose();
+  }
+
+  private void dispose() {
     requestProvider.dispose();
     controlProvider.dispose();
   }
--- a/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Flux;
@@ -39,6 +40,9 @@
 
   private volatile boolean closed;
 
+  /** Disposes the pool of a retired target; called at most once. */
+  private final AtomicReference<Runnable> onRetired = new AtomicReference<>();
+
   TargetRequests(HttpClient client) {
     this.client = client;
   }
@@ -49,6 +53,23 @@
     attemptsInFlight.forEach(Attempt::abort);
   }
 
+  /**
+   * Sends no further requests, and lets those in flight end.
+   *
+   * @param whenIdle called once, when no request is in flight
+   */
+  void retire(Runnable whenIdle) {
+    closed = true;
+    onRetired.set(whenIdle);
+    endIfIdle();
+  }
+
+  private void endIfIdle() {
+    if (attemptsInFlight.isEmpty()) {
+      Optional.ofNullable(onRetired.getAndSet(null)).ifPresent(Runnable::run);
+    }
+  }
+
   Mono<TargetResult> send(TargetRequest request) {
     // An error before the subscription to the client, such as an invalid method, occurs before any
     // byte is written.
@@ -225,6 +246,7 @@
 
     private void finish() {
       attemptsInFlight.remove(this);
+      endIfIdle();
     }
   }
 }
--- a/src/test/java/io/coltsfootwheel/daemon/DispatchDriverTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/DispatchDriverTest.java
@@ -85,6 +85,9 @@
   @Override
   public void close(TargetId target) {}
 
+  @Override
+  public void retire(TargetId target) {}
+
   @Override
   public Mono<GrantResult> grant(TargetId target, InstanceId instance, long fence, long until) {
     return Mono.empty();
--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -337,6 +337,43 @@
     }
   }
 
+  /**
+   * Guards against requests in flight that are cut because the grant of their target has moved or
+   * its connection count has changed, and against a pool that is never closed afterwards.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void retiredPoolCompletesItsRequests(boolean isReplaced) throws Exception {
+    CountDownLatch requestReceived = new CountDownLatch(1);
+    CountDownLatch retired = new CountDownLatch(1);
+    CountDownLatch closed = new CountDownLatch(1);
+    ScriptedTargetServer.Script script =
+        (head, out, socket) -> {
+          requestReceived.countDown();
+          awaitUninterrupted(retired);
+          out.write(ScriptedTargetServer.response(200, "", "done"));
+          out.flush();
+          if (socket.getInputStream().read() < 0) {
+            closed.countDown();
+          }
+          return false;
+        };
+    try (ScriptedTargetServer server = new ScriptedTargetServer(script)) {
+      client.open(TARGET, server.address(), 1);
+      var result = client.send(TARGET, request("POST", "x")).toFuture();
+      requestReceived.await();
+      if (isReplaced) {
+        client.open(TARGET, server.address(), 2);
+      } else {
+        client.retire(TARGET);
+      }
+      retired.countDown();
+      TargetResult.Responded responded = (TargetResult.Responded) result.get();
+      assertThat(readText(responded.body())).isEqualTo("done");
+      closed.await();
+    }
+  }
+
   /** Guards against requests that wait forever after their target was removed. */
   @Test
   void closingPoolFailsRequests() throws Exception {
