Do not use a target again that has left

Reports of these incarnations are outdated. A target that was removed only because it was silent may come back, and so may a new incarnation.

--- a/src/main/java/io/coltsfootwheel/keyspace/FleetCommand.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetCommand.java
@@ -20,8 +20,8 @@
   /**
    * Adds a target or replaces its record. A later incarnation keeps the ranges of the target under
    * a new fence. Another target at the same address is removed, because its process must have
-   * ended. The command has no effect when the registered record is of a later incarnation, or when
-   * the address belongs to a target whose process started later.
+   * ended. The command has no effect when the registered record is of a later incarnation, when the
+   * address belongs to a target whose process started later, or when this incarnation has left.
    *
    * @param target the target
    */
--- a/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
@@ -18,19 +18,22 @@
  */
 public final class FleetState {
   private static final FleetState EMPTY =
-      new FleetState(0, Configuration.empty(), Map.of(), Map.of());
+      new FleetState(0, Configuration.empty(), Map.of(), Map.of(), DepartedTargets.none());
 
   private final long index;
   private final Configuration configuration;
   private final Map<TargetId, TargetRecord> targets;
   private final List<TargetRecord> targetsInOrder;
   private final Map<ServiceName, RangeTable> tables;
+  private final DepartedTargets departed;
 
   private FleetState(
       long index,
       Configuration configuration,
       Map<TargetId, TargetRecord> targets,
-      Map<ServiceName, RangeTable> tables) {
+      Map<ServiceName, RangeTable> tables,
+      DepartedTargets departed) {
+    this.departed = departed;
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
@@ -43,7 +46,13 @@
       long index,
       Configuration configuration,
       List<TargetRecord> targets,
-      Map<ServiceName, RangeTable> tables) {}
+      Map<ServiceName, RangeTable> tables,
+      Optional<DepartedTargets> departed) {
+    /** Replaces the departed targets, which snapshots of earlier versions do not have. */
+    private Snapshot {
+      departed = departed == null ? Optional.empty() : departed;
+    }
+  }
 
   /**
    * Returns the state before the first command.
@@ -65,7 +74,11 @@
     Map<TargetId, TargetRecord> targets = new TreeMap<>();
     snapshot.targets().forEach(t -> targets.put(t.id(), t));
     return new FleetState(
-        snapshot.index(), snapshot.configuration(), targets, new TreeMap<>(snapshot.tables()));
+        snapshot.index(),
+        snapshot.configuration(),
+        targets,
+        new TreeMap<>(snapshot.tables()),
+        snapshot.departed().orElse(DepartedTargets.none()));
   }
 
   /**
@@ -74,7 +87,8 @@
    * @return MessagePack bytes
    */
   public byte[] toSnapshot() {
-    return ControlCodec.encode(new Snapshot(index, configuration, targetsInOrder, tables));
+    return ControlCodec.encode(
+        new Snapshot(index, configuration, targetsInOrder, tables, Optional.of(departed)));
   }
 
   /**
@@ -145,24 +159,25 @@
       return register(commandIndex, register.target());
     }
     if (command instanceof FleetCommand.RemoveTarget removal) {
-      boolean applies =
-          target(removal.target())
-              .filter(t -> t.incarnationMillis() == removal.incarnationMillis())
-              .isPresent();
-      return applies ? remove(commandIndex, removal.target()) : withIndex(commandIndex);
+      return target(removal.target())
+          .filter(t -> t.incarnationMillis() == removal.incarnationMillis())
+          .map(t -> remove(commandIndex, t))
+          .orElseGet(() -> withIndex(commandIndex));
     }
     if (command instanceof FleetCommand.AssignRanges assign) {
       return assign(commandIndex, assign);
     }
     FleetCommand.ChangeConfiguration change = (FleetCommand.ChangeConfiguration) command;
     return configuration.evaluate(change.change()) instanceof ChangeOutcome.Applicable applicable
-        ? new FleetState(commandIndex, applicable.next(), targets, tables)
+        ? new FleetState(commandIndex, applicable.next(), targets, tables, departed)
         : withIndex(commandIndex);
   }
 
   private FleetState register(long commandIndex, TargetRecord target) {
     Optional<TargetRecord> before = target(target.id());
-    if (before.filter(b -> b.incarnationMillis() > target.incarnationMillis()).isPresent()) {
+    boolean isOutdated =
+        before.filter(b -> b.incarnationMillis() > target.incarnationMillis()).isPresent();
+    if (isOutdated || hasDeparted(target)) {
       return withIndex(commandIndex);
     }
     FleetState base = this;
@@ -171,7 +186,7 @@
         if (other.incarnationMillis() > target.incarnationMillis()) {
           return withIndex(commandIndex);
         }
-        base = base.remove(commandIndex, other.id());
+        base = base.remove(commandIndex, other).withDeparted(other);
       }
     }
     Map<TargetId, TargetRecord> nextTargets = new TreeMap<>(base.targets);
@@ -182,15 +197,29 @@
     if (newIncarnation) {
       nextTables.replaceAll((s, table) -> table.withFence(target.id(), Fence.of(commandIndex)));
     }
-    return new FleetState(commandIndex, configuration, nextTargets, nextTables);
+    return new FleetState(commandIndex, configuration, nextTargets, nextTables, base.departed);
+  }
+
+  /**
+   * Returns whether this incarnation of a target was removed after it had ended. A target that was
+   * removed only because it was silent has not departed.
+   */
+  boolean hasDeparted(TargetRecord target) {
+    return departed.contains(target.id(), target.incarnationMillis());
+  }
+
+  private FleetState withDeparted(TargetRecord target) {
+    return new FleetState(index, configuration, targets, tables, departed.with(target));
   }
 
-  private FleetState remove(long commandIndex, TargetId target) {
+  private FleetState remove(long commandIndex, TargetRecord target) {
     Map<TargetId, TargetRecord> nextTargets = new TreeMap<>(targets);
-    nextTargets.remove(target);
+    nextTargets.remove(target.id());
     Map<ServiceName, RangeTable> nextTables = new TreeMap<>(tables);
-    nextTables.replaceAll((service, table) -> table.withoutOwner(target));
-    return new FleetState(commandIndex, configuration, nextTargets, nextTables);
+    nextTables.replaceAll((service, table) -> table.withoutOwner(target.id()));
+    FleetState next =
+        new FleetState(commandIndex, configuration, nextTargets, nextTables, departed);
+    return target.phase() == TargetPhase.LEFT ? next.withDeparted(target) : next;
   }
 
   private FleetState assign(long commandIndex, FleetCommand.AssignRanges command) {
@@ -216,10 +245,10 @@
     }
     Map<ServiceName, RangeTable> nextTables = new TreeMap<>(tables);
     nextTables.put(command.service(), table);
-    return new FleetState(commandIndex, configuration, targets, nextTables);
+    return new FleetState(commandIndex, configuration, targets, nextTables, departed);
   }
 
   private FleetState withIndex(long commandIndex) {
-    return new FleetState(commandIndex, configuration, targets, tables);
+    return new FleetState(commandIndex, configuration, targets, tables, departed);
   }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
@@ -93,7 +93,11 @@
         state.targets().stream()
             .filter(t -> t.address().equals(target.address()) && !t.id().equals(target.id()))
             .anyMatch(t -> t.incarnationMillis() > target.incarnationMillis());
-    return earlierIncarnation || earlierPhase || addressTaken || isOutOfOrder(report);
+    return earlierIncarnation
+        || earlierPhase
+        || addressTaken
+        || state.hasDeparted(target)
+        || isOutOfOrder(report);
   }
 
   private boolean isOutOfOrder(HeartbeatReport report) {
--- a/src/test/java/io/coltsfootwheel/keyspace/FleetStateTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/FleetStateTest.java
@@ -4,10 +4,15 @@
 
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.ControlCodec;
 import io.coltsfootwheel.model.Fence;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.Configuration;
+import io.coltsfootwheel.routing.GrantMethod;
+import io.coltsfootwheel.routing.ServicePolicy;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -144,6 +149,35 @@
     assertThat(state.target(TargetId.of("a"))).isPresent();
   }
 
+  private record EarlierSnapshot(
+      long index,
+      Configuration configuration,
+      List<TargetRecord> targets,
+      Map<ServiceName, RangeTable> tables) {}
+
+  private record EarlierPolicy(ServiceName name, boolean keyed, int maxConnections) {}
+
+  /** Guards against a member that cannot read the disk of an earlier version. */
+  @Test
+  void snapshotOfAnEarlierVersionIsRead() {
+    FleetState state = withOwner();
+    byte[] earlier =
+        ControlCodec.encode(
+            new EarlierSnapshot(
+                state.index(), state.configuration(), state.targets(), state.tables()));
+    FleetState copy = FleetState.fromSnapshot(earlier);
+    assertThat(copy.targets()).isEqualTo(state.targets());
+    assertThat(copy.hasDeparted(state.targets().get(0))).isFalse();
+  }
+
+  /** Guards against a stored service that names no grant method and cannot be read. */
+  @Test
+  void policyOfAnEarlierVersionIsRead() {
+    byte[] earlier = ControlCodec.encode(new EarlierPolicy(LEDGER, true, 7));
+    assertThat(ControlCodec.decode(earlier, ServicePolicy.class))
+        .isEqualTo(new ServicePolicy(LEDGER, true, 7, GrantMethod.HEARTBEAT));
+  }
+
   /** Guards against the loss of state in a snapshot. */
   @Test
   void snapshotPreservesState() {
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -73,6 +73,20 @@
     leader.grant(nowNanos, TargetId.of(name), incarnationMillis);
   }
 
+  void leave(String name) {
+    apply(leader.leave(TargetId.of(name)).stream().toList());
+  }
+
+  boolean isRegistered(String name) {
+    return state.target(TargetId.of(name)).isPresent();
+  }
+
+  /** Elects a leader whose state comes from a snapshot. */
+  void restoreFromSnapshot() {
+    state = FleetState.fromSnapshot(state.toSnapshot());
+    electLeader();
+  }
+
   /** Replaces the leader, as an election does. */
   void electLeader() {
     leader = new OwnershipLeader(SETTINGS, state, nowNanos);
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -222,6 +222,28 @@
   }
 
   /** Returns a leader whose target "lost" was granted keys 0 to 999, but not the rest it owns. */
+  /**
+   * Guards against a target that has left and is used again because one of its reports arrives
+   * late: after its removal, and also at a leader that has restored its state from a snapshot.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void lateReportOfATargetThatHasLeftIsIgnored(boolean restored) {
+    OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
+    harness.register("a");
+    harness.leave("a");
+    harness.advance(2 * OwnershipLeaderHarness.LEASE_MILLIS);
+    harness.apply(harness.tick());
+    assertThat(harness.isRegistered("a")).isFalse();
+    if (restored) {
+      harness.restoreFromSnapshot();
+    }
+    harness.apply(harness.report("a", TargetPhase.READY));
+    assertThat(harness.isRegistered("a")).isFalse();
+    harness.apply(harness.report("a", 2, 1_000, TargetPhase.READY));
+    assertThat(harness.isRegistered("a")).isTrue();
+  }
+
   private static OwnershipLeaderHarness harnessWithLostOwner() {
     OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
     harness.register("lost");
