Open fewer connections to a target than it accepts when idle

Cause: each entry opened up to its full share of a target's connections. Change: ConnectionShare leaves half of the limit unused.

--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -224,7 +224,7 @@
     }
     chosenTarget.recordSent();
     int maxConnections =
-        Math.max(2, service.orElseThrow().maxConnections() / context.routing().entryCount());
+        ConnectionShare.of(service.orElseThrow().maxConnections(), context.routing().entryCount());
     call =
         Optional.of(
             context
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -151,6 +151,29 @@
         .build();
   }
 
+  /**
+   * Guards against running work of a target that is given up, or started at another target, because
+   * the target was silent and was removed, or because its key got another owner.
+   */
+  @ParameterizedTest
+  @CsvSource({"safe, any", "unsafe, any", "keyed, keyed"})
+  void requestAtARemovedTargetIsAwaited(String route, String service) throws Exception {
+    ServiceName name = ServiceName.of(service);
+    ScriptedTarget silent = target("a", name, ScriptedTarget.Step.ANSWER_WHEN_RELEASED);
+    ScriptedTarget other = target("b", name, ScriptedTarget.Step.ANSWER);
+    publishView(true, silent);
+    CompletableFuture<HttpResponse<String>> response =
+        client.sendAsync(request("/" + route + "/1"), HttpResponse.BodyHandlers.ofString());
+    while (silent.requests().isEmpty()) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    publishView(true, other);
+    assertThat(get("/" + route + "/2").statusCode()).isEqualTo(200);
+    silent.release();
+    assertThat(response.get().statusCode()).isEqualTo(200);
+    assertThat(other.requests()).hasSize(1);
+  }
+
   /**
    * Guards against requests on a connection to the former address of a target, which was in use
    * while the target moved.
