--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -121,9 +121,7 @@
                 key));
     this.relay = ResponseRelay.of(link, RELAY_IDLE_MILLIS);
     this.targetPools = new TargetPools(self, targets);
-    this.lingeringPeers =
-        new LingeringPeers(
-            TimeUnit.MILLISECONDS.toNanos(settings.limits().deadlineMaximumMillis()));
+    this.lingeringPeers = new LingeringPeers(settings.limits().deadlineMaximumMillis());
     this.recorder = new RequestRecorder(meters, System::nanoTime, settings.objectives());
     this.errorBudget =
         new FleetErrorBudget(
--- a/src/main/java/io/coltsfootwheel/daemon/LingeringPeers.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LingeringPeers.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Peers to which links are kept: the current ones, and for a while those that were removed.
@@ -21,10 +22,10 @@
   /**
    * Creates an empty set of peers.
    *
-   * @param lingerNanos time for which the link to a removed peer is kept
+   * @param lingerMillis time for which the link to a removed peer is kept, in milliseconds
    */
-  LingeringPeers(long lingerNanos) {
-    this.lingerNanos = lingerNanos;
+  LingeringPeers(long lingerMillis) {
+    this.lingerNanos = TimeUnit.MILLISECONDS.toNanos(lingerMillis);
   }
 
   /**
