Send an entry everything again when its link was lost

Cause: since routing updates are not repeated while under way, an answer that was sent before the leader had a link to the entry, or that was lost with its link, was repeated only after a second. Change: NodeLinks tells of messages that found no link and of links that ended; the leader forgets what it has sent to that entry, and its next subscription gets all that it lacks. Test: ControlReducerTest#answerThatWasLostIsSentAgainAtOnce fails without linkLost (the third answer carries no view).

--- a/src/main/java/io/coltsfootwheel/node/ControlEvent.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlEvent.java
@@ -32,6 +32,9 @@
   record MessageReceived(long nowNanos, InstanceId from, NodeMessage message)
       implements ControlEvent {}
 
+  /** Messages sent to another process may be lost, because there is no link to it. */
+  record LinkLost(long nowNanos, InstanceId peer) implements ControlEvent {}
+
   /** Heartbeat report of a target; the answer carries the same request number. */
   record ReportReceived(long nowNanos, long requestId, HeartbeatReport report)
       implements ControlEvent {}
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -95,6 +95,7 @@
             settings.linkAddress(),
             settings.linkAddress().port(),
             this::receive,
+            this::linkLost,
             log);
     this.loop =
         new DecisionLoop<>(
@@ -178,6 +179,10 @@
     loop.post(new ControlEvent.MessageReceived(System.nanoTime(), from, message));
   }
 
+  private void linkLost(InstanceId peer) {
+    loop.post(new ControlEvent.LinkLost(System.nanoTime(), peer));
+  }
+
   private List<ControlEffect> decide(ControlEvent event) {
     if (reducer.isEmpty()) {
       openJournal(event.nowNanos());
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -103,6 +103,8 @@
       seeds = List.copyOf(changed.seeds());
     } else if (event instanceof ControlEvent.MessageReceived received) {
       receive(received.from(), received.message());
+    } else if (event instanceof ControlEvent.LinkLost lost) {
+      session.ifPresent(s -> s.linkLost(lost.peer()));
     } else if (event instanceof ControlEvent.ReportReceived report) {
       withLeaderSession(
           report.requestId(), s -> s.report(nowNanos, report.requestId(), report.report()));
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -59,7 +59,12 @@
     this.finder = new LeaderFinder(settings.seeds());
     this.links =
         new NodeLinks(
-            settings.cluster(), settings.linkAddress(), settings.memberPort(), this::enqueue, log);
+            settings.cluster(),
+            settings.linkAddress(),
+            settings.memberPort(),
+            this::enqueue,
+            lost -> {},
+            log);
   }
 
   /** Starts to accept client connections and to subscribe to routing updates. */
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -249,6 +249,11 @@
     return Optional.of(state.configuration().withoutAcceptedFingerprints());
   }
 
+  /** Forgets what was sent to an entry, so that its next subscription gets all that it lacks. */
+  void linkLost(InstanceId peer) {
+    progressByEntry.remove(peer);
+  }
+
   void recordJoinRequest(long nowNanos, MemberId member) {
     membership.recordJoinRequest(nowNanos, member);
   }
--- a/src/main/java/io/coltsfootwheel/node/NodeLinks.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeLinks.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * Links to other processes. Control members are named by their IP addresses and all listen on the
@@ -32,6 +33,7 @@
   private final int memberPort;
   private final LinkTransport transport;
   private final BiConsumer<InstanceId, NodeMessage> receiver;
+  private final Consumer<InstanceId> onLost;
   private final EventLog log;
   private final Map<InstanceId, ResponseTracker> trackerByPeer = new ConcurrentHashMap<>();
 
@@ -51,6 +53,8 @@
    * @param self address of this process; its host is its name
    * @param memberPort port on which control members listen
    * @param receiver receives messages; called on network threads
+   * @param onLost called when messages to a process may be lost, because there is no link to it or
+   *     its link has ended; called on any thread
    * @param log structured log
    */
   NodeLinks(
@@ -58,7 +62,9 @@
       Address self,
       int memberPort,
       BiConsumer<InstanceId, NodeMessage> receiver,
+      Consumer<InstanceId> onLost,
       EventLog log) {
+    this.onLost = onLost;
     this.memberPort = memberPort;
     this.receiver = receiver;
     this.log = log;
@@ -87,6 +93,7 @@
 
   void send(InstanceId to, NodeMessage message) {
     if (!transport.send(to, message.toFrame())) {
+      onLost.accept(to);
       return;
     }
     ResponseTracker tracker = trackerByPeer.computeIfAbsent(to, p -> new ResponseTracker());
@@ -131,5 +138,6 @@
   @Override
   public void disconnected(InstanceId peer, LinkChannel channel) {
     log.write(LogEvent.of("link.down").with("peer", peer));
+    onLost.accept(peer);
   }
 }
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -241,6 +241,37 @@
     assertThat(view.targets()).extracting(OwnershipView.Target::id).containsExactly(target.id());
   }
 
+  /**
+   * Guards against an entry that waits for routes because the first answer was sent while there was
+   * no link to it, as after a restart of all processes.
+   */
+  @Test
+  void answerThatWasLostIsSentAgainAtOnce() {
+    TargetRecord target = report("t", 1, TargetPhase.READY).target();
+    FleetState state = FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target));
+    List<NodeMessage> sent = new ArrayList<>();
+    LeaderSession session =
+        new LeaderSession(
+            FIRST,
+            1,
+            new RecordingActions(sent),
+            OwnershipSettings.of(870, 10_000),
+            1,
+            state,
+            group.nowNanos());
+    InstanceId entry = InstanceId.of("10.9.0.1");
+    NodeMessage.Subscribe subscribe =
+        new NodeMessage.Subscribe(
+            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0);
+    session.subscribe(group.nowNanos(), entry, subscribe);
+    session.subscribe(group.nowNanos() + 1, entry, subscribe);
+    session.linkLost(entry);
+    session.subscribe(group.nowNanos() + 2, entry, subscribe);
+    assertThat(sent)
+        .extracting(m -> ((NodeMessage.Routing) m).view().isPresent())
+        .containsExactly(true, false, true);
+  }
+
   /** Records the messages of a leader and ignores its other actions. */
   private record RecordingActions(List<NodeMessage> sent) implements LeaderActions {
     @Override
