--- a/src/test/java/io/coltsfootwheel/bench/PlannedStopTest.java
+++ b/src/test/java/io/coltsfootwheel/bench/PlannedStopTest.java
@@ -5,17 +5,9 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.api.io.TempDir;
 
-/**
- * Known red, see KNOWN-RED.txt: sessions that expire without a stop also end responses in progress.
- * {@code bin/planned-stop-run --seed 3} runs the same series by hand, and longer ones.
- */
-@EnabledIfSystemProperty(
-    named = "coltsfootwheel.known-red",
-    matches = "true",
-    disabledReason = "listed in KNOWN-RED.txt, issue 18")
+/** {@code bin/planned-stop-run --seed 3} runs the same series by hand, and longer ones. */
 class PlannedStopTest {
   private static final long SEED = 3;
   private static final int SECONDS = 6;
