Mend the race in the test of bytes on an idle connection

Cause: TargetClientTest#connectionThatReceivesBytesWhileIdleIsNotReused asked whether the client was idle only after it had written the response; a client that was faster than this question never got the late bytes, and the test waited for ever. Evidence: repeated 150 times beside six busy loops, 8 timeouts, each without the log line of the handler; a further read in the handler changed nothing (8 timeouts); with the question asked of the connection's first request, 0 timeouts. Change: the first request is told by a flag; what is checked is unchanged.

--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -172,12 +173,13 @@
    */
   @Test
   void connectionThatReceivesBytesWhileIdleIsNotReused() throws Exception {
+    AtomicBoolean isFirst = new AtomicBoolean(true);
     CountDownLatch idle = new CountDownLatch(1);
     CountDownLatch written = new CountDownLatch(1);
     ScriptedTargetServer.Script script =
         (head, out, socket) -> {
           out.write(ScriptedTargetServer.response(200, REQUEST_ID + "r1\r\n", "ok"));
-          if (idle.getCount() > 0) {
+          if (isFirst.getAndSet(false)) {
             awaitUninterrupted(idle);
             out.write(("HTTP/1.1 503 X\r\n" + NOT_RUN + "Padding: ").getBytes());
             written.countDown();
