Count grants of an earlier leader also for restarted and removed targets

A call of the leader before it could have reached the new process, which then held keys that were given to another. Change: a new incarnation inherits the bound of the old record, whoever granted it; the leases of removed targets count for services granted by call even if this leader called none; keys without an owner at the start of a term wait for the longest lease of the term before. Tests: GrantCallsTest#callToAReusedAddressDelaysTheNextOwner and #callToTheEarlierIncarnationDelaysTheNextOwner for calls of an earlier leader failed before; #keysWithoutOwnerWaitAfterAnElection fails without the rule.

--- a/src/main/java/io/coltsfootwheel/keyspace/GrantCalls.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/GrantCalls.java
@@ -79,11 +79,11 @@
       RangeMoves moves,
       Set<TargetId> pendingRemovals,
       KeyedServices keyedServices) {
-    this.keyedServices = keyedServices;
     this.settings = settings;
     this.heartbeats = heartbeats;
     this.moves = moves;
     this.pendingRemovals = pendingRemovals;
+    this.keyedServices = keyedServices;
   }
 
   /** Returns whether {@link #take} would return a call. */
@@ -114,7 +114,7 @@
   }
 
   /** Processes the end of a call; a call of an earlier term has no effect. */
-  Completion completed(long nowNanos, TargetCall call, TargetCallResult result, FleetState state) {
+  Completion completed(long nowNanos, TargetCall call, TargetCallResult result) {
     if (!openCalls.remove(call)) {
       return Completion.none();
     }
@@ -124,8 +124,7 @@
             .map(h -> h.callLeases().recordEnd(nowNanos, call, result.outcome()))
             .orElse(false);
     if (call instanceof TargetCall.Release release) {
-      return new Completion(
-          releaseEnded(nowNanos, release, result, state), Optional.empty(), false);
+      return new Completion(releaseEnded(nowNanos, release, result), Optional.empty(), false);
     }
     boolean refused = result.outcome() == TargetCallResult.Outcome.FENCE_TOO_LOW;
     return new Completion(
@@ -133,7 +132,7 @@
   }
 
   private Optional<RangeMove> releaseEnded(
-      long nowNanos, TargetCall.Release call, TargetCallResult result, FleetState state) {
+      long nowNanos, TargetCall.Release call, TargetCallResult result) {
     Optional<RangeMove> move =
         moves.all().stream()
             .filter(m -> m.from().equals(call.target()) && m.range().equals(call.range()))
--- a/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
@@ -55,11 +55,11 @@
               .target(target.id())
               .filter(t -> t.incarnationMillis() == target.incarnationMillis())
               .isPresent();
-      long inheritedLeaseNanos = settings.leaseNanos(grantMethods.apply(target.service()));
-      long leaseEndNanos = known ? termStartNanos + inheritedLeaseNanos : nowNanos;
-      if (heartbeat != null && !known) {
+      GrantMethod method = grantMethods.apply(target.service());
+      long leaseEndNanos = known ? termStartNanos + settings.leaseNanos(method) : nowNanos;
+      if (heartbeat != null && !known && method == GrantMethod.CALL) {
         // A call to the earlier incarnation may have reached this one.
-        leaseEndNanos = heartbeat.callLeases().endNanos(KeyRange.ALL, nowNanos);
+        leaseEndNanos = heartbeat.leaseEndNanos();
       }
       long grantedIndex = known ? state.index() : 0;
       heartbeat =
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -77,7 +77,7 @@
 
   private final LoadStatistics loadStatistics = new LoadStatistics();
   private final RangePlacement placement;
-  private final RemovedOwnerLeases removedOwnerLeases = new RemovedOwnerLeases();
+  private final RemovedOwnerLeases removedOwnerLeases;
   private final long termStartNanos;
   private FleetState state;
   private final GrantCalls grantCalls;
@@ -106,6 +106,8 @@
     this.termStartNanos = nowNanos;
     this.heartbeats = new HeartbeatMonitor(settings, nowNanos, keyedServices::grantMethod);
     this.viewBuilder = new ViewBuilder(settings, heartbeats, moves, keyedServices::grantMethod);
+    this.removedOwnerLeases = new RemovedOwnerLeases(keyedServices);
+    removedOwnerLeases.recordStart(state, nowNanos + settings.leaseNanos(GrantMethod.CALL));
     this.grantCalls = new GrantCalls(settings, heartbeats, moves, pendingRemovals, keyedServices);
     this.placement = new RangePlacement(heartbeats, loadStatistics, moves, pendingRemovals);
     this.moveStarter =
@@ -272,7 +274,7 @@
    */
   public List<FleetCommand> callCompleted(long nowNanos, TargetCall call, TargetCallResult result) {
     moveStarter.clearLoads();
-    GrantCalls.Completion completion = grantCalls.completed(nowNanos, call, result, state);
+    GrantCalls.Completion completion = grantCalls.completed(nowNanos, call, result);
     viewChanged |= completion.isNewlyHeld();
     completion.refused().ifPresent(moveStarter::startMoveOfRefusedRange);
     return assign(nowNanos, completion.released().map(List::of).orElse(List.of()));
--- a/src/main/java/io/coltsfootwheel/keyspace/RemovedOwnerLeases.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RemovedOwnerLeases.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.keyspace;
 
 import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.routing.GrantMethod;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,6 +13,7 @@
  * keys until the lease ends.
  */
 final class RemovedOwnerLeases {
+  private final KeyedServices keyedServices;
   private final List<Lease> leases = new ArrayList<>();
 
   private record Lease(ServiceName service, KeyRange range, long endNanos) {
@@ -20,10 +22,31 @@
     }
   }
 
+  RemovedOwnerLeases(KeyedServices keyedServices) {
+    this.keyedServices = keyedServices;
+  }
+
+  /**
+   * Records that the earlier leader may have granted the keys that have no owner at the start of a
+   * term, because it may have removed their owner just before.
+   */
+  void recordStart(FleetState state, long leaseEndNanos) {
+    for (ServiceName service : keyedServices.names()) {
+      boolean isCalled = keyedServices.grantMethod(service) == GrantMethod.CALL;
+      if (isCalled && !state.table(service).ranges().isEmpty()) {
+        state
+            .table(service)
+            .gaps()
+            .forEach(gap -> leases.add(new Lease(service, gap, leaseEndNanos)));
+      }
+    }
+  }
+
   /** Records the leases of the targets that a command has removed. */
   void recordRemoved(FleetState before, FleetState after, HeartbeatMonitor heartbeats) {
     for (TargetRecord target : before.targets()) {
-      if (after.target(target.id()).isEmpty()) {
+      boolean isCalled = keyedServices.grantMethod(target.service()) == GrantMethod.CALL;
+      if (isCalled && after.target(target.id()).isEmpty()) {
         heartbeats.find(target.id()).ifPresent(h -> record(target, h, before));
       }
     }
@@ -31,10 +54,8 @@
 
   private void record(TargetRecord target, TargetHeartbeat heartbeat, FleetState before) {
     for (OwnedRange owned : before.table(target.service()).rangesOf(target.id())) {
-      if (heartbeat.callLeases().wasSent(owned.range())) {
-        long endNanos = heartbeat.leaseEndNanos(owned.range());
-        leases.add(new Lease(target.service(), owned.range(), endNanos));
-      }
+      long endNanos = heartbeat.leaseEndNanos(owned.range());
+      leases.add(new Lease(target.service(), owned.range(), endNanos));
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/keyspace/TargetHeartbeat.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/TargetHeartbeat.java
@@ -3,13 +3,13 @@
 /** Reports of one incarnation of a target to the current leader, and the lease granted to it. */
 final class TargetHeartbeat {
   private final long incarnationMillis;
+  private final CallLeases callLeases;
   private long sequence;
   private long lastReportNanos;
   private int reports;
   private long leaseEndNanos;
   private long grantedIndex;
   private long warmupEndNanos;
-  private final CallLeases callLeases;
 
   /**
    * Creates the record with the longest lease that an earlier leader may have granted.
--- a/src/test/java/io/coltsfootwheel/keyspace/GrantCallsTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/GrantCallsTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class GrantCallsTest {
   private static final long TICK_MILLIS = 20;
@@ -77,9 +78,14 @@
   }
 
   /** Guards against a call that reaches the next incarnation of a target, which then holds keys. */
-  @Test
-  void callToTheEarlierIncarnationDelaysTheNextOwner() {
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void callToTheEarlierIncarnationDelaysTheNextOwner(boolean isOfEarlierLeader) {
     harness.takeDueCalls();
+    if (isOfEarlierLeader) {
+      harness.electLeader();
+      harness.report("b", TargetPhase.READY);
+    }
     harness.apply(harness.report("a", 2, 1_000, TargetPhase.READY));
     harness.apply(harness.report("a", 2, 1_000, TargetPhase.DRAINING));
     harness.grant("a", 2);
@@ -88,10 +94,14 @@
   }
 
   /** Guards against a call that reaches another target at the address, which then holds keys. */
-  @Test
-  void callToAReusedAddressDelaysTheNextOwner() {
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void callToAReusedAddressDelaysTheNextOwner(boolean isOfEarlierLeader) {
     harness.apply(harness.report("c", 1, 2_000, TargetPhase.READY));
     harness.takeDueCalls();
+    if (isOfEarlierLeader) {
+      harness.electLeader();
+    }
     int portOfA = 1_000 + Math.floorMod("a".hashCode(), 1_000);
     harness.apply(harness.report("d", 5, portOfA, TargetPhase.READY));
     assertThat(harness.owner(1)).isEmpty();
@@ -103,6 +113,22 @@
     assertThat(assignments(harness.tick())).isNotEmpty();
   }
 
+  /** Guards against a new leader that gives on the keys of an owner that was just removed. */
+  @Test
+  void keysWithoutOwnerWaitAfterAnElection() {
+    harness.assign(new KeyRange(0, 99), "b");
+    harness.apply(
+        harness.report("d", 5, 1_000 + Math.floorMod("a".hashCode(), 1_000), TargetPhase.READY));
+    harness.assign(new KeyRange(100, 199), "b");
+    harness.electLeader();
+    harness.advance(2_000);
+    harness.report("b", TargetPhase.READY);
+    assertThat(assignments(harness.tick())).isEmpty();
+    harness.advance(OwnershipLeaderHarness.LEASE_MILLIS);
+    harness.report("b", TargetPhase.READY);
+    assertThat(assignments(harness.tick())).isNotEmpty();
+  }
+
   /** Guards against a loop of grants that a target refuses because it knows a higher fence. */
   @Test
   void refusedRangeGoesToAnotherTarget() {
