Show how old the routes and owners of an entry are

Change: a subscription carries the time at which the entry sent it; the leader repeats the time of the last one that arrived before a quorum round; the entry logs routes_age_ms and owners_age_ms and publishes both as gauges. No decision reads them.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -113,7 +113,8 @@
             viewTerm,
             hasMissedChange ? EntryProgress.NO_VIEW : viewSequence,
             load,
-            estimateSequence));
+            estimateSequence,
+            System.nanoTime()));
   }
 
   private void updateLinks() {
@@ -170,6 +171,14 @@
               view = next;
               relay.updateOwnership(next);
             });
+    update.confirmedNanos().ifPresent(nanos -> confirmRouting(update, nanos));
+  }
+
+  /** Reports to the relay which of its routes, targets and owners were the newest at a time. */
+  private void confirmRouting(NodeMessage.Routing update, long confirmedNanos) {
+    boolean isConfigurationNewest = update.configurationVersion() == configurationVersion;
+    boolean isViewNewest = update.term() == viewTerm && update.viewSequence() == viewSequence;
+    relay.confirmRouting(confirmedNanos, isConfigurationNewest, isViewNewest);
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/node/EntryProgress.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryProgress.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.node;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -25,6 +26,21 @@
   private long sentEstimateSequence;
   private long statedEstimateSequence;
   private long estimateProgressNanos;
+  private OptionalLong confirmedNanos = OptionalLong.empty();
+
+  /**
+   * Records that a quorum confirmed the leadership after a subscription arrived.
+   *
+   * @param sentNanos time of the entry's clock at which it sent the subscription
+   */
+  void subscriptionConfirmed(long sentNanos) {
+    confirmedNanos = OptionalLong.of(sentNanos);
+  }
+
+  /** Returns when the entry sent its last confirmed subscription, by the entry's clock. */
+  OptionalLong confirmedNanos() {
+    return confirmedNanos;
+  }
 
   /** Returns whether changes of the view are useful to the entry. */
   boolean hasBeenSentView() {
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -216,6 +217,12 @@
   void subscribe(long nowNanos, InstanceId from, NodeMessage.Subscribe subscribe) {
     recordLoad(nowNanos, from, subscribe.load());
     EntryProgress progress = progressByEntry.computeIfAbsent(from, e -> new EntryProgress());
+    confirmations.add(
+        confirmed -> {
+          if (confirmed) {
+            progress.subscriptionConfirmed(subscribe.sentNanos());
+          }
+        });
     boolean isSameTerm = subscribe.term() == term;
     long statedSequence = isSameTerm ? subscribe.viewSequence() : EntryProgress.NO_VIEW;
     boolean needsView = progress.needsWholeView(nowNanos, statedSequence, viewSequence);
@@ -223,7 +230,7 @@
         configurationFor(nowNanos, progress, subscribe.configurationVersion());
     if (needsView) {
       progress.wholeViewSent(nowNanos);
-      actions.send(from, routing(configuration, Optional.of(view), Optional.empty(), Map.of(), 0));
+      actions.send(from, wholeView(configuration, progress.confirmedNanos()));
       return;
     }
     long estimatesAfter =
@@ -236,7 +243,13 @@
             Optional.empty(),
             Optional.empty(),
             loadEstimates.changedSince(estimatesAfter),
-            loadEstimates.sequence()));
+            loadEstimates.sequence(),
+            progress.confirmedNanos()));
+  }
+
+  private NodeMessage.Routing wholeView(
+      Optional<Configuration> configuration, OptionalLong confirmedNanos) {
+    return routing(configuration, Optional.of(view), Optional.empty(), Map.of(), 0, confirmedNanos);
   }
 
   private Optional<Configuration> configurationFor(
@@ -343,7 +356,8 @@
               Optional.empty(),
               Optional.empty(),
               Map.of(),
-              0));
+              0,
+              OptionalLong.empty()));
     }
   }
 
@@ -390,7 +404,8 @@
               Optional.empty(),
               Optional.of(view.changesSince(before)),
               Map.of(),
-              0);
+              0,
+              OptionalLong.empty());
       entries.stream()
           .filter(e -> progressByEntry.containsKey(e))
           .filter(e -> progressByEntry.get(e).hasBeenSentView())
@@ -403,7 +418,8 @@
       Optional<OwnershipView> wholeView,
       Optional<OwnershipView.Change> change,
       Map<TargetId, TargetLoadEstimate> changedEstimates,
-      long estimateSequence) {
+      long estimateSequence,
+      OptionalLong confirmedNanos) {
     return new NodeMessage.Routing(
         term,
         viewSequence,
@@ -414,7 +430,8 @@
         changedEstimates,
         entries.size(),
         groupProgress.stream().map(m -> m.member().instance()).distinct().toList(),
-        estimateSequence);
+        estimateSequence,
+        confirmedNanos);
   }
 
   /** Sets the entries that receive routing updates. */
--- a/src/main/java/io/coltsfootwheel/node/NodeMessage.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeMessage.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Message between control members, or between control members and entries. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -54,6 +55,7 @@
    *     a change after it was missed
    * @param load load that the entry observed since its last report
    * @param estimateSequence number within the term up to which the entry received load estimates
+   * @param sentNanos time of the entry's clock at which it sent the subscription
    */
   record Subscribe(
       Address linkAddress,
@@ -61,7 +63,8 @@
       long term,
       long viewSequence,
       LoadReport load,
-      long estimateSequence)
+      long estimateSequence,
+      long sentNanos)
       implements NodeMessage {}
 
   /**
@@ -87,6 +90,9 @@
    * @param members the members of the group
    * @param estimateSequence number of the last change of load estimates, 0 in a message that
    *     answers no subscription and carries none
+   * @param confirmedNanos {@link Subscribe#sentNanos} of the entry's last subscription that arrived
+   *     before a quorum confirmed the leadership: the versions that this message states were the
+   *     newest at that time of the entry's clock; empty when none was confirmed yet
    */
   record Routing(
       long term,
@@ -98,6 +104,7 @@
       Map<TargetId, TargetLoadEstimate> loadEstimates,
       int entries,
       List<InstanceId> members,
-      long estimateSequence)
+      long estimateSequence,
+      OptionalLong confirmedNanos)
       implements NodeMessage {}
 }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -75,6 +75,7 @@
   private final Set<RelayExchange> exchanges = new HashSet<>();
   private final RelayStop stop;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
+  private final RoutingFreshness freshness = new RoutingFreshness(System.nanoTime());
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
   private volatile boolean routingComplete;
@@ -97,7 +98,7 @@
     this.connections =
         new TargetConnections(loopResources, eventLoop, settings.headerNames(), bodyBudget, log);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
-    this.metrics = new RelayMetrics(meters, routing, connections, log);
+    this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
   }
 
   /** Binds the client address and accepts connections. */
@@ -172,6 +173,21 @@
         });
   }
 
+  /**
+   * Records that routes, or targets and owners, in use were the newest at an earlier time.
+   *
+   * @param asOfNanos the time, of {@link System#nanoTime}
+   * @param isConfigurationNewest whether the routes in use were the newest at that time
+   * @param isOwnershipNewest whether the targets and owners in use were the newest at that time
+   */
+  public void confirmRouting(
+      long asOfNanos, boolean isConfigurationNewest, boolean isOwnershipNewest) {
+    runOnEventLoop(
+        () ->
+            freshness.confirm(
+                System.nanoTime(), asOfNanos, isConfigurationNewest, isOwnershipNewest));
+  }
+
   /**
    * Returns what was observed since the last call, and resets the counts.
    *
@@ -387,6 +403,11 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastLeaderContactNanos);
   }
 
+  @Override
+  public RoutingFreshness freshness() {
+    return freshness;
+  }
+
   @Override
   public void countRetry() {
     metrics.countRetry();
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -33,6 +33,9 @@
   /** Returns the time since the last contact with the leader. */
   long leaderContactAgeMillis();
 
+  /** Returns how old the routes, targets and owners in use may be. */
+  RoutingFreshness freshness();
+
   /** Counts a retry in the metrics. */
   void countRetry();
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -444,6 +444,8 @@
                 .with("last_failure", lastFailure)
                 .with("configuration", context.routing().routes().version())
                 .with("view_age_ms", context.leaderContactAgeMillis())
+                .with("routes_age_ms", context.freshness().configurationAgeMillis(nowNanos))
+                .with("owners_age_ms", context.freshness().ownershipAgeMillis(nowNanos))
                 .with("total_ms", TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos()))
                 .with("waited_before_ms", clientWaitedMillis)
                 .with("left_ms", TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos)));
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -199,7 +199,7 @@
     InstanceId leader = group.leader().orElseThrow();
     NodeMessage.Subscribe subscribe =
         new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0);
+            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0, 0);
     group.call(
         leader,
         id ->
@@ -236,7 +236,7 @@
         group.nowNanos(),
         InstanceId.of("10.9.0.1"),
         new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 1, 7, new LoadReport(Map.of(), List.of()), 0));
+            new Address("10.9.0.1", 7_000), 0, 1, 7, new LoadReport(Map.of(), List.of()), 0, 0));
     OwnershipView view = ((NodeMessage.Routing) sent.get(0)).view().orElseThrow();
     assertThat(view.targets()).extracting(OwnershipView.Target::id).containsExactly(target.id());
   }
@@ -262,7 +262,7 @@
     InstanceId entry = InstanceId.of("10.9.0.1");
     NodeMessage.Subscribe subscribe =
         new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0);
+            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0, 0);
     session.subscribe(group.nowNanos(), entry, subscribe);
     session.subscribe(group.nowNanos() + 1, entry, subscribe);
     session.linkLost(entry);
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -202,7 +202,8 @@
           term,
           viewSequence,
           load,
-          estimateSequence);
+          estimateSequence,
+          nanos());
     }
 
     private void receive(NodeMessage.Routing routing) {
--- a/src/test/java/io/coltsfootwheel/node/OddTargetRecordTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OddTargetRecordTest.java
@@ -143,6 +143,7 @@
                     oddNumber(),
                     oddNumber(),
                     oddLoad(),
+                    oddNumber(),
                     oddNumber())));
   }
 
