Count the age of routes and targets from the question, not from the arrival

Cause: an entry took the arrival of any message of the leader for the age of its routes. A message that waited on a full link, or one that names a newer version than the entry has, renewed the contact. The class: freshness taken from the time of arrival. Change: an entry is as fresh as its last question that was answered after a quorum round with the versions that it uses. 404 needs an age below 1 s; every request is refused as not run while the leader answers and the age is 1.5 s or more; the drain time of a target counts from the last view that did not show it as leaving. Without answers nothing is refused for age. Why it works: what was confirmed before the question is in the answer or the answer states a newer version. RelayTest's test of 404 confirms its routes in place of a contact.

--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -52,9 +52,6 @@
   /** One in this many answered requests is logged; the others only count in the metrics. */
   private static final int ANSWERED_LOG_INTERVAL = 50;
 
-  /** Time since the last leader contact after which newer routes may be in force. */
-  private static final long MAX_LEADER_CONTACT_AGE_MILLIS = 1_000;
-
   private final RelaySettings settings;
   private final EventLog log;
   private final RelayMetrics metrics;
@@ -147,7 +144,8 @@
     runOnEventLoop(
         () -> {
           Set<TargetId> unusableBefore = routing.unusableTargets();
-          routing.updateOwnership(view, System.nanoTime()).forEach(connections::close);
+          long changeNanos = freshness.earliestChangeNanos(System.nanoTime());
+          routing.updateOwnership(view, changeNanos).forEach(connections::close);
           if (!routing.unusableTargets().equals(unusableBefore)) {
             log.write(
                 LogEvent.of("targets.unusable")
@@ -393,11 +391,6 @@
     requestCountsByKey.computeIfAbsent(service, s -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
-  @Override
-  public boolean isRoutingCurrent() {
-    return leaderContactAgeMillis() < MAX_LEADER_CONTACT_AGE_MILLIS;
-  }
-
   @Override
   public long leaderContactAgeMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastLeaderContactNanos);
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -27,9 +27,6 @@
   /** Counts a request for a key in the next load report to the leader. */
   void countKey(ServiceName service, int key);
 
-  /** Returns whether the last leader contact is so recent that no newer routes can be in force. */
-  boolean isRoutingCurrent();
-
   /** Returns the time since the last contact with the leader. */
   long leaderContactAgeMillis();
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -46,6 +46,7 @@
 
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
   private static final String STOPPING = "the entry is stopping";
+  private static final String OUTDATED = "changes of routes and targets arrive too late";
 
   private final RelayContext context;
   private final RelayRequest request;
@@ -87,6 +88,10 @@
       refuse("no routing information yet", DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
+    if (context.freshness().isOutdated(System.nanoTime())) {
+      refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
     route = context.routing().routes().find(request.host(), request.uri());
     if (route.isEmpty()) {
       refuseUnknownRoute();
@@ -173,6 +178,10 @@
     }
     awaitsRouting = false;
     long nowNanos = System.nanoTime();
+    if (context.freshness().isOutdated(nowNanos)) {
+      refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
     RequestConstraints constraints = constraints(nowNanos);
     RoutingDecision decision =
         service.orElseThrow().keyed()
@@ -382,7 +391,7 @@
   }
 
   private void refuseUnknownRoute() {
-    if (context.isRoutingCurrent()) {
+    if (context.freshness().isConfigurationCurrent(System.nanoTime())) {
       respond(HttpResponseStatus.NOT_FOUND, "no route matches", RetryAfter.NONE);
     } else {
       refuse("no route matches, and newer routes may exist", DEFAULT_RETRY_AFTER_MILLIS);
--- a/src/main/java/io/coltsfootwheel/relay/RoutingFreshness.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingFreshness.java
@@ -11,12 +11,22 @@
  * on its way. Metrics read the ages on other threads.
  */
 final class RoutingFreshness {
+  /** Youngest age of routes at which newer routes may be in force, so that no 404 is certain. */
+  private static final long MAX_CERTAIN_AGE_MILLIS = 1_000;
+
+  /** Leaves time to connect and to send within the 2 s in which changes and leaves take effect. */
+  private static final long MAX_USABLE_AGE_MILLIS = 1_500;
+
+  /** Time after the last answer in which the leader counts as answering. */
+  private static final long ANSWERING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   /** Age of facts that were never confirmed. */
   static final long NEVER_CONFIRMED_MILLIS = -1;
 
   private final long startNanos;
   private volatile OptionalLong configurationNanos = OptionalLong.empty();
   private volatile OptionalLong ownershipNanos = OptionalLong.empty();
+  private OptionalLong lastAnswerNanos = OptionalLong.empty();
 
   RoutingFreshness(long startNanos) {
     this.startNanos = startNanos;
@@ -36,6 +46,7 @@
     if (asOfNanos - startNanos < 0 || nowNanos - asOfNanos < 0) {
       return;
     }
+    lastAnswerNanos = OptionalLong.of(nowNanos);
     if (isConfigurationNewest) {
       configurationNanos = later(configurationNanos, asOfNanos);
     }
@@ -44,6 +55,35 @@
     }
   }
 
+  /** Returns whether the routes are so fresh that no newer routes can be in force. */
+  boolean isConfigurationCurrent(long nowNanos) {
+    return isConfirmedWithin(MAX_CERTAIN_AGE_MILLIS, configurationAgeMillis(nowNanos));
+  }
+
+  /**
+   * Returns whether the leader answers, but its changes do not arrive in time: what the entry knows
+   * may contradict confirmed changes. Without answers there may be no leader, and so no change.
+   */
+  boolean isOutdated(long nowNanos) {
+    boolean isLeaderAnswering =
+        lastAnswerNanos.isPresent() && nowNanos - lastAnswerNanos.getAsLong() < ANSWERING_NANOS;
+    return isLeaderAnswering
+        && !(isConfirmedWithin(MAX_USABLE_AGE_MILLIS, configurationAgeMillis(nowNanos))
+            && isConfirmedWithin(MAX_USABLE_AGE_MILLIS, ownershipAgeMillis(nowNanos)));
+  }
+
+  /**
+   * Returns the earliest time at which a change of targets and owners that the entry learns of now
+   * can have been confirmed.
+   */
+  long earliestChangeNanos(long nowNanos) {
+    return ownershipNanos.orElse(nowNanos);
+  }
+
+  private static boolean isConfirmedWithin(long limitMillis, long ageMillis) {
+    return ageMillis != NEVER_CONFIRMED_MILLIS && ageMillis < limitMillis;
+  }
+
   /** Returns the age of the routes, or {@link #NEVER_CONFIRMED_MILLIS}. */
   long configurationAgeMillis(long nowNanos) {
     return ageMillis(nowNanos, configurationNanos);
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -39,8 +39,15 @@
     routes = RouteTable.of(configuration);
   }
 
-  /** Replaces the targets and ranges by those of a view; returns the targets that it removed. */
-  List<TargetId> updateOwnership(OwnershipView view, long nowNanos) {
+  /**
+   * Replaces the targets and ranges by those of a view.
+   *
+   * @param view the view
+   * @param changeNanos earliest time at which a target can have begun to leave that the view shows
+   *     as leaving for the first time
+   * @return the targets that the view removed
+   */
+  List<TargetId> updateOwnership(OwnershipView view, long changeNanos) {
     hasOwnership = true;
     Map<ServiceName, List<TargetStats>> byService = new HashMap<>();
     List<TargetId> removed = new ArrayList<>(targets.keySet());
@@ -52,8 +59,8 @@
       }
       removed.remove(target.id());
       TargetStats stats =
-          targets.computeIfAbsent(target.id(), id -> new TargetStats(target, nowNanos));
-      stats.updateSpec(target, nowNanos);
+          targets.computeIfAbsent(target.id(), id -> new TargetStats(target, changeNanos));
+      stats.updateSpec(target, changeNanos);
       byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(stats);
     }
     unusableTargets = unusable;
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -22,10 +22,7 @@
 
   private static final int MAX_SLOTS = 100_000;
 
-  /**
-   * The drain time begins when the target's leave is confirmed, before this entry learns of it, and
-   * a request may first wait for a connection.
-   */
+  /** A request may first wait for a connection. */
   private static final long DRAIN_MARGIN_MILLIS = TargetConnections.CONNECT_TIMEOUT_MILLIS;
 
   private OwnershipView.Target spec;
@@ -40,15 +37,21 @@
   /** False for a target that was already leaving when this entry first saw it. */
   private boolean isDrainStartKnown;
 
-  TargetStats(OwnershipView.Target spec, long nowNanos) {
-    updateSpec(spec, nowNanos);
+  TargetStats(OwnershipView.Target spec, long changeNanos) {
+    updateSpec(spec, changeNanos);
   }
 
-  void updateSpec(OwnershipView.Target newSpec, long nowNanos) {
+  /**
+   * Replaces the properties of the target.
+   *
+   * @param newSpec the properties
+   * @param changeNanos earliest time at which they can have changed
+   */
+  void updateSpec(OwnershipView.Target newSpec, long changeNanos) {
     boolean leavesReady =
         newSpec.phase() != TargetPhase.READY && (spec == null || spec.phase() == TargetPhase.READY);
     if (leavesReady) {
-      notReadySinceNanos = nowNanos;
+      notReadySinceNanos = changeNanos;
       isDrainStartKnown = spec != null;
     }
     spec = newSpec;
--- a/src/main/java/io/coltsfootwheel/tool/RequestCause.java
+++ b/src/main/java/io/coltsfootwheel/tool/RequestCause.java
@@ -79,6 +79,18 @@
           + ").";
     }
   },
+  OUTDATED_ROUTING("changes of routes and targets arrive too late") {
+    @Override
+    String sentence(EventLine lastEvent) {
+      return "The routes of "
+          + lastEvent.instance()
+          + " were confirmed "
+          + lastEvent.text("routes_age_ms")
+          + " ms before, its targets and owners "
+          + lastEvent.text("owners_age_ms")
+          + " ms before (-1: never), while the leader answered; not run.";
+    }
+  },
   UNKNOWN_ROUTE("no route matches") {
     @Override
     String sentence(EventLine lastEvent) {
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -25,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class ControlReducerTest {
@@ -214,6 +215,43 @@
                     && r.configuration().filter(c -> c.version() == 1).isPresent());
   }
 
+  private OptionalLong confirmedAfterSubscriptions(InstanceId leader, long... sentNanos) {
+    for (long nanos : sentNanos) {
+      group.messagesToEntries().clear();
+      NodeMessage.Subscribe subscribe =
+          new NodeMessage.Subscribe(
+              new Address("10.9.0.1", 7_000),
+              0,
+              0,
+              0,
+              new LoadReport(Map.of(), List.of()),
+              0,
+              nanos);
+      group.call(
+          leader,
+          id ->
+              new ControlEvent.MessageReceived(
+                  group.nowNanos(), InstanceId.of("10.9.0.1"), subscribe));
+      group.run(50);
+    }
+    NodeMessage last = group.messagesToEntries().get(0);
+    return ((NodeMessage.Routing) last).confirmedNanos();
+  }
+
+  /**
+   * Guards against a leader that tells an entry that its routes are the newest although another
+   * process may lead and may have changed them.
+   */
+  @Test
+  void leaderWithoutQuorumConfirmsNoSubscription() {
+    group.run(3_000);
+    InstanceId leader = group.leader().orElseThrow();
+    assertThat(confirmedAfterSubscriptions(leader, 1_000, 2_000)).hasValue(1_000);
+    assertThat(confirmedAfterSubscriptions(leader, 3_000)).hasValue(2_000);
+    group.isolate(leader);
+    assertThat(confirmedAfterSubscriptions(leader, 4_000, 5_000)).hasValue(3_000);
+  }
+
   /**
    * Guards against a new leader that sends an entry a view without targets before its first tick:
    * the entry would refuse all requests until the next update.
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -35,15 +35,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests an entry over sockets whose leader's changes do not reach it in time. */
-@EnabledIfSystemProperty(
-    named = "coltsfootwheel.known-red",
-    matches = "true",
-    disabledReason = "listed in KNOWN-RED.txt, issue 27")
 class OutdatedRoutingTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
   private static final String ENTRY_HOST = "127.0.0.1";
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -384,11 +384,15 @@
 
   /** Guards against an unknown path that gets another response than 404. */
   @Test
-  void unknownRouteIsNotFoundWhileLeaderContactIsRecent() throws Exception {
+  void unknownRouteIsNotFoundWhileItsRoutesAreCurrent() throws Exception {
     publishView(true, target("a", UNKEYED, ScriptedTarget.Step.ANSWER));
     relay
         .executor()
-        .scheduleAtFixedRate(() -> relay.heard(Map.of(), 1), 0, 20, TimeUnit.MILLISECONDS);
+        .scheduleAtFixedRate(
+            () -> relay.confirmRouting(System.nanoTime(), true, true),
+            0,
+            20,
+            TimeUnit.MILLISECONDS);
     assertThat(get("/none/1").statusCode()).isEqualTo(404);
   }
 
