Send nothing to a target that left while a connection to it opened

Cause: the target is chosen before a connection opens. On a busy event loop the opening is noticed late, and the request was written although the drain time had ended, the target was removed or its address had changed, or the client had gone. Change: the call asks again when the connection is open, and ends as not sent otherwise.

--- a/src/main/java/io/coltsfootwheel/relay/CallFailure.java
+++ b/src/main/java/io/coltsfootwheel/relay/CallFailure.java
@@ -4,7 +4,10 @@
 enum CallFailure {
   /** No connection could be opened, or not within the connect timeout; nothing was sent. */
   CONNECT_FAILED(false),
-  /** This entry already uses its maximum number of connections to the target; nothing was sent. */
+  /**
+   * This entry already uses its maximum number of connections to the target, or a connection opened
+   * when the request could no longer be sent; nothing was sent.
+   */
   NO_CONNECTION(false),
   /** The connection closed before the response was complete. */
   BROKEN(true),
--- a/src/main/java/io/coltsfootwheel/relay/CallListener.java
+++ b/src/main/java/io/coltsfootwheel/relay/CallListener.java
@@ -2,8 +2,15 @@
 
 import io.netty.handler.codec.http.FullHttpResponse;
 
-/** Receives the outcome of one request to a target; exactly one of its methods is called, once. */
+/** Receives the outcome of one request to a target; exactly one outcome is reported, once. */
 interface CallListener {
+  /**
+   * Returns whether the request may still be sent. Asked when it has waited for a connection.
+   *
+   * @return false to end the call with {@link CallFailure#NO_CONNECTION}
+   */
+  boolean maySend();
+
   /**
    * Called with the complete response to the request, which is valid only during this call.
    *
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -269,6 +269,14 @@
 
   /** Handles the outcome of the call in progress. */
   private final class CallOutcome implements CallListener {
+    @Override
+    public boolean maySend() {
+      long nowNanos = System.nanoTime();
+      return !completed
+          && !context.freshness().isOutdated(nowNanos)
+          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos);
+    }
+
     @Override
     public void onResponse(FullHttpResponse response, ResponseCheck check) {
       TargetStats calledTarget = endCall();
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -112,6 +112,17 @@
     return AdmissionPolicy.admit(cheapest, constraints, othersWeight);
   }
 
+  /**
+   * Returns whether a request that waited for a connection to its chosen target may still be sent:
+   * the target has not been removed, and its drain time has not ended.
+   */
+  boolean maySend(RoutingState routing, TargetStats chosenTarget, long nowNanos) {
+    return routing
+        .target(chosenTarget.spec().id())
+        .filter(t -> t == chosenTarget && t.isReachableInTime(nowNanos, drainMillis))
+        .isPresent();
+  }
+
   private double costMillis(
       TargetStats target,
       boolean alreadyTried,
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -197,9 +197,10 @@
     connectionReference[0] = targetConnection;
     addHandlers(connection, decoder, targetConnection, address);
     connection.channel().config().setAutoRead(true);
-    if (call.cancelled) {
+    if (call.cancelled || !isCurrent(pool, address) || !listener.maySend()) {
       request.release();
       targetConnection.close();
+      fail(call, listener, CallFailure.NO_CONNECTION);
       return;
     }
     call.cancelAction = targetConnection::cancel;
@@ -209,13 +210,17 @@
 
   /** Keeps a connection for reuse, unless its target was removed or has another address now. */
   private void returnToPool(Pool pool, Address address, TargetConnection connection) {
-    if (pools.get(pool.target) == pool && address.equals(pool.address)) {
+    if (isCurrent(pool, address)) {
       pool.idle.addFirst(connection);
     } else {
       connection.close();
     }
   }
 
+  private boolean isCurrent(Pool pool, Address address) {
+    return pools.get(pool.target) == pool && address.equals(pool.address);
+  }
+
   private void addHandlers(
       Connection connection,
       TargetResponseDecoder decoder,
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -25,6 +25,9 @@
   /** A request may first wait for a connection. */
   private static final long DRAIN_MARGIN_MILLIS = TargetConnections.CONNECT_TIMEOUT_MILLIS;
 
+  /** Time on the way to the target. */
+  private static final long TRANSIT_MARGIN_MILLIS = 50;
+
   private OwnershipView.Target spec;
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private int reportedInFlight;
@@ -112,10 +115,18 @@
    * reaches it within its drain time.
    */
   boolean acceptsRequests(long nowNanos, long drainMillis) {
-    long sendMillis = drainMillis - DRAIN_MARGIN_MILLIS;
+    return isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos);
+  }
+
+  /** Returns whether a request that is written now reaches the target within its drain time. */
+  boolean isReachableInTime(long nowNanos, long drainMillis) {
+    return isUsableFor(drainMillis - TRANSIT_MARGIN_MILLIS, nowNanos);
+  }
+
+  private boolean isUsableFor(long millisAfterLeaving, long nowNanos) {
     return spec.phase() == TargetPhase.READY
         || isDrainStartKnown
-            && nowNanos - notReadySinceNanos < TimeUnit.MILLISECONDS.toNanos(sendMillis);
+            && nowNanos - notReadySinceNanos < TimeUnit.MILLISECONDS.toNanos(millisAfterLeaving);
   }
 
   boolean isSuspect(long nowNanos) {
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -10,6 +10,8 @@
 import io.coltsfootwheel.model.TargetId;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class TargetStatsTest {
   /**
@@ -43,6 +45,16 @@
     assertThat(target.acceptsRequests(TimeUnit.MILLISECONDS.toNanos(1_700), 2_000)).isFalse();
   }
 
+  /** Guards against requests that wait for a connection beyond the drain time and are then sent. */
+  @ParameterizedTest
+  @CsvSource({"1900, true", "1950, false", "2200, false"})
+  void requestThatWaitedIsSentOnlyWithinTheDrainTime(long millis, boolean expected) {
+    TargetStats target = new TargetStats(spec(TargetPhase.READY), 0);
+    target.updateSpec(spec(TargetPhase.DRAINING), 0);
+    assertThat(target.isReachableInTime(TimeUnit.MILLISECONDS.toNanos(millis), 2_000))
+        .isEqualTo(expected);
+  }
+
   /** Guards against a drain time that begins anew in an entry that has just started. */
   @Test
   void targetFirstSeenAsLeavingAcceptsNoRequest() {
