Count the age of an instance's lists from the renewal, not from its acknowledgement

The event's documentation already named the time of sending. Change: LeaseClient keeps the time at which the renewal was sent; the router counts the 3 s from it. The change of the source of the state still goes by the arrival, because it asks whether acknowledgements come.

--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -246,11 +246,16 @@
 
   private void handleRenewalAck(
       long nowNanos, InstanceId from, RenewalAck ack, List<InstanceEffect> effects) {
+    long upToDateBeforeNanos = lease.lastUpToDateNanos();
     lease
         .handleAck(nowNanos, from, ack, state.appliedIndex())
         .ifPresent(endNanos -> extendLease(nowNanos, endNanos, effects));
-    if (!lease.isBehind(nowNanos, 0)) {
-      addEffects(nowNanos, requests.apply(new EntryEvent.ControlContact(nowNanos)), effects);
+    long upToDateNanos = lease.lastUpToDateNanos();
+    if (upToDateNanos != upToDateBeforeNanos) {
+      addEffects(
+          nowNanos,
+          requests.apply(new EntryEvent.ControlContact(nowNanos, upToDateNanos)),
+          effects);
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
+++ b/src/main/java/io/coltsfootwheel/daemon/LeaseClient.java
@@ -37,6 +37,7 @@
   private long nextRegisterNanos;
   private long lastAckNanos;
   private long lastUpToDateNanos;
+  private long lastUpToDateAckNanos;
   private long leaseUntilNanos;
   private Optional<InstanceId> leader = Optional.empty();
 
@@ -47,6 +48,7 @@
     this.nextRegisterNanos = nowNanos;
     this.lastAckNanos = nowNanos - LEADER_TIMEOUT_NANOS;
     this.lastUpToDateNanos = nowNanos;
+    this.lastUpToDateAckNanos = nowNanos;
     this.leaseUntilNanos = nowNanos;
   }
 
@@ -157,7 +159,10 @@
     leader = Optional.of(from);
     lastAckNanos = nowNanos;
     if (appliedIndex >= ack.commitIndex()) {
-      lastUpToDateNanos = nowNanos;
+      lastUpToDateAckNanos = nowNanos;
+      if (ack.sentNanos() - lastUpToDateNanos > 0) {
+        lastUpToDateNanos = ack.sentNanos();
+      }
     }
     long untilNanos = ack.sentNanos() + TimeUnit.MILLISECONDS.toNanos(ack.leaseMillis());
     if (untilNanos - leaseUntilNanos <= 0) {
@@ -198,6 +203,16 @@
     return nowNanos - leaseUntilNanos >= agoNanos;
   }
 
+  /**
+   * Returns when the state was last known to be current: the time at which the renewal was sent
+   * whose acknowledgement says so. The acknowledgement itself may have waited on its way.
+   *
+   * @return monotonic time in nanoseconds
+   */
+  long lastUpToDateNanos() {
+    return lastUpToDateNanos;
+  }
+
   /**
    * Returns whether the lists may be too old to admit requests.
    *
@@ -211,13 +226,13 @@
   }
 
   /**
-   * Returns whether the state has not been known to be current for a given time.
+   * Returns whether no acknowledgement has said for a given time that the state is current.
    *
    * @param nowNanos monotonic time
    * @param lagNanos the tolerated time
-   * @return true when the state may lag behind the leader by more than that
+   * @return true when the source of the state may lag behind the leader
    */
   boolean isBehind(long nowNanos, long lagNanos) {
-    return nowNanos - lastUpToDateNanos > lagNanos;
+    return nowNanos - lastUpToDateAckNanos > lagNanos;
   }
 }
--- a/src/main/java/io/coltsfootwheel/dispatch/EntryEvent.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/EntryEvent.java
@@ -107,9 +107,10 @@
    * The instance has applied all commands that were committed when the control leader answered the
    * last acknowledged lease renewal. After 3 s without this event, the router admits no requests.
    *
-   * @param nowNanos time at which that renewal was sent
+   * @param nowNanos monotonic time
+   * @param upToDateNanos time at which that renewal was sent
    */
-  record ControlContact(long nowNanos) implements EntryEvent {}
+  record ControlContact(long nowNanos, long upToDateNanos) implements EntryEvent {}
 
   /**
    * Time passed; the driver posts this event every 10 ms.
--- a/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/EntryRouter.java
@@ -98,7 +98,7 @@
   private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<String, PendingRequest> pendingByAttempt = new HashMap<>();
   private Optional<RoutingView> view = Optional.empty();
-  private Optional<Long> lastContactNanos = Optional.empty();
+  private Optional<Long> lastUpToDateNanos = Optional.empty();
   private int waitingCount;
   private long lastDeadlineScanNanos;
 
@@ -150,7 +150,7 @@
     } else if (event instanceof EntryEvent.TokensGranted granted) {
       admissionLimiter.tokensGranted(granted);
     } else if (event instanceof EntryEvent.ControlContact contact) {
-      lastContactNanos = Optional.of(contact.nowNanos());
+      lastUpToDateNanos = Optional.of(contact.upToDateNanos());
     } else {
       tick(event.nowNanos(), out);
     }
@@ -204,8 +204,8 @@
           new Failure(ErrorKind.NO_QUORUM, 0, "the instance has no control state yet"));
     }
     boolean hasRecentContact =
-        lastContactNanos
-            .filter(contactNanos -> nowNanos - contactNanos < STALE_LISTS_NANOS)
+        lastUpToDateNanos
+            .filter(upToDateNanos -> nowNanos - upToDateNanos < STALE_LISTS_NANOS)
             .isPresent();
     String detail = "no contact with the control group for 3 s";
     return hasRecentContact
--- a/src/test/java/io/coltsfootwheel/dispatch/EntryRouterTest.java
+++ b/src/test/java/io/coltsfootwheel/dispatch/EntryRouterTest.java
@@ -45,7 +45,7 @@
 
   private void updateView() {
     apply(new EntryEvent.ViewChanged(nowNanos(), control.view()));
-    apply(new EntryEvent.ControlContact(nowNanos()));
+    apply(new EntryEvent.ControlContact(nowNanos(), nowNanos()));
   }
 
   private void addKeyedTarget() {
--- a/src/test/java/io/coltsfootwheel/scenarios/FleetSteps.java
+++ b/src/test/java/io/coltsfootwheel/scenarios/FleetSteps.java
@@ -123,7 +123,7 @@
             EntrySettings.defaults(),
             1);
     router.apply(new EntryEvent.ViewChanged(fleet.nanos(), fleet.state()));
-    router.apply(new EntryEvent.ControlContact(fleet.nanos()));
+    router.apply(new EntryEvent.ControlContact(fleet.nanos(), fleet.nanos()));
     long now = fleet.nanos() + controlContactAgeNanos;
     for (int number = 0; number < count; number++) {
       EntryRequest request =
