--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -17,6 +17,7 @@
 import io.coltsfootwheel.runtime.JournalDriver;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,6 +59,7 @@
   private static final long ELECTION_TIMEOUT_MAX_MILLIS = 700;
 
   private final ControlNodeSettings settings;
+  private final Function<Path, Journal> journalOpener;
   private final Function<TargetCall, Mono<TargetCallResult>> targetCaller;
   private final EventLog log;
   private final Timer persistTime;
@@ -85,7 +87,24 @@
       EventLog log,
       MeterRegistry meters,
       Runnable onFailure) {
+    this(settings, Journal::open, targetCaller, log, meters, onFailure);
+  }
+
+  /**
+   * Creates a process without starting it.
+   *
+   * @param journalOpener opens the journal in a data folder, or throws a {@link
+   *     ColtsfootwheelException}
+   */
+  ControlNode(
+      ControlNodeSettings settings,
+      Function<Path, Journal> journalOpener,
+      Function<TargetCall, Mono<TargetCallResult>> targetCaller,
+      EventLog log,
+      MeterRegistry meters,
+      Runnable onFailure) {
     this.settings = settings;
+    this.journalOpener = journalOpener;
     this.targetCaller = targetCaller;
     this.log = log;
     this.persistTime = meters.timer("coltsfootwheel.journal.persist");
@@ -214,7 +233,7 @@
     }
     nextOpenNanos = nowNanos + JOURNAL_RETRY_MILLIS * 1_000_000;
     try {
-      Journal opened = Journal.open(settings.dataFolder());
+      Journal opened = journalOpener.apply(settings.dataFolder());
       ControlSettings controlSettings = settings.controlSettings();
       MemberId self = new MemberId(controlSettings.self(), opened.diskId());
       ReplicationReducer replication =
