--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -31,9 +31,9 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.InstanceSpec;
 import io.coltsfootwheel.runtime.DecisionLoop;
-import io.coltsfootwheel.runtime.JournalDriver;
 import io.coltsfootwheel.settings.ControlMember;
 import io.coltsfootwheel.settings.DaemonSettings;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
@@ -91,7 +91,7 @@
   private final PendingAnswers answers;
   private final RequestRecorder recorder;
   private final FleetErrorBudget errorBudget;
-  private final Optional<JournalDriver> journal;
+  private final Optional<MemberJournal> journal;
   private final InstanceReducer reducer;
   private final DecisionLoop<InstanceEvent, InstanceEffect> loop;
   private final CallerServer callerServer;
@@ -133,15 +133,8 @@
     this.answers = new PendingAnswers(this::post);
     this.entryDriver = new EntryDriver(self, signer, link, relay, this::post, recorder);
     this.dispatchDriver = new DispatchDriver(self, signer, targets, relay, entryDriver, this::post);
-    Optional<Journal> openedJournal = settings.dataFolder().map(Journal::open);
-    this.journal =
-        openedJournal.map(
-            opened ->
-                new JournalDriver(
-                    opened,
-                    meters.timer("coltsfootwheel.journal.persist"),
-                    e -> post(new InstanceEvent.Replication(e))));
-    this.reducer = reducer(openedJournal, session);
+    this.journal = settings.dataFolder().map(folder -> memberJournal(folder, session, meters));
+    this.reducer = reducer(session);
     this.loop = decisionLoop(signer);
     this.callerServer =
         CallerServer.of(
@@ -175,7 +168,7 @@
   synchronized void start() {
     link.start(this);
     link.replacePeers(linkedPeers(ControlState.empty()));
-    journal.ifPresent(JournalDriver::start);
+    journal.ifPresent(MemberJournal::start);
     loop.start();
     callerServer.start();
     operatorServer.start();
@@ -290,6 +283,8 @@
       journal.ifPresent(driver -> driver.submit(persist.effect()));
     } else if (effect instanceof InstanceEffect.PersistSnapshot persist) {
       journal.ifPresent(driver -> driver.submit(persist.effect()));
+    } else if (effect instanceof InstanceEffect.ReopenJournal) {
+      journal.ifPresent(MemberJournal::reopen);
     } else if (effect instanceof InstanceEffect.PublishState publication) {
       publish(publication.state(), signer);
     } else if (effect instanceof InstanceEffect.AnswerProposal answer) {
@@ -341,23 +336,32 @@
     return peers;
   }
 
-  private InstanceReducer reducer(Optional<Journal> openedJournal, String session) {
+  private MemberJournal memberJournal(Path folder, String session, MeterRegistry meters) {
+    return new MemberJournal(
+        folder,
+        Journal::open,
+        opened -> memberReducer(opened, session),
+        meters.timer("coltsfootwheel.journal.persist"),
+        this::post);
+  }
+
+  private MemberReducer memberReducer(Journal opened, String session) {
+    MemberId id = new MemberId(self, opened.diskId());
+    ReplicationSettings replication =
+        ReplicationSettings.of(id, settings.initialMembers(), true, session.hashCode());
+    return new MemberReducer(
+        id,
+        new ReplicationReducer(replication, opened.recovered(), System.nanoTime()),
+        new Supervisor(),
+        settings.services(),
+        List.copyOf(memberAddresses.keySet()),
+        MemberReducer.COMMANDS_BETWEEN_SNAPSHOTS);
+  }
+
+  private InstanceReducer reducer(String session) {
     long nowNanos = System.nanoTime();
     List<InstanceId> members = List.copyOf(memberAddresses.keySet());
-    Optional<MemberReducer> member =
-        openedJournal.map(
-            opened -> {
-              MemberId id = new MemberId(self, opened.diskId());
-              ReplicationSettings replication =
-                  ReplicationSettings.of(id, settings.initialMembers(), true, session.hashCode());
-              return new MemberReducer(
-                  id,
-                  new ReplicationReducer(replication, opened.recovered(), nowNanos),
-                  new Supervisor(),
-                  settings.services(),
-                  members,
-                  MemberReducer.COMMANDS_BETWEEN_SNAPSHOTS);
-            });
+    Optional<MemberReducer> member = journal.map(MemberJournal::open);
     Optional<StateFollower> follower =
         member.isPresent()
             ? Optional.empty()
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceEffect.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceEffect.java
@@ -24,6 +24,12 @@
   /** Writes and syncs a snapshot of the replicated log. */
   record PersistSnapshot(ReplicationEffect.PersistSnapshot effect) implements InstanceEffect {}
 
+  /**
+   * Opens the journal again after a failed write, as soon as that succeeds. {@link
+   * InstanceEvent.MemberReopened} follows.
+   */
+  record ReopenJournal() implements InstanceEffect {}
+
   /** Completes a proposal of this instance; an empty result means that its outcome is unknown. */
   record AnswerProposal(long proposalId, Optional<CommandResult> result)
       implements InstanceEffect {}
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceEvent.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceEvent.java
@@ -26,6 +26,9 @@
     }
   }
 
+  /** The journal is open again after a failed write; the member continues from its content. */
+  record MemberReopened(long nowNanos, MemberReducer member) implements InstanceEvent {}
+
   /** Event of the dispatchers of this instance. */
   record Dispatch(DispatchEvent event) implements InstanceEvent {
     @Override
--- a/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/InstanceReducer.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.daemon;
 
+import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.control.ControlState;
 import io.coltsfootwheel.control.DispatchGrant;
 import io.coltsfootwheel.control.TargetEntry;
@@ -31,12 +32,12 @@
 
   private final InstanceId self;
   private final List<InstanceId> controlMembers;
-  private final Optional<MemberReducer> member;
   private final Optional<StateFollower> follower;
   private final LeaseClient lease;
   private final RequestReducer requests;
   private final PendingCommands pendingCommands = new PendingCommands();
   private final Deque<ControlMessage> messagesToSelf = new ArrayDeque<>();
+  private Optional<MemberReducer> member;
   private ControlState state = ControlState.empty();
   private boolean shuttingDown;
   private boolean shutdownReported;
@@ -123,6 +124,11 @@
     } else if (event instanceof InstanceEvent.Replication replication) {
       member.ifPresent(
           memberReducer -> addEffects(nowNanos, memberReducer.apply(replication.event()), effects));
+      if (replication.event() instanceof ReplicationEvent.PersistFailed) {
+        effects.add(new InstanceEffect.ReopenJournal());
+      }
+    } else if (event instanceof InstanceEvent.MemberReopened reopened) {
+      member = Optional.of(reopened.member());
     } else if (event instanceof InstanceEvent.Dispatch dispatch) {
       addEffects(nowNanos, requests.apply(dispatch.event()), effects);
     } else if (event instanceof InstanceEvent.Entry entry) {
@@ -264,7 +270,11 @@
         nowNanos, requests.apply(new DispatchEvent.LeaseExtended(nowNanos, untilNanos)), effects);
   }
 
+  /** Publishes a state unless it is older: a member that reopens its journal starts behind. */
   private void publish(long nowNanos, ControlState newState, List<InstanceEffect> effects) {
+    if (newState.appliedIndex() < state.appliedIndex()) {
+      return;
+    }
     state = newState;
     effects.add(new InstanceEffect.PublishState(newState));
     if (lease.restartSessionIfExpired(newState)) {
--- a/src/main/java/io/coltsfootwheel/model/ErrorKind.java
+++ b/src/main/java/io/coltsfootwheel/model/ErrorKind.java
@@ -38,7 +38,7 @@
   DEADLINE_EXCEEDED(504, Outcome.UNKNOWN, "read the state from the service before sending again"),
   JOURNAL_CORRUPT(
       500, Outcome.UNKNOWN, "replace this member's data folder; see docs/OPERATIONS.md"),
-  JOURNAL_FAILED(500, Outcome.UNKNOWN, "free or replace the disk and restart the instance"),
+  JOURNAL_FAILED(500, Outcome.UNKNOWN, "free the disk, or replace it and restart the instance"),
   UNSUPPORTED_VERSION(500, Outcome.UNKNOWN, "run the version that wrote the file, or a newer one"),
   INVARIANT_VIOLATED(500, Outcome.UNKNOWN, "keep the log and report this as a fault");
 
--- a/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
+++ b/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
@@ -33,6 +33,7 @@
  */
 final class SimulatedInstance {
   private static final long MILLI = SimulationClock.NANOS_PER_MILLI;
+  private static final long REOPEN_NANOS = 500 * MILLI;
 
   /** Far below the number of a daemon, since a run commits too few commands to reach that. */
   private static final int SNAPSHOT_COMMANDS = 50;
@@ -55,6 +56,7 @@
   private boolean running;
   private boolean paused;
   private boolean syncing;
+  private boolean diskFull;
   private long nextProposalId = 1;
 
   SimulatedInstance(
@@ -137,22 +139,56 @@
     system.clock().after(1 + system.random().nextLong(10 * MILLI), () -> tick(startedIncarnation));
   }
 
+  /** Lets all writes fail that are not synced yet, until there is room again. */
+  void fillDisk() {
+    system.checker().event(id + " has a full disk");
+    diskFull = true;
+  }
+
+  void freeDisk() {
+    system.checker().event(id + " has room on its disk");
+    diskFull = false;
+  }
+
+  private void failWrites(int startedIncarnation) {
+    disk.crash(system.random().nextInt(disk.unsyncedCount() + 1));
+    syncing = false;
+    handleInIncarnation(
+        startedIncarnation,
+        nowNanos -> new InstanceEvent.Replication(new ReplicationEvent.PersistFailed(nowNanos)));
+  }
+
+  /** Opens the journal again when the disk has room, as {@link MemberJournal} does. */
+  private void reopenJournal(int startedIncarnation) {
+    if (startedIncarnation != incarnation) {
+      return;
+    }
+    if (diskFull) {
+      system.clock().after(REOPEN_NANOS, () -> reopenJournal(startedIncarnation));
+    } else {
+      handle(
+          nowNanos ->
+              new InstanceEvent.MemberReopened(
+                  nowNanos, createMember(system.random().nextLong(), nowNanos)));
+    }
+  }
+
+  private MemberReducer createMember(long seed, long nowNanos) {
+    replication = new ReplicationReducer(settings(seed), disk.durableState(), nowNanos);
+    return new MemberReducer(
+        memberId(),
+        replication,
+        new Supervisor(),
+        List.of(SimulatedSystem.SERVICE),
+        system.members(),
+        SNAPSHOT_COMMANDS);
+  }
+
   private InstanceReducer createReducer() {
     long nowNanos = localNow();
     long seed = system.random().nextLong();
-    Optional<MemberReducer> memberReducer = Optional.empty();
-    if (member) {
-      replication = new ReplicationReducer(settings(seed), disk.durableState(), nowNanos);
-      memberReducer =
-          Optional.of(
-              new MemberReducer(
-                  memberId(),
-                  replication,
-                  new Supervisor(),
-                  List.of(SimulatedSystem.SERVICE),
-                  system.members(),
-                  SNAPSHOT_COMMANDS));
-    }
+    Optional<MemberReducer> memberReducer =
+        member ? Optional.of(createMember(seed, nowNanos)) : Optional.empty();
     AvailabilityZone zone = AvailabilityZone.of("z");
     Address address = Address.parse("127.0.0.1:9000");
     Optional<StateFollower> follower =
@@ -282,6 +318,9 @@
     } else if (effect instanceof InstanceEffect.PersistSnapshot persist) {
       disk.write(persist.effect());
       startSync();
+    } else if (effect instanceof InstanceEffect.ReopenJournal) {
+      int failedIncarnation = incarnation;
+      system.clock().after(REOPEN_NANOS, () -> reopenJournal(failedIncarnation));
     } else if (effect instanceof InstanceEffect.Dispatch dispatch) {
       drivers.execute(dispatch.effect());
     } else if (effect instanceof InstanceEffect.Entry entry) {
@@ -314,6 +353,10 @@
     if (startedIncarnation != incarnation || !running) {
       return;
     }
+    if (diskFull) {
+      failWrites(startedIncarnation);
+      return;
+    }
     syncing = false;
     long sequence = disk.sync(Math.max(1, writeCount));
     if (disk.hasUnsynced()) {
