Heed what a target says of itself in its answers

Until now an entry learned only from the leader that a target leaves, and went on sending to a target that had asked for a pause. Change: model.TargetNotices holds the word of one incarnation; relay.TargetNoticeReader reads it from answers that name their request. Leaving: no work that another target can take, and nothing later than the drain time; an older view never brings the target back, a new incarnation (now in the view) does. 503 with Retry-After: nothing until the end, also for requests that wait for a connection.

--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipView.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipView.java
@@ -116,6 +116,7 @@
    * @param zone availability zone that it runs in
    * @param slots requests that it executes at the same time
    * @param phase phase that it reported last
+   * @param incarnationMillis start of its process, in milliseconds since the epoch
    */
   public record Target(
       TargetId id,
@@ -123,7 +124,8 @@
       Address address,
       AvailabilityZone zone,
       int slots,
-      TargetPhase phase) {}
+      TargetPhase phase,
+      long incarnationMillis) {}
 
   /**
    * Range, with the properties that entries need.
--- a/src/main/java/io/coltsfootwheel/keyspace/ViewBuilder.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/ViewBuilder.java
@@ -40,7 +40,13 @@
             .map(
                 t ->
                     new OwnershipView.Target(
-                        t.id(), t.service(), t.address(), t.zone(), t.slots(), t.phase()))
+                        t.id(),
+                        t.service(),
+                        t.address(),
+                        t.zone(),
+                        t.slots(),
+                        t.phase(),
+                        t.incarnationMillis()))
             .toList();
     List<OwnershipView.Range> ranges = new ArrayList<>();
     for (ServiceName service : new TreeSet<>(state.tables().keySet())) {
--- a/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
@@ -23,7 +23,8 @@
           "X-Coltsfootwheel-Shard-Key",
           "X-Coltsfootwheel-Expect-Instance",
           "X-Coltsfootwheel-Response-Signature",
-          "X-Coltsfootwheel-Not-Executed");
+          "X-Coltsfootwheel-Not-Executed",
+          "Server-Leaving");
 
   private PlatformNames() {}
 }
--- a/src/main/java/io/coltsfootwheel/relay/ProtocolHeaderNames.java
+++ b/src/main/java/io/coltsfootwheel/relay/ProtocolHeaderNames.java
@@ -9,6 +9,7 @@
  * @param expectedTarget the only target that may execute the request
  * @param signature present on every response that a target's program creates
  * @param notExecuted present if the target states that it did not execute the request
+ * @param leaving with the value 1 in all responses of a target that is leaving
  */
 public record ProtocolHeaderNames(
     String requestId,
@@ -16,4 +17,5 @@
     String key,
     String expectedTarget,
     String signature,
-    String notExecuted) {}
+    String notExecuted,
+    String leaving) {}
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -71,6 +71,7 @@
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
   private final RelayStop stop;
+  private final TargetNoticeReader noticeReader;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
   private final RoutingFreshness freshness = new RoutingFreshness(System.nanoTime());
   private long lastLeaderContactNanos = System.nanoTime();
@@ -94,6 +95,7 @@
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
     this.connections =
         new TargetConnections(loopResources, eventLoop, settings.headerNames(), bodyBudget, log);
+    this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
   }
@@ -376,6 +378,11 @@
     return settings.headerNames();
   }
 
+  @Override
+  public TargetNoticeReader noticeReader() {
+    return noticeReader;
+  }
+
   @Override
   public double nextRandom() {
     return random.nextDouble();
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -18,6 +18,8 @@
 
   ProtocolHeaderNames headerNames();
 
+  TargetNoticeReader noticeReader();
+
   /** Returns a random number, uniformly distributed in [0, 1). */
   double nextRandom();
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -65,6 +65,10 @@
   private boolean mayHaveExecuted;
   private int sendCount;
   private Optional<TargetStats> target = Optional.empty();
+
+  /** Incarnation of the target that was called last. */
+  private long calledIncarnationMillis;
+
   private Optional<TargetConnections.Call> call = Optional.empty();
   private String lastFailure = "";
 
@@ -226,6 +230,7 @@
 
   private void send(TargetStats chosenTarget, long remainingMillis) {
     target = Optional.of(chosenTarget);
+    calledIncarnationMillis = chosenTarget.spec().incarnationMillis();
     triedTargets.add(chosenTarget.spec().id());
     sendCount++;
     if (sendCount > 1) {
@@ -280,6 +285,7 @@
     @Override
     public void onResponse(FullHttpResponse response, ResponseCheck check) {
       TargetStats calledTarget = endCall();
+      readNotices(calledTarget, response, check);
       if (check.isRefusal()) {
         calledTarget.recordRejection();
       } else {
@@ -313,6 +319,17 @@
       retryFailed(failure);
     }
 
+    private void readNotices(
+        TargetStats calledTarget, FullHttpResponse response, ResponseCheck check) {
+      calledTarget
+          .notices(calledIncarnationMillis)
+          .ifPresent(
+              notices ->
+                  context
+                      .noticeReader()
+                      .read(System.nanoTime(), calledTarget.spec().id(), notices, response, check));
+    }
+
     private TargetStats endCall() {
       TargetStats calledTarget = target.orElseThrow();
       target = Optional.empty();
@@ -323,14 +340,16 @@
 
   private void retryRejected(TargetStats calledTarget) {
     lastFailure = "target rejected the request";
-    if (mayRetry(calledTarget.spec().id(), false)) {
-      context.schedule(
-          this::decide, service.orElseThrow().keyed() ? REJECTED_RETRY_DELAY_MILLIS : 0);
-    } else {
-      refuse(
-          lastFailure,
-          Math.max(DEFAULT_RETRY_AFTER_MILLIS / 3, calledTarget.expectedResponseMillis() / 2));
+    boolean isKeyed = service.orElseThrow().keyed();
+    long pauseMillis = calledTarget.remainingPauseMillis(System.nanoTime());
+    boolean isOwnerPaused = isKeyed && pauseMillis > 0;
+    if (!isOwnerPaused && mayRetry(calledTarget.spec().id(), false)) {
+      context.schedule(this::decide, isKeyed ? REJECTED_RETRY_DELAY_MILLIS : 0);
+      return;
     }
+    long delayMillis =
+        Math.max(DEFAULT_RETRY_AFTER_MILLIS / 3, calledTarget.expectedResponseMillis() / 2);
+    refuse(lastFailure, isOwnerPaused ? Math.max(delayMillis, pauseMillis) : delayMillis);
   }
 
   private void retryMisdirected() {
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -1,12 +1,12 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.keyspace.OwnershipView;
-import io.coltsfootwheel.keyspace.TargetPhase;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -49,6 +49,8 @@
   private static final double SUSPECT_PENALTY_MILLIS = 1e6;
   private static final double TRIED_PENALTY_MILLIS = 1e7;
 
+  private static final String PAUSED = "target wants no requests for a time";
+
   private final UniformRandomProvider random;
   private final AvailabilityZone zone;
   private final long drainMillis;
@@ -72,6 +74,10 @@
       return waitOrRefuse("key is moving", range.get().readyInMillis(), remainingMillis);
     }
     Optional<TargetStats> owner = routing.target(range.get().owner());
+    long pauseMillis = owner.map(o -> o.remainingPauseMillis(nowNanos)).orElse(0L);
+    if (pauseMillis > 0) {
+      return new RoutingDecision.Refuse(PAUSED, pauseMillis, owner);
+    }
     if (owner.isEmpty() || !owner.get().acceptsRequests(nowNanos, drainMillis)) {
       return waitOrRefuse("owner is leaving", EXPECTED_REASSIGNMENT_MILLIS, remainingMillis);
     }
@@ -90,12 +96,13 @@
   RoutingDecision chooseAny(
       RoutingState routing, Set<TargetId> triedTargets, RequestConstraints constraints) {
     double othersWeight = routing.loadEstimateWeight(constraints.nowNanos());
+    List<TargetStats> targets = routing.targetsOf(constraints.service());
     List<TargetStats> candidates =
-        routing.targetsOf(constraints.service()).stream()
+        targets.stream()
             .filter(t -> t.acceptsRequests(constraints.nowNanos(), drainMillis))
             .toList();
     if (candidates.isEmpty()) {
-      return new RoutingDecision.Refuse("service has no targets", MAX_RETRY_DELAY_MILLIS);
+      return refuseWithoutCandidates(targets, constraints.nowNanos());
     }
     TargetStats cheapest = candidates.get(0);
     double lowestCostMillis = Double.POSITIVE_INFINITY;
@@ -112,6 +119,18 @@
     return AdmissionPolicy.admit(cheapest, constraints, othersWeight);
   }
 
+  /** Refuses a request whose service has no usable target, until the first pause of one ends. */
+  private static RoutingDecision refuseWithoutCandidates(List<TargetStats> targets, long nowNanos) {
+    OptionalLong firstPauseMillis =
+        targets.stream()
+            .mapToLong(t -> t.remainingPauseMillis(nowNanos))
+            .filter(millis -> millis > 0)
+            .min();
+    return firstPauseMillis.isPresent()
+        ? new RoutingDecision.Refuse(PAUSED, firstPauseMillis.getAsLong())
+        : new RoutingDecision.Refuse("service has no targets", MAX_RETRY_DELAY_MILLIS);
+  }
+
   /**
    * Returns whether a request that waited for a connection to its chosen target may still be sent:
    * the target has not been removed, and its drain time has not ended.
@@ -135,7 +154,7 @@
         + (target.spec().zone().equals(zone) ? 0 : crossZonePenaltyMillis)
         + (alreadyTried ? TRIED_PENALTY_MILLIS : 0)
         + (target.isSuspect(constraints.nowNanos()) ? SUSPECT_PENALTY_MILLIS : 0)
-        + (target.spec().phase() == TargetPhase.READY ? 0 : NOT_READY_PENALTY_MILLIS);
+        + (target.isLeaving() ? NOT_READY_PENALTY_MILLIS : 0);
   }
 
   private static RoutingDecision waitOrRefuse(
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -3,6 +3,8 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.model.TargetNotices;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** State of a target as seen by one entry; confined to the relay's event loop. */
@@ -29,6 +31,7 @@
   private static final long TRANSIT_MARGIN_MILLIS = 50;
 
   private OwnershipView.Target spec;
+  private TargetNotices notices = new TargetNotices();
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private int reportedInFlight;
   private int inFlight;
@@ -57,9 +60,27 @@
       notReadySinceNanos = changeNanos;
       isDrainStartKnown = spec != null;
     }
+    if (spec != null && spec.incarnationMillis() != newSpec.incarnationMillis()) {
+      notices = new TargetNotices();
+    }
     spec = newSpec;
   }
 
+  /** Returns what an incarnation of the target has said of itself, or empty for a former one. */
+  Optional<TargetNotices> notices(long incarnationMillis) {
+    return spec.incarnationMillis() == incarnationMillis ? Optional.of(notices) : Optional.empty();
+  }
+
+  /** Returns whether the target is leaving, by the leader's view or by its own word. */
+  boolean isLeaving() {
+    return spec.phase() != TargetPhase.READY || notices.isLeaving();
+  }
+
+  /** Returns the time for which the target has asked to receive no requests, 0 for none. */
+  long remainingPauseMillis(long nowNanos) {
+    return notices.remainingPauseMillis(nowNanos);
+  }
+
   void updateLoadEstimate(TargetLoadEstimate newLoadEstimate) {
     loadEstimate = newLoadEstimate;
   }
@@ -111,8 +132,9 @@
   }
 
   /**
-   * Returns whether the target is ready, or has been leaving for so short a time that a request
-   * reaches it within its drain time.
+   * Returns whether the target wants requests and is ready, or has been leaving for so short a time
+   * that a request reaches it within its drain time. Of the leader's view and the target's own word
+   * the one counts that is first; a view that is older than the word changes nothing.
    */
   boolean acceptsRequests(long nowNanos, long drainMillis) {
     return isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos);
@@ -124,9 +146,14 @@
   }
 
   private boolean isUsableFor(long millisAfterLeaving, long nowNanos) {
-    return spec.phase() == TargetPhase.READY
-        || isDrainStartKnown
-            && nowNanos - notReadySinceNanos < TimeUnit.MILLISECONDS.toNanos(millisAfterLeaving);
+    boolean isUsableByView =
+        spec.phase() == TargetPhase.READY
+            || isDrainStartKnown
+                && nowNanos - notReadySinceNanos
+                    < TimeUnit.MILLISECONDS.toNanos(millisAfterLeaving);
+    return isUsableByView
+        && !notices.isLeavingFor(nowNanos, millisAfterLeaving)
+        && notices.remainingPauseMillis(nowNanos) == 0;
   }
 
   boolean isSuspect(long nowNanos) {
--- a/src/main/java/io/coltsfootwheel/tool/RequestCause.java
+++ b/src/main/java/io/coltsfootwheel/tool/RequestCause.java
@@ -61,6 +61,14 @@
           + "; not run.";
     }
   },
+  PAUSED_TARGET("target wants no requests for a time") {
+    @Override
+    String sentence(EventLine lastEvent) {
+      return "Target "
+          + lastEvent.text("considered")
+          + " had refused a request and asked for none for a time (target.paused); not run.";
+    }
+  },
   UNRESPONSIVE_TARGET("target did not answer in time", "owner does not answer") {
     @Override
     String sentence(EventLine lastEvent) {
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -44,7 +44,8 @@
   private static final String ENTRY_HOST = "127.0.0.1";
   private static final String LEADER_HOST = "127.0.0.2";
   private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected");
+      new ProtocolHeaderNames(
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
   /** Time after its confirmation within which a change is in force; the drain time is the same. */
   private static final long APPLY_MILLIS = 2_000;
@@ -167,7 +168,8 @@
                 new Address(ENTRY_HOST, target.getAddress().getPort()),
                 AvailabilityZone.of("z"),
                 2,
-                TargetPhase.READY)),
+                TargetPhase.READY,
+                1)),
         List.of());
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
@@ -42,7 +42,8 @@
 class EndlessBytesTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
   private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected");
+      new ProtocolHeaderNames(
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
   /** Not reached by a response that the relay ends because of its bytes. */
   private static final long LONG_TIMEOUT_MILLIS = 30_000;
--- a/src/test/java/io/coltsfootwheel/relay/EndlessTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessTarget.java
@@ -74,7 +74,8 @@
         new Address("127.0.0.1", server.getLocalPort()),
         AvailabilityZone.of("z"),
         20,
-        TargetPhase.READY);
+        TargetPhase.READY,
+        1);
   }
 
   /** Returns the number of requests received. */
--- a/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
@@ -36,7 +36,8 @@
 class IncompleteResponseTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
   private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected");
+      new ProtocolHeaderNames(
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
   private static final String HOST = "127.0.0.1";
   private static final long TIMEOUT_MILLIS = 20_000;
   private static final String BODY = "answer";
@@ -116,7 +117,8 @@
             new Address(HOST, target.getLocalPort()),
             AvailabilityZone.of("z"),
             20,
-            TargetPhase.READY);
+            TargetPhase.READY,
+            1);
     relay.updateOwnership(new OwnershipView(List.of(view), List.of()));
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/LeaderOutageSimulation.java
+++ b/src/test/java/io/coltsfootwheel/relay/LeaderOutageSimulation.java
@@ -89,7 +89,8 @@
               new Address("10.0.0.1", 1_000 + i),
               AvailabilityZone.of("z" + i % ZONES),
               SLOTS,
-              TargetPhase.READY));
+              TargetPhase.READY,
+              1));
     }
     for (int i = 0; i < ENTRIES; i++) {
       Entry entry = new Entry(i);
--- a/src/test/java/io/coltsfootwheel/relay/OverloadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/relay/OverloadSimulation.java
@@ -129,7 +129,8 @@
             new Address("10.0.0.1", 1_000),
             AvailabilityZone.of("z0"),
             SLOTS,
-            TargetPhase.READY);
+            TargetPhase.READY,
+            1);
     OwnershipView.Range all = new OwnershipView.Range(SERVICE, KeyRange.ALL, OWNER, true, 0);
     for (int i = 0; i < ENTRIES; i++) {
       Entry entry = new Entry();
--- a/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
@@ -78,7 +78,8 @@
     return new RelaySettings(
         new Address("127.0.0.1", port),
         AvailabilityZone.of("z"),
-        new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected"),
+        new ProtocolHeaderNames(
+            "id", "deadline", "key", "expected", "signature", "rejected", "leaving"),
         2_000,
         1,
         100,
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -49,7 +49,8 @@
   private static final ServiceName KEYED = ServiceName.of("keyed");
   private static final ServiceName UNKEYED = ServiceName.of("any");
   private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected");
+      new ProtocolHeaderNames(
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
   /**
    * Long enough not to be reached on a busy machine; a request that must time out uses {@link
@@ -456,7 +457,7 @@
 
   private static OwnershipView.Target withSlots(OwnershipView.Target target, int slots) {
     return new OwnershipView.Target(
-        target.id(), target.service(), target.address(), target.zone(), slots, target.phase());
+        target.id(), target.service(), target.address(), target.zone(), slots, target.phase(), 1);
   }
 
   /** Guards against a name lookup, which blocks the event loop, for the address of one target. */
@@ -469,7 +470,8 @@
             new Address("host.invalid", 80),
             AvailabilityZone.of("z"),
             2,
-            TargetPhase.READY);
+            TargetPhase.READY,
+            1);
     ScriptedTarget sound = target("b", UNKEYED, ScriptedTarget.Step.ANSWER);
     relay.updateOwnership(new OwnershipView(List.of(odd, sound.view()), List.of()));
     for (int i = 0; i < 4; i++) {
--- a/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -33,6 +33,14 @@
     SLOW_ANSWER,
     ANSWER_WHEN_RELEASED,
     REJECT,
+    /** Refuses the request, and wants no further ones for {@link #PAUSE_SECONDS}. */
+    REJECT_AND_PAUSE,
+    /** Refuses the request, and adds a Retry-After that is no number of seconds. */
+    REJECT_WITH_INVALID_PAUSE,
+    /** Answers, and says that the target is leaving. */
+    ANSWER_LEAVING,
+    /** Answers, with a header for leaving whose value is unknown. */
+    ANSWER_WITH_INVALID_LEAVING,
     MISDIRECT,
     /** Executes the request, but states that it did not, without naming a request. */
     EXECUTE_AND_REJECT_WITHOUT_ID,
@@ -59,6 +67,8 @@
   /** Larger than the socket buffers of the target and the client together. */
   static final int LARGE_BYTES = 12 * 1024 * 1024;
 
+  static final int PAUSE_SECONDS = 3;
+
   private static final long SLOW_RESPONSE_MILLIS = 150;
 
   /** Refusal without request ID whose last header swallows the status line that follows it. */
@@ -90,13 +100,18 @@
   }
 
   OwnershipView.Target view(TargetPhase phase) {
+    return view(phase, 1);
+  }
+
+  OwnershipView.Target view(TargetPhase phase, long incarnationMillis) {
     return new OwnershipView.Target(
         id,
         service,
         new Address("127.0.0.1", server.getLocalPort()),
         AvailabilityZone.of("z"),
         2,
-        phase);
+        phase,
+        incarnationMillis);
   }
 
   TargetId id() {
@@ -202,12 +217,16 @@
 
   private boolean execute(Step step, String requestId, Socket socket)
       throws IOException, InterruptedException {
-    if (step != Step.REJECT && step != Step.MISDIRECT) {
+    if (step != Step.MISDIRECT && !step.name().startsWith("REJECT")) {
       executedIds.add(requestId);
     }
     OutputStream out = socket.getOutputStream();
     String signedHeaders = "id: " + requestId + "\r\nsignature: s\r\n";
     switch (step) {
+      case REJECT_AND_PAUSE -> writePause(out, requestId, Integer.toString(PAUSE_SECONDS));
+      case REJECT_WITH_INVALID_PAUSE -> writePause(out, requestId, "-3");
+      case ANSWER_LEAVING -> writeAnswer(out, requestId, "leaving: 1");
+      case ANSWER_WITH_INVALID_LEAVING -> writeAnswer(out, requestId, "leaving: soon");
       case SLOW_ANSWER -> {
         Thread.sleep(SLOW_RESPONSE_MILLIS);
         write(out, "200 OK", signedHeaders, "answer");
@@ -262,6 +281,17 @@
     write(out, "503 Busy", "id: " + requestId + "\r\nrejected: 1\r\n", "");
   }
 
+  private static void writeAnswer(OutputStream out, String requestId, String header)
+      throws IOException {
+    write(out, "200 OK", "id: " + requestId + "\r\nsignature: s\r\n" + header + "\r\n", "");
+  }
+
+  private static void writePause(OutputStream out, String requestId, String retryAfter)
+      throws IOException {
+    String headers = "id: " + requestId + "\r\nrejected: 1\r\nRetry-After: " + retryAfter;
+    write(out, "503 Busy", headers + "\r\n", "");
+  }
+
   private static void write(OutputStream out, String status, String headers, String body)
       throws IOException {
     out.write(bytes(response(status, headers, body)));
--- a/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
@@ -44,7 +44,8 @@
               new Address("10.0.0.1", 1_000 + i),
               AvailabilityZone.of("z" + i),
               2,
-              TargetPhase.READY));
+              TargetPhase.READY,
+              1));
     }
     RoutingState routing = new RoutingState();
     routing.updateOwnership(
--- a/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
@@ -21,7 +21,8 @@
 
 class TargetConnectionsTest {
   private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames("id", "deadline", "key", "expected", "signature", "rejected");
+      new ProtocolHeaderNames(
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
   /** What happens to a target while a connection to it opens. */
   private enum Change {
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -68,7 +68,8 @@
         new Address("127.0.0.1", 1),
         AvailabilityZone.of("z"),
         2,
-        phase);
+        phase,
+        1);
   }
 
   /** Guards against a cancelled request that the leader counts as in flight for another second. */
