Keep the pause of a target to its end in the dispatcher

A pause of more than 2 s ended at 2 s, a dispatcher with a higher limit may go on sending during a pause (by reading), a fraction of a second counted as none, and a huge value overflowed to none. Change: model.TargetNotices keeps the pause per target and incarnation; requests that it outlasts are refused at once with the rest of it. The bound of 2 s stays for the lowered concurrency limit only; it stood against one long Retry-After, in whose place now stand the service's other targets and the refusal with a true delay.

--- a/src/main/java/io/coltsfootwheel/dispatch/ConcurrencyLimit.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/ConcurrencyLimit.java
@@ -18,7 +18,8 @@
   private static final long MIN_SHEDDING_MILLIS = 50;
 
   /**
-   * Without this bound, one response with a long Retry-After would take a target out of service.
+   * Longest time for which one refusal lowers the limit. A longer pause that the target asked for
+   * is kept by {@link io.coltsfootwheel.model.TargetNotices}.
    */
   private static final long MAX_SHEDDING_MILLIS = 2_000;
 
--- a/src/main/java/io/coltsfootwheel/dispatch/DispatchAdmission.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/DispatchAdmission.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.Fence;
+import io.coltsfootwheel.model.TargetNotices;
 import io.coltsfootwheel.model.TargetSpec;
 import io.coltsfootwheel.model.TargetStatus;
 import java.util.Optional;
@@ -12,6 +13,8 @@
  * accepted one.
  */
 final class DispatchAdmission {
+  static final String PAUSED = "the target wants no requests for a time";
+
   private final DispatchSettings settings;
   private final Fence fence;
   private final TargetHashSlots hashSlots;
@@ -26,6 +29,7 @@
    * @param spec the target
    * @param status status of the target
    * @param limit concurrency limit of the target
+   * @param notices what the target has said of itself
    * @param capacity number of requests that may be in flight now
    * @param leaseUntilNanos end of the lease of this instance
    * @param shuttingDown true after the shutdown of this instance began
@@ -35,6 +39,7 @@
       TargetSpec spec,
       TargetStatus status,
       ConcurrencyLimit limit,
+      TargetNotices notices,
       int capacity,
       long leaseUntilNanos,
       boolean shuttingDown,
@@ -68,6 +73,7 @@
   Optional<DispatchEffect> refusal(long nowNanos, DispatchRequest request, DispatcherState state) {
     return checkGrant(nowNanos, request, state)
         .or(() -> checkService(request, state))
+        .or(() -> checkPause(nowNanos, request, state))
         .or(() -> checkLoad(nowNanos, request, state))
         .or(() -> recordIdentity(nowNanos, request, state.spec()));
   }
@@ -103,6 +109,19 @@
             + InFlightRequests.describeHashSlot(request.hashSlot()));
   }
 
+  private static Optional<DispatchEffect> checkPause(
+      long nowNanos, DispatchRequest request, DispatcherState state) {
+    long pauseMillis = state.notices().remainingPauseMillis(nowNanos);
+    return pauseMillis > 0 && isOutlasted(nowNanos, pauseMillis, request)
+        ? refuse(request, ErrorKind.OVERLOADED, pauseMillis, PAUSED)
+        : Optional.empty();
+  }
+
+  /** Returns whether a pause of the target lasts until the deadline of a request. */
+  static boolean isOutlasted(long nowNanos, long pauseMillis, DispatchRequest request) {
+    return TimeUnit.MILLISECONDS.toNanos(pauseMillis) >= request.deadlineNanos() - nowNanos;
+  }
+
   private Optional<DispatchEffect> checkLoad(
       long nowNanos, DispatchRequest request, DispatcherState state) {
     boolean allSlotsBusy = inFlightRequests.inFlightCount() >= state.capacity();
--- a/src/main/java/io/coltsfootwheel/dispatch/OutcomeHandler.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/OutcomeHandler.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.dispatch;
 
 import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.model.TargetNotices;
 import io.coltsfootwheel.model.TargetSpec;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,7 @@
       String requestId,
       TargetReply reply,
       ConcurrencyLimit limit,
+      TargetNotices notices,
       List<DispatchEffect> out) {
     if (reply instanceof TargetReply.Broken) {
       inFlightRequests
@@ -56,7 +58,7 @@
     } else {
       inFlightRequests
           .resolve(requestId)
-          .ifPresent(sent -> handleReply(nowNanos, sent, reply, limit, out));
+          .ifPresent(sent -> handleReply(nowNanos, sent, reply, limit, notices, out));
     }
   }
 
@@ -92,6 +94,7 @@
       InFlightRequests.Sent sent,
       TargetReply reply,
       ConcurrencyLimit limit,
+      TargetNotices notices,
       List<DispatchEffect> out) {
     DispatchRequest request = sent.request;
     dispatcherByRequest.remove(request.requestId());
@@ -106,7 +109,9 @@
     long retryAfterMillis = 0;
     if (reply instanceof TargetReply.RefusedShedding shedding) {
       limit.startShedding(nowNanos, shedding.retryAfterMillis());
-      retryAfterMillis = limit.remainingSheddingMillis(nowNanos);
+      notices.recordPause(nowNanos, shedding.retryAfterMillis());
+      retryAfterMillis =
+          Math.max(limit.remainingSheddingMillis(nowNanos), notices.remainingPauseMillis(nowNanos));
     }
     if (!sent.callerAnswered) {
       out.add(refusalOf(request, reply, retryAfterMillis));
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -8,6 +8,7 @@
 import io.coltsfootwheel.model.ServiceSpec;
 import io.coltsfootwheel.model.SlotLoad;
 import io.coltsfootwheel.model.TargetCondition;
+import io.coltsfootwheel.model.TargetNotices;
 import io.coltsfootwheel.model.TargetReport;
 import io.coltsfootwheel.model.TargetSpec;
 import io.coltsfootwheel.model.TargetStatus;
@@ -45,6 +46,7 @@
   private final DispatchAdmission admission;
   private final Map<String, TargetDispatcher> dispatcherByRequest;
   private ConcurrencyLimit limit;
+  private TargetNotices notices = new TargetNotices();
   private TargetSpec spec;
   private TargetStatus status;
 
@@ -128,6 +130,7 @@
       dispatchedSinceIncarnationStart |= createdNanos - sentBeforeNanos <= 0;
       outcomes.incarnationEnded(sentBeforeNanos);
       limit = new ConcurrencyLimit(entry.spec().slots());
+      notices = new TargetNotices();
     }
     spec = entry.spec();
     status = entry.status();
@@ -191,7 +194,8 @@
       TargetReply reply,
       List<DispatchEffect> out) {
     leaseUntilNanos = newLeaseUntilNanos;
-    outcomes.replied(nowNanos, requestId, reply, limit, out);
+    outcomes.replied(nowNanos, requestId, reply, limit, notices, out);
+    refuseQueuedBeyondPause(nowNanos, out);
     sendQueued(nowNanos, out);
   }
 
@@ -312,7 +316,7 @@
 
   private DispatchAdmission.DispatcherState state(long nowNanos) {
     return new DispatchAdmission.DispatcherState(
-        spec, status, limit, capacity(nowNanos), leaseUntilNanos, shuttingDown, closed);
+        spec, status, limit, notices, capacity(nowNanos), leaseUntilNanos, shuttingDown, closed);
   }
 
   private int capacity(long nowNanos) {
@@ -323,6 +327,7 @@
     return !closed
         && nowNanos - leaseUntilNanos < 0
         && monitor.isUsable(nowNanos)
+        && notices.remainingPauseMillis(nowNanos) == 0
         && inFlightRequests.inFlightCount() < capacity(nowNanos);
   }
 
@@ -366,6 +371,19 @@
         out);
   }
 
+  /** Refuses at once the requests that the target's pause outlasts. */
+  private void refuseQueuedBeyondPause(long nowNanos, List<DispatchEffect> out) {
+    long pauseMillis = notices.remainingPauseMillis(nowNanos);
+    if (pauseMillis > 0) {
+      refuseQueuedIf(
+          queued -> DispatchAdmission.isOutlasted(nowNanos, pauseMillis, queued),
+          ErrorKind.OVERLOADED,
+          pauseMillis,
+          DispatchAdmission.PAUSED,
+          out);
+    }
+  }
+
   private void refuseQueuedIf(
       Predicate<DispatchRequest> matches,
       ErrorKind kind,
--- a/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.link.Header;
 import io.coltsfootwheel.model.Outcome;
+import io.coltsfootwheel.model.RetryAfterHeader;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
@@ -27,7 +29,6 @@
   private static final Logger LOGGER = LogManager.getLogger(TargetRequests.class);
   private static final int STATUS_FENCE_REFUSED = 412;
   private static final int STATUS_LOAD_SHED = 503;
-  private static final long MILLIS_PER_SECOND = 1000;
 
   /** Maximum parts of a refusal's body that are discarded to keep its connection reusable. */
   private static final int MAX_DISCARDED_PARTS = 16;
@@ -177,11 +178,14 @@
 
   private static long retryAfterMillis(HttpHeaders headers) {
     String value = headers.get(HeaderNames.RETRY_AFTER);
-    try {
-      return value == null ? 0 : Math.max(0, Long.parseLong(value.trim()) * MILLIS_PER_SECOND);
-    } catch (NumberFormatException e) {
+    if (value == null) {
       return 0;
     }
+    OptionalLong millis = RetryAfterHeader.millis(value);
+    if (millis.isEmpty()) {
+      LOGGER.warn("a target refuses with an invalid Retry-After, which counts as none");
+    }
+    return millis.orElse(0);
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/dispatch/DispatchReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/dispatch/DispatchReducerTest.java
@@ -233,6 +233,41 @@
     assertThat(fixture.sent()).containsExactly("a", "b", "c");
   }
 
+  /**
+   * Guards against requests that reach a target while it wants none, and against a pause that ends
+   * before its time because it is long.
+   */
+  @ParameterizedTest
+  @CsvSource({"100", "1900", "5000", "60000"})
+  void pauseOfATargetIsKeptToItsEnd(long pauseMillis) {
+    DispatchFixture fixture = new DispatchFixture(true).warmUp();
+    fixture.offer("a", 0, 5_000);
+    fixture.reply("a", new TargetReply.RefusedShedding(pauseMillis));
+    fixture.offer("b", 0, pauseMillis + 1_000);
+    fixture.advance(pauseMillis - 1, true);
+    assertThat(fixture.sent()).containsExactly("a");
+    fixture.advance(30, true);
+    assertThat(fixture.sent()).containsExactly("a", "b");
+  }
+
+  /** Guards against requests that wait for the end of a pause beyond their deadline. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void requestThatAPauseOutlastsIsRefusedAtOnce(boolean isQueuedBefore) {
+    DispatchFixture fixture = new DispatchFixture(true).warmUp();
+    fixture.offer("a", 0, 5_000);
+    fixture.offer("b", 0, 5_000);
+    if (isQueuedBefore) {
+      fixture.offer("c", 0, 5_000);
+    }
+    fixture.reply("a", new TargetReply.RefusedShedding(3_600_000));
+    if (!isQueuedBefore) {
+      fixture.offer("c", 0, 5_000);
+    }
+    assertThat(fixture.refused("c")).contains(ErrorKind.OVERLOADED);
+    assertThat(fixture.sent()).containsExactly("a", "b");
+  }
+
   @Test
   void deadlineRefusesWithUnknownOutcomeAndKeepsTheSlotDuringTheGraceTime() {
     DispatchFixture fixture = new DispatchFixture(true).warmUp();
--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -123,6 +123,10 @@
   @CsvSource({
     "412,'',RefusedFence[]",
     "503,'Retry-After: 2;',RefusedShedding[retryAfterMillis=2000]",
+    "503,'Retry-After: 0.5;',RefusedShedding[retryAfterMillis=500]",
+    "503,'Retry-After: 9223372036854775807;',RefusedShedding[retryAfterMillis=86400000]",
+    "503,'Retry-After: -2;',RefusedShedding[retryAfterMillis=0]",
+    "503,'Retry-After: soon;',RefusedShedding[retryAfterMillis=0]",
     "503,'',RefusedShedding[retryAfterMillis=0]"
   })
   void recognizesRefusals(int status, String headers, String expected) throws Exception {
