--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -10,12 +10,9 @@
 import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipLeader;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
-import io.coltsfootwheel.keyspace.OwnershipView;
-import io.coltsfootwheel.keyspace.PublishedLoadEstimates;
 import io.coltsfootwheel.keyspace.RangeMove;
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
-import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetRecord;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.TargetId;
@@ -29,7 +26,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -49,6 +45,7 @@
   private final LeaderActions actions;
   private final OwnershipLeader ownership;
   private final GroupMembership membership;
+  private final EntryUpdates entryUpdates;
   private final LeadershipConfirmations confirmations = new LeadershipConfirmations();
   private final Map<Long, Consumer<Boolean>> proposals = new HashMap<>();
   private final Deque<PendingChange> queuedChanges = new ArrayDeque<>();
@@ -56,20 +53,10 @@
   private boolean isTargetCallRoundPending;
   private FleetState state;
   private List<MemberProgress> groupProgress = List.of();
-  private List<InstanceId> entries = List.of();
-  private final Map<InstanceId, EntryProgress> progressByEntry = new HashMap<>();
-
-  /** Load estimates of all targets, updated with each tick. */
-  private final PublishedLoadEstimates loadEstimates = new PublishedLoadEstimates();
 
   /** Time of the current event; callbacks of confirmations and proposals read it. */
   private long eventNanos;
 
-  private long viewSequence;
-
-  /** The view that entries were sent last; at first the one at the start of the term. */
-  private OwnershipView view;
-
   private record PendingChange(long requestId, ConfigurationChange change) {}
 
   LeaderSession(
@@ -85,7 +72,7 @@
     this.actions = actions;
     this.state = state;
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
-    this.view = ownership.view(nowNanos);
+    this.entryUpdates = new EntryUpdates(term, actions, ownership.view(nowNanos));
     this.membership = new GroupMembership(wantedVoters, nowNanos);
   }
 
@@ -216,55 +203,22 @@
 
   void subscribe(long nowNanos, InstanceId from, NodeMessage.Subscribe subscribe) {
     recordLoad(nowNanos, from, subscribe.load());
-    EntryProgress progress = progressByEntry.computeIfAbsent(from, e -> new EntryProgress());
     confirmations.add(
         confirmed -> {
           if (confirmed) {
-            progress.subscriptionConfirmed(subscribe.sentNanos());
+            entryUpdates.subscriptionConfirmed(from, subscribe.sentNanos());
           }
         });
-    boolean isSameTerm = subscribe.term() == term;
-    long statedSequence = isSameTerm ? subscribe.viewSequence() : EntryProgress.NO_VIEW;
-    boolean needsView = progress.needsWholeView(nowNanos, statedSequence, viewSequence);
-    Optional<Configuration> configuration =
-        configurationFor(nowNanos, progress, subscribe.configurationVersion());
-    if (needsView) {
-      progress.wholeViewSent(nowNanos);
-      actions.send(from, wholeView(configuration, progress.confirmedNanos()));
-      return;
-    }
-    long estimatesAfter =
-        progress.estimatesSentAfter(
-            nowNanos, isSameTerm ? subscribe.estimateSequence() : 0, loadEstimates.sequence());
-    actions.send(
-        from,
-        routing(
-            configuration,
-            Optional.empty(),
-            Optional.empty(),
-            loadEstimates.changedSince(estimatesAfter),
-            loadEstimates.sequence(),
-            progress.confirmedNanos()));
+    entryUpdates.subscribe(nowNanos, from, subscribe, groupFacts());
   }
 
-  private NodeMessage.Routing wholeView(
-      Optional<Configuration> configuration, OptionalLong confirmedNanos) {
-    return routing(configuration, Optional.of(view), Optional.empty(), Map.of(), 0, confirmedNanos);
-  }
-
-  private Optional<Configuration> configurationFor(
-      long nowNanos, EntryProgress progress, long statedVersion) {
-    long version = state.configuration().version();
-    if (!progress.needsConfiguration(nowNanos, statedVersion, version)) {
-      return Optional.empty();
-    }
-    progress.configurationSent(nowNanos, version);
-    return Optional.of(state.configuration().withoutAcceptedFingerprints());
+  private EntryUpdates.GroupFacts groupFacts() {
+    return new EntryUpdates.GroupFacts(state.configuration(), groupProgress);
   }
 
   /** Forgets what was sent to an entry, so that its next subscription gets all that it lacks. */
   void linkLost(InstanceId peer) {
-    progressByEntry.remove(peer);
+    entryUpdates.linkLost(peer);
   }
 
   void recordJoinRequest(long nowNanos, MemberId member) {
@@ -273,7 +227,7 @@
 
   void tick(long nowNanos, List<MemberProgress> progress) {
     groupProgress = progress;
-    loadEstimates.update(nowNanos, ownership.loadEstimates(nowNanos));
+    entryUpdates.updateLoadEstimates(nowNanos, ownership.loadEstimates(nowNanos));
     for (FleetCommand command : ownership.tick(nowNanos)) {
       propose(command, committed -> {});
     }
@@ -288,7 +242,9 @@
               actions.changeMembership(step.change(), step.member());
             });
     ownership.takeStartedMoves().forEach(this::logMove);
-    publishView();
+    if (ownership.takeViewChanged()) {
+      entryUpdates.sendView(ownership.view(eventNanos), groupFacts());
+    }
     confirmTargetCalls(nowNanos);
     startRound();
   }
@@ -345,19 +301,7 @@
     ownership.applied(command, newState);
     logApplied(command);
     if (before.version() != newState.configuration().version()) {
-      entries.forEach(
-          e ->
-              progressByEntry
-                  .computeIfAbsent(e, unknown -> new EntryProgress())
-                  .configurationSent(eventNanos, newState.configuration().version()));
-      broadcast(
-          routing(
-              Optional.of(newState.configuration().withoutAcceptedFingerprints()),
-              Optional.empty(),
-              Optional.empty(),
-              Map.of(),
-              0,
-              OptionalLong.empty()));
+      entryUpdates.sendConfiguration(eventNanos, groupFacts());
     }
   }
 
@@ -389,59 +333,9 @@
     proposals.put(actions.propose(command), onResult);
   }
 
-  /**
-   * Sends the changes of the view since the last tick. Each entry processes each message, so the
-   * rate of messages must not grow with the moves.
-   */
-  private void publishView() {
-    if (ownership.takeViewChanged()) {
-      OwnershipView before = view;
-      view = ownership.view(eventNanos);
-      viewSequence++;
-      NodeMessage.Routing change =
-          routing(
-              Optional.empty(),
-              Optional.empty(),
-              Optional.of(view.changesSince(before)),
-              Map.of(),
-              0,
-              OptionalLong.empty());
-      entries.stream()
-          .filter(e -> progressByEntry.containsKey(e))
-          .filter(e -> progressByEntry.get(e).hasBeenSentView())
-          .forEach(e -> actions.send(e, change));
-    }
-  }
-
-  private NodeMessage.Routing routing(
-      Optional<Configuration> configuration,
-      Optional<OwnershipView> wholeView,
-      Optional<OwnershipView.Change> change,
-      Map<TargetId, TargetLoadEstimate> changedEstimates,
-      long estimateSequence,
-      OptionalLong confirmedNanos) {
-    return new NodeMessage.Routing(
-        term,
-        viewSequence,
-        state.configuration().version(),
-        configuration,
-        wholeView,
-        change,
-        changedEstimates,
-        entries.size(),
-        groupProgress.stream().map(m -> m.member().instance()).distinct().toList(),
-        estimateSequence,
-        confirmedNanos);
-  }
-
   /** Sets the entries that receive routing updates. */
   void setEntries(List<InstanceId> currentEntries) {
-    entries = currentEntries;
-    progressByEntry.keySet().retainAll(currentEntries);
-  }
-
-  private void broadcast(NodeMessage message) {
-    entries.forEach(entry -> actions.send(entry, message));
+    entryUpdates.setEntries(currentEntries);
   }
 
   private void logMove(RangeMove move) {
