--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -6,15 +6,10 @@
 import io.coltsfootwheel.routing.Route;
 import io.coltsfootwheel.routing.ServicePolicy;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -246,32 +241,12 @@
                 .send(
                     chosenTarget.spec(),
                     maxConnections,
-                    targetRequest(chosenTarget, remainingMillis),
+                    request.forTarget(
+                        context.headerNames(), chosenTarget.spec().id(), remainingMillis),
                     request.id(),
                     new CallOutcome()));
   }
 
-  private FullHttpRequest targetRequest(TargetStats chosenTarget, long remainingMillis) {
-    ProtocolHeaderNames headerNames = context.headerNames();
-    HttpHeaders headers = HopByHopHeaders.strippedCopy(request.headers());
-    headers.set(headerNames.deadlineMillis(), Math.max(1, remainingMillis));
-    headers.set(headerNames.expectedTarget(), chosenTarget.spec().id().value());
-    boolean hasBody =
-        request.body().isReadable()
-            || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-            || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-    if (hasBody) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
-    }
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        request.method(),
-        request.uri(),
-        request.body().retainedDuplicate(),
-        headers,
-        EmptyHttpHeaders.INSTANCE);
-  }
-
   /** Handles the outcome of the call in progress. */
   private final class CallOutcome implements CallListener {
     @Override
--- a/src/main/java/io/coltsfootwheel/relay/RelayRequest.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayRequest.java
@@ -1,8 +1,14 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.model.TargetId;
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -28,4 +34,33 @@
     ByteBuf body,
     OptionalInt key,
     OptionalLong deadlineMillis,
-    long receivedNanos) {}
+    long receivedNanos) {
+
+  /**
+   * Returns this request as it is sent to a target. It holds a reference of its own to the body.
+   *
+   * @param headerNames names of the protocol's headers
+   * @param target the only target that may execute the request
+   * @param remainingMillis time for which the client still waits
+   */
+  FullHttpRequest forTarget(
+      ProtocolHeaderNames headerNames, TargetId target, long remainingMillis) {
+    HttpHeaders targetHeaders = HopByHopHeaders.strippedCopy(headers);
+    targetHeaders.set(headerNames.deadlineMillis(), Math.max(1, remainingMillis));
+    targetHeaders.set(headerNames.expectedTarget(), target.value());
+    boolean hasBody =
+        body.isReadable()
+            || headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+            || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    if (hasBody) {
+      targetHeaders.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        method,
+        uri,
+        body.retainedDuplicate(),
+        targetHeaders,
+        EmptyHttpHeaders.INSTANCE);
+  }
+}
