--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -2,15 +2,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
-import io.coltsfootwheel.consensus.MemberId;
-import io.coltsfootwheel.consensus.ReplicationReducer;
-import io.coltsfootwheel.consensus.ReplicationSettings;
 import io.coltsfootwheel.control.ControlState;
-import io.coltsfootwheel.control.Supervisor;
-import io.coltsfootwheel.dispatch.DispatchSettings;
 import io.coltsfootwheel.dispatch.EntryEffect;
-import io.coltsfootwheel.dispatch.EntryRouter;
-import io.coltsfootwheel.dispatch.EntrySettings;
 import io.coltsfootwheel.dispatch.StampSigner;
 import io.coltsfootwheel.edge.CallerServer;
 import io.coltsfootwheel.edge.CallerServerSettings;
@@ -29,7 +22,6 @@
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
-import io.coltsfootwheel.model.InstanceSpec;
 import io.coltsfootwheel.runtime.DecisionLoop;
 import io.coltsfootwheel.settings.ControlMember;
 import io.coltsfootwheel.settings.DaemonSettings;
@@ -133,8 +125,10 @@
     this.answers = new PendingAnswers(this::post);
     this.entryDriver = new EntryDriver(self, signer, link, relay, this::post, recorder);
     this.dispatchDriver = new DispatchDriver(self, signer, targets, relay, entryDriver, this::post);
-    this.journal = settings.dataFolder().map(folder -> memberJournal(folder, session, meters));
-    this.reducer = reducer(session);
+    InstanceReducerFactory reducers =
+        new InstanceReducerFactory(settings, session, List.copyOf(memberAddresses.keySet()));
+    this.journal = settings.dataFolder().map(folder -> memberJournal(folder, reducers, meters));
+    this.reducer = reducers.instance(journal.map(MemberJournal::open));
     this.loop = decisionLoop(signer);
     this.callerServer =
         CallerServer.of(
@@ -336,60 +330,16 @@
     return peers;
   }
 
-  private MemberJournal memberJournal(Path folder, String session, MeterRegistry meters) {
+  private MemberJournal memberJournal(
+      Path folder, InstanceReducerFactory reducers, MeterRegistry meters) {
     return new MemberJournal(
         folder,
         Journal::open,
-        opened -> memberReducer(opened, session),
+        reducers::member,
         meters.timer("coltsfootwheel.journal.persist"),
         this::post);
   }
 
-  private MemberReducer memberReducer(Journal opened, String session) {
-    MemberId id = new MemberId(self, opened.diskId());
-    ReplicationSettings replication =
-        ReplicationSettings.of(id, settings.initialMembers(), true, session.hashCode());
-    return new MemberReducer(
-        id,
-        new ReplicationReducer(replication, opened.recovered(), System.nanoTime()),
-        new Supervisor(),
-        settings.services(),
-        List.copyOf(memberAddresses.keySet()),
-        MemberReducer.COMMANDS_BETWEEN_SNAPSHOTS);
-  }
-
-  private InstanceReducer reducer(String session) {
-    long nowNanos = System.nanoTime();
-    List<InstanceId> members = List.copyOf(memberAddresses.keySet());
-    Optional<MemberReducer> member = journal.map(MemberJournal::open);
-    Optional<StateFollower> follower =
-        member.isPresent()
-            ? Optional.empty()
-            : Optional.of(
-                new StateFollower(members, self, settings.advertisedLinkAddress(), nowNanos));
-    InstanceSpec spec =
-        new InstanceSpec(
-            self,
-            settings.zone(),
-            settings.advertisedLinkAddress(),
-            settings.advertisedHttpAddress(),
-            session);
-    LeaseClient lease = new LeaseClient(spec, nowNanos);
-    EntryRouter router =
-        new EntryRouter(
-            self, session, settings.zone(), EntrySettings.defaults(), session.hashCode());
-    RequestReducer requests = new RequestReducer(self, lease.session(), dispatchSettings(), router);
-    return new InstanceReducer(self, members, member, follower, lease, requests);
-  }
-
-  private DispatchSettings dispatchSettings() {
-    DispatchSettings defaults = DispatchSettings.defaults();
-    return new DispatchSettings(
-        settings.limits().queueFactor(),
-        defaults.maxIdentityRecords(),
-        defaults.identityRetentionMillis());
-  }
-
   private void post(InstanceEvent event) {
     loop.post(event);
   }
