--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -69,6 +69,7 @@
   private final AtomicLong lastRequestId = new AtomicLong();
   private Optional<JournalDriver> journal = Optional.empty();
   private Optional<ControlReducer> reducer = Optional.empty();
+  private List<InstanceId> seeds;
   private long nextOpenNanos;
 
   /**
@@ -105,6 +106,7 @@
       Runnable onFailure) {
     this.settings = settings;
     this.journalOpener = journalOpener;
+    this.seeds = settings.seeds();
     this.targetCaller = targetCaller;
     this.log = log;
     this.persistTime = meters.timer("coltsfootwheel.journal.persist");
@@ -203,6 +205,9 @@
   }
 
   private List<ControlEffect> decide(ControlEvent event) {
+    if (event instanceof ControlEvent.SeedsChanged changed) {
+      seeds = changed.seeds();
+    }
     if (reducer.isEmpty()) {
       openJournal(event.nowNanos());
     }
@@ -234,7 +239,7 @@
     nextOpenNanos = nowNanos + JOURNAL_RETRY_MILLIS * 1_000_000;
     try {
       Journal opened = journalOpener.apply(settings.dataFolder());
-      ControlSettings controlSettings = settings.controlSettings();
+      ControlSettings controlSettings = settings.controlSettings(seeds);
       MemberId self = new MemberId(controlSettings.self(), opened.diskId());
       ReplicationReducer replication =
           new ReplicationReducer(
--- a/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
@@ -25,8 +25,12 @@
     int toleratedLosses,
     OwnershipSettings ownership,
     Path dataFolder) {
-  ControlSettings controlSettings() {
+  ControlSettings controlSettings(List<InstanceId> currentSeeds) {
     return new ControlSettings(
-        InstanceId.of(linkAddress.host()), seeds, firstStart, 2 * toleratedLosses + 1, ownership);
+        InstanceId.of(linkAddress.host()),
+        currentSeeds,
+        firstStart,
+        2 * toleratedLosses + 1,
+        ownership);
   }
 }
--- a/src/test/java/io/coltsfootwheel/node/FullDisksTest.java
+++ b/src/test/java/io/coltsfootwheel/node/FullDisksTest.java
@@ -22,7 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -48,28 +48,31 @@
   private final EventLog log = new EventLog(line -> {}, Map.of());
   private long version;
 
-  @BeforeEach
-  void start() throws IOException {
-    int port = freePort();
+  private void startNode(int index, int port, List<InstanceId> seeds, boolean firstStart) {
+    FillableDisk disk = new FillableDisk();
+    disks.add(disk);
+    ControlNode node =
+        new ControlNode(
+            new ControlNodeSettings(
+                "test",
+                new Address(member(index).value(), port),
+                seeds,
+                firstStart,
+                2,
+                OwnershipSettings.of(1_000, 10_000),
+                folder.resolve("disk-" + index)),
+            disk::open,
+            call -> Mono.just(TargetCallResult.of(TargetCallResult.Outcome.UNKNOWN)),
+            log,
+            new SimpleMeterRegistry(),
+            failures::incrementAndGet);
+    nodes.add(node);
+  }
+
+  private void startGroup(int port) {
     List<InstanceId> seeds = List.of(member(0), member(1), member(2));
     for (int i = 0; i < MEMBERS; i++) {
-      FillableDisk disk = new FillableDisk();
-      disks.add(disk);
-      nodes.add(
-          new ControlNode(
-              new ControlNodeSettings(
-                  "test",
-                  new Address(member(i).value(), port),
-                  seeds,
-                  true,
-                  2,
-                  OwnershipSettings.of(1_000, 10_000),
-                  folder.resolve("disk-" + i)),
-              disk::open,
-              call -> Mono.just(TargetCallResult.of(TargetCallResult.Outcome.UNKNOWN)),
-              log,
-              new SimpleMeterRegistry(),
-              failures::incrementAndGet));
+      startNode(i, port, seeds, true);
     }
     nodes.forEach(ControlNode::start);
   }
@@ -133,6 +136,7 @@
   @ParameterizedTest
   @CsvSource({"700, 0", "700, 800", "2500, 0"})
   void changesAreAcceptedAfterEachDiskWasFull(long fullMillis, long pauseMillis) throws Exception {
+    startGroup(freePort());
     change();
     for (FillableDisk disk : disks) {
       disk.fill();
@@ -152,4 +156,26 @@
     assertThat(nodes).extracting(this::versionReadFrom).contains(version);
     assertThat(failures).hasValue(0);
   }
+
+  /** Guards against seeds that are forgotten because they changed while the disk was full. */
+  @Test
+  void seedsThatChangeWhileTheDiskIsFullAreUsed() throws Exception {
+    int port = freePort();
+    startGroup(port);
+    change();
+    startNode(MEMBERS, port, List.of(member(MEMBERS + 1)), false);
+    ControlNode late = nodes.get(MEMBERS);
+    disks.get(MEMBERS).fill();
+    late.start();
+    late.setSeeds(List.of(member(0)));
+    Thread.sleep(CALL_TIMEOUT.toMillis());
+    disks.get(MEMBERS).free();
+    ControlAnswer answer = new ControlAnswer.Unavailable("not asked yet");
+    long endNanos = System.nanoTime() + CONFIRMATION_LIMIT.toNanos();
+    while (!(answer instanceof ControlAnswer.Redirect) && System.nanoTime() < endNanos) {
+      answer = late.read().block(CALL_TIMEOUT);
+      Thread.sleep(RETRY_MILLIS);
+    }
+    assertThat(answer).isInstanceOf(ControlAnswer.Redirect.class);
+  }
 }
