Let the tests of the relay share their set-up

The set-up of a relay stood in four tests; RelayFixture holds it once (132 lines fewer in three tests).

--- a/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
@@ -2,20 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipView;
-import io.coltsfootwheel.model.Address;
-import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
-import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationItem;
-import io.coltsfootwheel.routing.Route;
 import io.coltsfootwheel.routing.RouteKind;
 import io.coltsfootwheel.routing.ServicePolicy;
-import io.coltsfootwheel.routing.WeightedService;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -25,12 +17,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -41,9 +30,6 @@
 @Timeout(60)
 class EndlessBytesTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
-  private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
   /** Not reached by a response that the relay ends because of its bytes. */
   private static final long LONG_TIMEOUT_MILLIS = 30_000;
@@ -93,64 +79,24 @@
 
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  private final ConcurrentLinkedQueue<String> logLines = new ConcurrentLinkedQueue<>();
   private final List<AutoCloseable> targets = new ArrayList<>();
-  private Relay relay;
-  private EventLog log;
-  private int port;
-
-  @BeforeEach
-  void start() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0)) {
-      port = probe.getLocalPort();
-    }
-    log = new EventLog(logLines::add, Map.of());
-    relay =
-        new Relay(
-            new RelaySettings(
-                new Address("127.0.0.1", port),
-                AvailabilityZone.of("z"),
-                HEADER_NAMES,
-                2_000,
-                1,
-                100,
-                10_000,
-                1),
-            log,
-            new SimpleMeterRegistry());
-    relay.start();
-    relay.configure(
-        new Configuration(
-            1,
-            List.of(
-                ConfigurationItem.of(new ServicePolicy(SERVICE, false, 40), "{}"),
-                ConfigurationItem.of(route("safe", RouteKind.SAFE, LONG_TIMEOUT_MILLIS), "{}"),
-                ConfigurationItem.of(route("unsafe", RouteKind.UNSAFE, LONG_TIMEOUT_MILLIS), "{}"),
-                ConfigurationItem.of(route("brief", RouteKind.UNSAFE, SHORT_TIMEOUT_MILLIS), "{}")),
-            List.of()));
-  }
+  private final RelayFixture fixture =
+      new RelayFixture(
+          RelayFixture.DRAIN_MILLIS,
+          List.of(
+              ConfigurationItem.of(new ServicePolicy(SERVICE, false, 40), "{}"),
+              RelayFixture.route("safe", SERVICE, RouteKind.SAFE, LONG_TIMEOUT_MILLIS),
+              RelayFixture.route("unsafe", SERVICE, RouteKind.UNSAFE, LONG_TIMEOUT_MILLIS),
+              RelayFixture.route("brief", SERVICE, RouteKind.UNSAFE, SHORT_TIMEOUT_MILLIS)));
+  private final Relay relay = fixture.relay();
+  private final int port = fixture.port();
 
   @AfterEach
   void stop() throws Exception {
-    relay.drain(1_000).block();
-    relay.close();
+    fixture.close();
     for (AutoCloseable target : targets) {
       target.close();
     }
-    log.close();
-  }
-
-  private static Route route(String name, RouteKind kind, long timeoutMillis) {
-    return new Route(
-        name,
-        "127.0.0.1",
-        "/" + name + "/",
-        kind,
-        timeoutMillis,
-        timeoutMillis,
-        1,
-        2,
-        List.of(new WeightedService(SERVICE, 1)));
   }
 
   private EndlessTarget endless(String id, String beginning, String repeated, long pauseMillis) {
--- a/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
@@ -2,20 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
-import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationItem;
-import io.coltsfootwheel.routing.Route;
 import io.coltsfootwheel.routing.RouteKind;
 import io.coltsfootwheel.routing.ServicePolicy;
-import io.coltsfootwheel.routing.WeightedService;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -24,7 +19,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
@@ -35,9 +29,6 @@
 @Timeout(120)
 class IncompleteResponseTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
-  private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
   private static final String HOST = "127.0.0.1";
   private static final long TIMEOUT_MILLIS = 20_000;
   private static final String BODY = "answer";
@@ -61,55 +52,23 @@
     }
   }
 
-  private Relay relay;
-  private EventLog log;
+  private final RelayFixture fixture =
+      new RelayFixture(
+          RelayFixture.DRAIN_MILLIS,
+          List.of(
+              ConfigurationItem.of(new ServicePolicy(SERVICE, false, 40), "{}"),
+              RelayFixture.route("unsafe", "/", SERVICE, RouteKind.UNSAFE, TIMEOUT_MILLIS)));
+  private final int port = fixture.port();
   private ServerSocket target;
-  private int port;
   private volatile byte[] answer = new byte[0];
   private volatile boolean resets;
 
   @BeforeEach
   void start() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0)) {
-      port = probe.getLocalPort();
-    }
     target = new ServerSocket(0, 50, InetAddress.getByName(HOST));
     Thread thread = new Thread(this::serve, "cutting-target");
     thread.setDaemon(true);
     thread.start();
-    log = new EventLog(line -> {}, Map.of());
-    relay =
-        new Relay(
-            new RelaySettings(
-                new Address(HOST, port),
-                AvailabilityZone.of("z"),
-                HEADER_NAMES,
-                2_000,
-                1,
-                100,
-                10_000,
-                1),
-            log,
-            new SimpleMeterRegistry());
-    relay.start();
-    Route route =
-        new Route(
-            "unsafe",
-            HOST,
-            "/",
-            RouteKind.UNSAFE,
-            TIMEOUT_MILLIS,
-            TIMEOUT_MILLIS,
-            1,
-            2,
-            List.of(new WeightedService(SERVICE, 1)));
-    relay.configure(
-        new Configuration(
-            1,
-            List.of(
-                ConfigurationItem.of(new ServicePolicy(SERVICE, false, 40), "{}"),
-                ConfigurationItem.of(route, "{}")),
-            List.of()));
     OwnershipView.Target view =
         new OwnershipView.Target(
             TargetId.of("t"),
@@ -119,15 +78,13 @@
             20,
             TargetPhase.READY,
             1);
-    relay.updateOwnership(new OwnershipView(List.of(view), List.of()));
+    fixture.relay().updateOwnership(new OwnershipView(List.of(view), List.of()));
   }
 
   @AfterEach
   void stop() throws Exception {
-    relay.drain(1_000).block();
-    relay.close();
+    fixture.close();
     target.close();
-    log.close();
   }
 
   private void serve() {
--- a/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
-/** Running relay with a keyed and an unkeyed service, each with a route of the same name. */
+/** Running relay on the loopback interface, with a client. */
 final class RelayFixture implements AutoCloseable {
   static final ServiceName KEYED = ServiceName.of("keyed");
   static final ServiceName UNKEYED = ServiceName.of("any");
@@ -31,7 +31,9 @@
       new ProtocolHeaderNames(
           "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
-  private static final String HOST = "127.0.0.1";
+  static final String HOST = "127.0.0.1";
+  static final long DRAIN_MILLIS = 2_000;
+
   private static final int MAX_CONNECTIONS = 20;
   private static final long TIMEOUT_MILLIS = 20_000;
 
@@ -46,8 +48,9 @@
    * Starts a relay.
    *
    * @param drainMillis time for which a leaving target may receive requests
+   * @param items routes and services
    */
-  RelayFixture(long drainMillis) {
+  RelayFixture(long drainMillis, List<ConfigurationItem> items) {
     port = freePort();
     relay =
         new Relay(
@@ -63,15 +66,39 @@
             log,
             new SimpleMeterRegistry());
     relay.start();
-    relay.configure(
-        new Configuration(
+    relay.configure(new Configuration(1, items, List.of()));
+  }
+
+  /** Returns a keyed and an unkeyed service, each with an idempotent route of the same name. */
+  static List<ConfigurationItem> twoServices() {
+    return List.of(
+        ConfigurationItem.of(new ServicePolicy(KEYED, true, MAX_CONNECTIONS), "{}"),
+        ConfigurationItem.of(new ServicePolicy(UNKEYED, false, MAX_CONNECTIONS), "{}"),
+        route("keyed", KEYED, RouteKind.SAFE, TIMEOUT_MILLIS),
+        route("any", UNKEYED, RouteKind.SAFE, TIMEOUT_MILLIS));
+  }
+
+  /** Returns a route whose path is its name. */
+  static ConfigurationItem route(
+      String name, ServiceName service, RouteKind kind, long timeoutMillis) {
+    return route(name, "/" + name + "/", service, kind, timeoutMillis);
+  }
+
+  /** Returns a route to the loopback interface. */
+  static ConfigurationItem route(
+      String name, String pathPrefix, ServiceName service, RouteKind kind, long timeoutMillis) {
+    return ConfigurationItem.of(
+        new Route(
+            name,
+            HOST,
+            pathPrefix,
+            kind,
+            timeoutMillis,
+            timeoutMillis,
             1,
-            List.of(
-                ConfigurationItem.of(new ServicePolicy(KEYED, true, MAX_CONNECTIONS), "{}"),
-                ConfigurationItem.of(new ServicePolicy(UNKEYED, false, MAX_CONNECTIONS), "{}"),
-                ConfigurationItem.of(route(KEYED), "{}"),
-                ConfigurationItem.of(route(UNKEYED), "{}")),
-            List.of()));
+            2,
+            List.of(new WeightedService(service, 1))),
+        "{}");
   }
 
   private static int freePort() {
@@ -82,23 +109,18 @@
     }
   }
 
-  private static Route route(ServiceName service) {
-    return new Route(
-        service.value(),
-        HOST,
-        "/" + service.value() + "/",
-        RouteKind.SAFE,
-        TIMEOUT_MILLIS,
-        TIMEOUT_MILLIS,
-        1,
-        2,
-        List.of(new WeightedService(service, 1)));
-  }
-
   Relay relay() {
     return relay;
   }
 
+  EventLog log() {
+    return log;
+  }
+
+  int port() {
+    return port;
+  }
+
   List<String> logLines() {
     return List.copyOf(logLines);
   }
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.KeyRange;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
@@ -13,14 +12,9 @@
 import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationItem;
-import io.coltsfootwheel.routing.Route;
 import io.coltsfootwheel.routing.RouteKind;
 import io.coltsfootwheel.routing.ServicePolicy;
-import io.coltsfootwheel.routing.WeightedService;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import java.io.IOException;
 import java.io.InputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -31,12 +25,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -48,9 +39,6 @@
 class RelayTest {
   private static final ServiceName KEYED = ServiceName.of("keyed");
   private static final ServiceName UNKEYED = ServiceName.of("any");
-  private static final ProtocolHeaderNames HEADER_NAMES =
-      new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
 
   /**
    * Long enough not to be reached on a busy machine; a request that must time out uses {@link
@@ -62,64 +50,25 @@
 
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-  private final ConcurrentLinkedQueue<String> logLines = new ConcurrentLinkedQueue<>();
   private final List<ScriptedTarget> targets = new ArrayList<>();
-  private Relay relay;
-  private EventLog log;
-  private int port;
-
-  @BeforeEach
-  void start() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0)) {
-      port = probe.getLocalPort();
-    }
-    log = new EventLog(logLines::add, Map.of());
-    relay =
-        new Relay(
-            new RelaySettings(
-                new Address("127.0.0.1", port),
-                AvailabilityZone.of("z"),
-                HEADER_NAMES,
-                2_000,
-                1,
-                100,
-                10_000,
-                1),
-            log,
-            new SimpleMeterRegistry());
-    relay.start();
-    relay.configure(new Configuration(1, items(), List.of()));
-  }
+  private final RelayFixture fixture = new RelayFixture(RelayFixture.DRAIN_MILLIS, items());
+  private final Relay relay = fixture.relay();
+  private final int port = fixture.port();
 
   @AfterEach
   void stop() throws InterruptedException {
-    relay.drain(1_000).block();
-    relay.close();
+    fixture.close();
     targets.forEach(ScriptedTarget::close);
-    log.close();
   }
 
   private static List<ConfigurationItem> items() {
     return List.of(
         ConfigurationItem.of(new ServicePolicy(KEYED, true, 20), "{}"),
         ConfigurationItem.of(new ServicePolicy(UNKEYED, false, 20), "{}"),
-        ConfigurationItem.of(route("safe", UNKEYED, RouteKind.SAFE, LONG_TIMEOUT_MILLIS), "{}"),
-        ConfigurationItem.of(route("unsafe", UNKEYED, RouteKind.UNSAFE, LONG_TIMEOUT_MILLIS), "{}"),
-        ConfigurationItem.of(route("brief", UNKEYED, RouteKind.UNSAFE, SHORT_TIMEOUT_MILLIS), "{}"),
-        ConfigurationItem.of(route("keyed", KEYED, RouteKind.UNSAFE, LONG_TIMEOUT_MILLIS), "{}"));
-  }
-
-  private static Route route(String name, ServiceName service, RouteKind kind, long timeoutMillis) {
-    return new Route(
-        name,
-        "127.0.0.1",
-        "/" + name + "/",
-        kind,
-        timeoutMillis,
-        timeoutMillis,
-        1,
-        2,
-        List.of(new WeightedService(service, 1)));
+        RelayFixture.route("safe", UNKEYED, RouteKind.SAFE, LONG_TIMEOUT_MILLIS),
+        RelayFixture.route("unsafe", UNKEYED, RouteKind.UNSAFE, LONG_TIMEOUT_MILLIS),
+        RelayFixture.route("brief", UNKEYED, RouteKind.UNSAFE, SHORT_TIMEOUT_MILLIS),
+        RelayFixture.route("keyed", KEYED, RouteKind.UNSAFE, LONG_TIMEOUT_MILLIS));
   }
 
   private ScriptedTarget target(String id, ServiceName service, ScriptedTarget.Step... steps) {
@@ -446,8 +395,8 @@
   void failureIsLoggedWithRequestIdAndCause() throws Exception {
     publishView(true, target("a", UNKEYED, ScriptedTarget.Step.RESET));
     get("/unsafe/9");
-    log.close();
-    assertThat(logLines)
+    fixture.log().close();
+    assertThat(fixture.logLines())
         .anyMatch(
             line ->
                 line.contains("\"event\":\"request.failed\"")
@@ -477,8 +426,8 @@
     for (int i = 0; i < 4; i++) {
       assertThat(get("/unsafe/" + i).statusCode()).isEqualTo(200);
     }
-    log.close();
-    assertThat(logLines)
+    fixture.log().close();
+    assertThat(fixture.logLines())
         .anyMatch(line -> line.contains("targets.unusable") && line.contains("odd"))
         .noneMatch(line -> line.contains("connect_failed"));
   }
--- a/src/test/java/io/coltsfootwheel/relay/TargetNoticeRelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetNoticeRelayTest.java
@@ -42,7 +42,7 @@
   }
 
   private RelayFixture entry() {
-    RelayFixture entry = new RelayFixture(DRAIN_MILLIS);
+    RelayFixture entry = new RelayFixture(DRAIN_MILLIS, RelayFixture.twoServices());
     entries.add(entry);
     return entry;
   }
