--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -4,9 +4,9 @@
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -121,13 +121,13 @@
 
   /** Refuses a request whose service has no usable target, until the first pause of one ends. */
   private static RoutingDecision refuseWithoutCandidates(List<TargetStats> targets, long nowNanos) {
-    OptionalLong firstPauseMillis =
+    Optional<TargetStats> firstUsable =
         targets.stream()
-            .mapToLong(t -> t.remainingPauseMillis(nowNanos))
-            .filter(millis -> millis > 0)
-            .min();
-    return firstPauseMillis.isPresent()
-        ? new RoutingDecision.Refuse(PAUSED, firstPauseMillis.getAsLong())
+            .filter(t -> t.remainingPauseMillis(nowNanos) > 0)
+            .min(Comparator.comparingLong(t -> t.remainingPauseMillis(nowNanos)));
+    return firstUsable.isPresent()
+        ? new RoutingDecision.Refuse(
+            PAUSED, firstUsable.get().remainingPauseMillis(nowNanos), firstUsable)
         : new RoutingDecision.Refuse("service has no targets", MAX_RETRY_DELAY_MILLIS);
   }
 
--- a/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
+++ b/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
@@ -78,7 +78,8 @@
       Thread.currentThread().interrupt();
     } catch (ColtsfootwheelException e) {
       LOG.error(
-          "journal write failed; this member stops voting and replicating: {}", e.getMessage());
+          "journal write failed; this member takes no part until its journal is open again: {}",
+          e.getMessage());
       events.accept(new ReplicationEvent.PersistFailed(System.nanoTime()));
     }
   }
