Let the targets of the stop soak pause and leave

A target refuses now and then with Retry-After, and targets leave in turn, each second one without telling control, and come back as a new process at the same address. StopSoakNotices finds requests that reach a target from one entry in its pause (more than two) or later than the drain time after the entry passed on its notice.

--- a/src/test/java/io/coltsfootwheel/bench/StopSoak.java
+++ b/src/test/java/io/coltsfootwheel/bench/StopSoak.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Runs real control and entry processes under planned work only: overlapping SIGTERMs, SIGHUPs with
@@ -36,11 +37,15 @@
   private static final long REPORT_INTERVAL_MILLIS = 300;
   private static final int MIN_ACTION_INTERVAL_MILLIS = 150;
   private static final int MAX_ACTION_INTERVAL_MILLIS = 600;
+  private static final int MAX_RELEASE_INTERVAL_MILLIS = 1_500;
 
   private final Random random;
   private final Path folder;
   private final StopSoakCluster cluster;
   private final Set<String> receivedIds = ConcurrentHashMap.newKeySet();
+  private final StopSoakNotices notices = new StopSoakNotices();
+  private final Map<InetSocketAddress, Queue<Long>> startNanosByEntry = new ConcurrentHashMap<>();
+  private final Random targetRandom;
   private final Queue<StopSoakClient.Outcome> outcomes = new ConcurrentLinkedQueue<>();
   private final List<StopSoakTarget> targets = new ArrayList<>();
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -68,6 +73,7 @@
    */
   public StopSoak(long seed, Path folder) {
     this.random = new Random(seed);
+    this.targetRandom = new Random(~seed);
     this.folder = folder;
     this.cluster = new StopSoakCluster(folder);
   }
@@ -142,10 +148,13 @@
     }
     cluster.callUntilAccepted("?call=config.put", "0", StopSoakCluster.configuration(version));
     for (int i = 0; i < TARGET_COUNT; i++) {
-      StopSoakTarget target = new StopSoakTarget("t-" + i, cluster.targetHost(), receivedIds);
+      Random pauses = new Random(targetRandom.nextLong());
+      StopSoakTarget target =
+          new StopSoakTarget("t-" + i, cluster.targetHost(), receivedIds, notices, pauses);
       targets.add(target);
       threads.execute(() -> report(target));
     }
+    threads.execute(this::releaseTargets);
     for (int i = 0; i < StopSoakCluster.ENTRY_COUNT; i++) {
       cluster.awaitReady(i);
     }
@@ -163,6 +172,21 @@
     }
   }
 
+  /** Lets one target after another leave and come back; each second one tells control. */
+  private void releaseTargets() {
+    try {
+      for (int i = 0; running; i++) {
+        TimeUnit.MILLISECONDS.sleep(targetRandom.nextInt(MAX_RELEASE_INTERVAL_MILLIS));
+        StopSoakTarget next = targets.get(targetRandom.nextInt(targets.size()));
+        if (targets.stream().noneMatch(StopSoakTarget::isLeaving)) {
+          next.leave(i % 2 == 0);
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void startClients() {
     for (int i = 0; i < CLIENT_COUNT; i++) {
       Random clientRandom = new Random(random.nextLong());
@@ -269,6 +293,7 @@
       long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stop.getValue());
       if (!cluster.processes().isAlive(name)) {
         cluster.start(name, false);
+        recordStart(name);
         stopNanosByProcess.remove(name);
       } else if (elapsedMillis > StopSoakCluster.GRACE_MILLIS) {
         kill(name);
@@ -276,6 +301,21 @@
     }
   }
 
+  private void recordStart(String name) {
+    for (int i = 0; i < StopSoakCluster.ENTRY_COUNT; i++) {
+      if (StopSoakCluster.entry(i).equals(name)) {
+        startNanosByEntry
+            .computeIfAbsent(cluster.clientAddress(i), e -> new ConcurrentLinkedQueue<>())
+            .add(System.nanoTime());
+      }
+    }
+  }
+
+  private boolean wasStarted(InetSocketAddress entry, long fromNanos, long toNanos) {
+    return startNanosByEntry.getOrDefault(entry, new ConcurrentLinkedQueue<>()).stream()
+        .anyMatch(nanos -> nanos - fromNanos > 0 && toNanos - nanos > 0);
+  }
+
   /** Kills a process that did not end in time, after it has written the stacks of its threads. */
   private void kill(String name) throws Exception {
     killCount++;
@@ -305,8 +345,12 @@
       refused += outcome.status() == 503 ? 1 : 0;
       violation(outcome, received).ifPresent(v -> violations.add(v + ": " + outcome));
     }
+    Map<String, StopSoakClient.Outcome> outcomeById =
+        outcomes.stream().collect(Collectors.toMap(StopSoakClient.Outcome::id, o -> o));
+    violations.addAll(notices.violations(outcomeById, this::wasStarted));
     String summary =
-        "%d stops, %d killed, %d configurations, %d requests, %d answered, %d refused, %d violations"
+        ("%d stops, %d killed, %d configurations, %d requests, %d answered, %d refused, "
+                + "%d refusals with a pause, %d answers of leaving targets, %d violations")
             .formatted(
                 stopCount,
                 killCount,
@@ -314,6 +358,8 @@
                 outcomes.size(),
                 answered,
                 refused,
+                notices.refusalCount(),
+                notices.leavingCount(),
                 violations.size());
     return new Result(summary, violations);
   }
--- a/src/test/java/io/coltsfootwheel/bench/StopSoakClient.java
+++ b/src/test/java/io/coltsfootwheel/bench/StopSoakClient.java
@@ -28,10 +28,21 @@
    * @param entry address of the entry
    * @param status status of the response, or 0 if the connection ended without a complete one
    * @param idMatches whether the body is the one that the target gave to this request
-   * @param waitedMillis time from the last byte of the request to the outcome
+   * @param sentNanos time at which the last byte of the request was sent
+   * @param endedNanos time of the outcome
    */
   record Outcome(
-      String id, InetSocketAddress entry, int status, boolean idMatches, long waitedMillis) {}
+      String id,
+      InetSocketAddress entry,
+      int status,
+      boolean idMatches,
+      long sentNanos,
+      long endedNanos) {
+    /** Returns the time from the last byte of the request to the outcome. */
+    long waitedMillis() {
+      return TimeUnit.NANOSECONDS.toMillis(endedNanos - sentNanos);
+    }
+  }
 
   private final String name;
   private final Random random;
@@ -122,9 +133,9 @@
     boolean open = true;
     for (String id : ids) {
       Response response = open ? read(in) : new Response(0, true, "");
-      long waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+      boolean idMatches = response.body().equals(id);
       outcomes.accept(
-          new Outcome(id, entry, response.status(), response.body().equals(id), waitedMillis));
+          new Outcome(id, entry, response.status(), idMatches, sentNanos, System.nanoTime()));
       open = !response.closes();
     }
     return open;
