--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.Test;
 
 class ControlReducerTest {
+  private static final InstanceId ENTRY = InstanceId.of("10.9.0.1");
   private static final InstanceId FIRST = InstanceId.of("10.0.0.1");
   private static final ServiceName LEDGER = ServiceName.of("ledger");
 
@@ -198,14 +199,8 @@
   void subscribedEntryReceivesEachChange() {
     group.run(3_000);
     InstanceId leader = group.leader().orElseThrow();
-    NodeMessage.Subscribe subscribe =
-        new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0, 0);
-    group.call(
-        leader,
-        id ->
-            new ControlEvent.MessageReceived(
-                group.nowNanos(), InstanceId.of("10.9.0.1"), subscribe));
+    NodeMessage.Subscribe subscribe = subscription(0, 0, 0);
+    group.call(leader, id -> new ControlEvent.MessageReceived(group.nowNanos(), ENTRY, subscribe));
     group.messagesToEntries().clear();
     change(leader, 0, 1, "a");
     assertThat(group.messagesToEntries())
@@ -218,20 +213,9 @@
   private OptionalLong confirmedAfterSubscriptions(InstanceId leader, long... sentNanos) {
     for (long nanos : sentNanos) {
       group.messagesToEntries().clear();
-      NodeMessage.Subscribe subscribe =
-          new NodeMessage.Subscribe(
-              new Address("10.9.0.1", 7_000),
-              0,
-              0,
-              0,
-              new LoadReport(Map.of(), List.of()),
-              0,
-              nanos);
+      NodeMessage.Subscribe subscribe = subscription(0, 0, nanos);
       group.call(
-          leader,
-          id ->
-              new ControlEvent.MessageReceived(
-                  group.nowNanos(), InstanceId.of("10.9.0.1"), subscribe));
+          leader, id -> new ControlEvent.MessageReceived(group.nowNanos(), ENTRY, subscribe));
       group.run(50);
     }
     NodeMessage last = group.messagesToEntries().get(0);
@@ -252,6 +236,28 @@
     assertThat(confirmedAfterSubscriptions(leader, 4_000, 5_000)).hasValue(3_000);
   }
 
+  private LeaderSession leaderSession(long term, TargetRecord target, List<NodeMessage> sent) {
+    return new LeaderSession(
+        FIRST,
+        term,
+        new RecordingActions(sent),
+        OwnershipSettings.of(870, 10_000),
+        5,
+        FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target)),
+        group.nowNanos());
+  }
+
+  private static NodeMessage.Subscribe subscription(long term, long viewSequence, long sentNanos) {
+    return new NodeMessage.Subscribe(
+        new Address(ENTRY.value(), 7_000),
+        0,
+        term,
+        viewSequence,
+        new LoadReport(Map.of(), List.of()),
+        0,
+        sentNanos);
+  }
+
   /**
    * Guards against a new leader that sends an entry a view without targets before its first tick:
    * the entry would refuse all requests until the next update.
@@ -259,22 +265,9 @@
   @Test
   void newLeaderSendsItsTargetsBeforeItsFirstTick() {
     TargetRecord target = report("t", 1, TargetPhase.READY).target();
-    FleetState state = FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target));
     List<NodeMessage> sent = new ArrayList<>();
-    LeaderSession session =
-        new LeaderSession(
-            FIRST,
-            2,
-            new RecordingActions(sent),
-            OwnershipSettings.of(870, 10_000),
-            5,
-            state,
-            group.nowNanos());
-    session.subscribe(
-        group.nowNanos(),
-        InstanceId.of("10.9.0.1"),
-        new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 1, 7, new LoadReport(Map.of(), List.of()), 0, 0));
+    LeaderSession session = leaderSession(2, target, sent);
+    session.subscribe(group.nowNanos(), ENTRY, subscription(1, 7, 0));
     OwnershipView view = ((NodeMessage.Routing) sent.get(0)).view().orElseThrow();
     assertThat(view.targets()).extracting(OwnershipView.Target::id).containsExactly(target.id());
   }
@@ -286,25 +279,13 @@
   @Test
   void answerThatWasLostIsSentAgainAtOnce() {
     TargetRecord target = report("t", 1, TargetPhase.READY).target();
-    FleetState state = FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target));
     List<NodeMessage> sent = new ArrayList<>();
-    LeaderSession session =
-        new LeaderSession(
-            FIRST,
-            1,
-            new RecordingActions(sent),
-            OwnershipSettings.of(870, 10_000),
-            1,
-            state,
-            group.nowNanos());
-    InstanceId entry = InstanceId.of("10.9.0.1");
-    NodeMessage.Subscribe subscribe =
-        new NodeMessage.Subscribe(
-            new Address("10.9.0.1", 7_000), 0, 0, 0, new LoadReport(Map.of(), List.of()), 0, 0);
-    session.subscribe(group.nowNanos(), entry, subscribe);
-    session.subscribe(group.nowNanos() + 1, entry, subscribe);
-    session.linkLost(entry);
-    session.subscribe(group.nowNanos() + 2, entry, subscribe);
+    LeaderSession session = leaderSession(1, target, sent);
+    NodeMessage.Subscribe subscribe = subscription(0, 0, 0);
+    session.subscribe(group.nowNanos(), ENTRY, subscribe);
+    session.subscribe(group.nowNanos() + 1, ENTRY, subscribe);
+    session.linkLost(ENTRY);
+    session.subscribe(group.nowNanos() + 2, ENTRY, subscribe);
     assertThat(sent)
         .extracting(m -> ((NodeMessage.Routing) m).view().isPresent())
         .containsExactly(true, false, true);
