--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -35,10 +35,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests an entry over sockets whose leader's changes do not reach it in time. */
+@Timeout(60)
 class OutdatedRoutingTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
   private static final String ENTRY_HOST = "127.0.0.1";
@@ -190,6 +192,7 @@
     Thread.sleep(LATE_ANSWER_MILLIS - APPLY_MILLIS / 2);
     leader.change(configuration, view);
     Thread.sleep(APPLY_MILLIS);
+    leader.awaitNextAnswer();
   }
 
   /** Guards against a 404 for a route that was added more than the bound of a change ago. */
--- a/src/test/java/io/coltsfootwheel/node/StandInLeader.java
+++ b/src/test/java/io/coltsfootwheel/node/StandInLeader.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,7 @@
   private long viewSequence = 1;
   private long answerDelayMillis;
   private boolean losesConfigurations;
+  private CountDownLatch nextAnswer = new CountDownLatch(1);
 
   /**
    * Starts to answer.
@@ -73,10 +75,28 @@
   private synchronized void receive(InstanceId from, NodeMessage message) {
     if (message instanceof NodeMessage.Subscribe subscribe) {
       NodeMessage answer = answer(subscribe);
-      executor.schedule(() -> links.send(from, answer), answerDelayMillis, TimeUnit.MILLISECONDS);
+      executor.schedule(() -> send(from, answer), answerDelayMillis, TimeUnit.MILLISECONDS);
     }
   }
 
+  private void send(InstanceId to, NodeMessage answer) {
+    links.send(to, answer);
+    currentLatch().countDown();
+  }
+
+  private synchronized CountDownLatch currentLatch() {
+    return nextAnswer;
+  }
+
+  /** Waits until a further answer has been sent, so that the entry has just heard the leader. */
+  void awaitNextAnswer() throws InterruptedException {
+    CountDownLatch latch = new CountDownLatch(1);
+    synchronized (this) {
+      nextAnswer = latch;
+    }
+    latch.await();
+  }
+
   private NodeMessage answer(NodeMessage.Subscribe subscribe) {
     boolean needsConfiguration =
         subscribe.configurationVersion() != configuration.version() && !losesConfigurations;
--- a/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -67,7 +67,7 @@
   /** Larger than the socket buffers of the target and the client together. */
   static final int LARGE_BYTES = 12 * 1024 * 1024;
 
-  static final int PAUSE_SECONDS = 3;
+  static final int PAUSE_SECONDS = 20;
 
   private static final long SLOW_RESPONSE_MILLIS = 150;
 
--- a/src/test/java/io/coltsfootwheel/relay/TargetNoticeRelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetNoticeRelayTest.java
@@ -16,11 +16,13 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests over sockets what follows from the word of targets that leave or refuse. */
+@Timeout(120)
 class TargetNoticeRelayTest {
   /** Short, so that a test can wait for its end; 400 ms of it are left for a connection. */
   private static final long DRAIN_MILLIS = 900;
