--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
@@ -0,0 +1,137 @@
+package io.coltsfootwheel.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonTypeName;
+import io.coltsfootwheel.keyspace.LoadReport;
+import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.TargetLoadEstimate;
+import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
+import io.coltsfootwheel.model.ControlCodec;
+import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.ServiceName;
+import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.Configuration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+/** Tests messages between processes of this version and of the one before it. */
+class NodeMessageTest {
+  private static final Address ADDRESS = new Address("10.9.0.1", 7_000);
+  private static final LoadReport NO_LOAD = new LoadReport(Map.of(), List.of());
+
+  /** Subscription without the time at which it was sent. */
+  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+  @JsonTypeName("s")
+  private record EarlierSubscribe(
+      Address linkAddress,
+      long configurationVersion,
+      long term,
+      long viewSequence,
+      LoadReport load,
+      long estimateSequence) {}
+
+  /** Target without its incarnation. */
+  private record EarlierTarget(
+      TargetId id,
+      ServiceName service,
+      Address address,
+      AvailabilityZone zone,
+      int slots,
+      TargetPhase phase) {}
+
+  private record EarlierView(List<EarlierTarget> targets, List<OwnershipView.Range> ranges) {}
+
+  /** Routing update without the time of a confirmed subscription. */
+  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+  @JsonTypeName("v")
+  private record EarlierRouting(
+      long term,
+      long viewSequence,
+      long configurationVersion,
+      Optional<Configuration> configuration,
+      Optional<EarlierView> view,
+      Optional<OwnershipView.Change> change,
+      Map<TargetId, TargetLoadEstimate> loadEstimates,
+      int entries,
+      List<InstanceId> members,
+      long estimateSequence) {}
+
+  private static EarlierTarget earlierTarget() {
+    return new EarlierTarget(
+        TargetId.of("t"),
+        ServiceName.of("s"),
+        ADDRESS,
+        AvailabilityZone.of("z"),
+        2,
+        TargetPhase.READY);
+  }
+
+  private static NodeMessage.Routing routing(OptionalLong confirmedNanos) {
+    return new NodeMessage.Routing(
+        1,
+        2,
+        3,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Map.of(),
+        1,
+        List.of(),
+        0,
+        confirmedNanos);
+  }
+
+  /** Guards against entries that fail on the updates of a leader of the earlier version. */
+  @Test
+  void updateOfTheEarlierVersionConfirmsNothing() {
+    EarlierRouting earlier =
+        new EarlierRouting(
+            1,
+            2,
+            3,
+            Optional.empty(),
+            Optional.of(new EarlierView(List.of(earlierTarget()), List.of())),
+            Optional.empty(),
+            Map.of(),
+            1,
+            List.of(),
+            0);
+    NodeMessage.Routing read =
+        ControlCodec.decode(ControlCodec.encode(earlier), NodeMessage.Routing.class);
+    assertThat(read.confirmedNanos()).isEmpty();
+    assertThat(read.view().orElseThrow().targets().get(0).incarnationMillis()).isZero();
+  }
+
+  /** Guards against a leader that fails on the subscription of an entry of the earlier version. */
+  @Test
+  void subscriptionOfTheEarlierVersionIsRead() {
+    EarlierSubscribe earlier = new EarlierSubscribe(ADDRESS, 1, 2, 3, NO_LOAD, 4);
+    NodeMessage.Subscribe read =
+        ControlCodec.decode(ControlCodec.encode(earlier), NodeMessage.Subscribe.class);
+    assertThat(read).isEqualTo(new NodeMessage.Subscribe(ADDRESS, 1, 2, 3, NO_LOAD, 4, 0));
+  }
+
+  /** Guards against entries of the earlier version that fail on updates of this version. */
+  @Test
+  void updateIsReadByTheEarlierVersion() {
+    EarlierRouting read =
+        ControlCodec.decode(ControlCodec.encode(routing(OptionalLong.of(5))), EarlierRouting.class);
+    assertThat(read.configurationVersion()).isEqualTo(3);
+  }
+
+  /** Guards against a confirmed time that is lost on its way. */
+  @Test
+  void confirmedTimeIsTransferred() {
+    NodeMessage sent = routing(OptionalLong.of(5));
+    assertThat(NodeMessage.decode(sent.toFrame())).isEqualTo(sent);
+    NodeMessage unconfirmed = routing(OptionalLong.empty());
+    assertThat(NodeMessage.decode(unconfirmed.toFrame())).isEqualTo(unconfirmed);
+  }
+}
