--- a/src/test/java/io/coltsfootwheel/journal/JournalFailureTest.java
+++ b/src/test/java/io/coltsfootwheel/journal/JournalFailureTest.java
@@ -8,12 +8,9 @@
 import io.coltsfootwheel.consensus.DurableState;
 import io.coltsfootwheel.consensus.LogEntry;
 import io.coltsfootwheel.consensus.ReplicationSnapshot;
-import java.io.IOException;
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
-import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,38 +22,13 @@
   private String failingOperation = "";
   private int callsBeforeFailure;
 
-  private <T> T withFailures(Class<T> type, T target) {
-    return type.cast(
-        Proxy.newProxyInstance(
-            type.getClassLoader(),
-            new Class<?>[] {type},
-            (proxy, method, arguments) -> {
-              if (method.getName().equals(failingOperation) && callsBeforeFailure-- == 0) {
-                writeHalf(target, arguments);
-                throw new IOException("injected");
-              }
-              try {
-                Object result = method.invoke(target, arguments);
-                return result instanceof FileAccess.AppendFile file
-                    ? withFailures(FileAccess.AppendFile.class, file)
-                    : result;
-              } catch (InvocationTargetException e) {
-                throw e.getCause();
-              }
-            }));
-  }
-
-  /** Writes half of the bytes, as a full disk may do. */
-  private static void writeHalf(Object target, Object[] arguments) throws IOException {
-    if (target instanceof FileAccess.AppendFile file
-        && arguments != null
-        && arguments[0] instanceof ByteBuffer bytes) {
-      file.write(bytes.slice(0, bytes.remaining() / 2));
-    }
+  private Optional<String> failure(String operation) {
+    boolean fails = operation.equals(failingOperation) && callsBeforeFailure-- == 0;
+    return fails ? Optional.of("injected") : Optional.empty();
   }
 
   private Journal open() {
-    return Journal.open(folder, withFailures(FileAccess.class, FileAccess.system()));
+    return Journal.open(folder, FaultyFileAccess.of(this::failure));
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/node/FillableDisk.java
+++ b/src/test/java/io/coltsfootwheel/node/FillableDisk.java
@@ -1,12 +1,9 @@
 package io.coltsfootwheel.node;
 
-import io.coltsfootwheel.journal.FileAccess;
+import io.coltsfootwheel.journal.FaultyFileAccess;
 import io.coltsfootwheel.journal.Journal;
-import java.io.IOException;
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
-import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.Optional;
 
 /** Disk of one process that has no room for further bytes while it is full. */
 final class FillableDisk {
@@ -21,31 +18,12 @@
   }
 
   Journal open(Path folder) {
-    return Journal.open(folder, withLimit(FileAccess.class, FileAccess.system()));
+    return Journal.open(folder, FaultyFileAccess.of(this::failure));
   }
 
-  private <T> T withLimit(Class<T> type, T target) {
-    return type.cast(
-        Proxy.newProxyInstance(
-            type.getClassLoader(),
-            new Class<?>[] {type},
-            (proxy, method, arguments) -> {
-              if (full && method.getName().equals("write")) {
-                writeHalf((FileAccess.AppendFile) target, (ByteBuffer) arguments[0]);
-              }
-              try {
-                Object result = method.invoke(target, arguments);
-                return result instanceof FileAccess.AppendFile file
-                    ? withLimit(FileAccess.AppendFile.class, file)
-                    : result;
-              } catch (InvocationTargetException e) {
-                throw e.getCause();
-              }
-            }));
-  }
-
-  private static void writeHalf(FileAccess.AppendFile file, ByteBuffer bytes) throws IOException {
-    file.write(bytes.slice(0, bytes.remaining() / 2));
-    throw new IOException("No space left on device");
+  private Optional<String> failure(String operation) {
+    return full && operation.equals("write")
+        ? Optional.of("No space left on device")
+        : Optional.empty();
   }
 }
