Review: silent connections stop the control group for good

Cause: NodeLinks takes a message on the peer's connection as proof that its own connection to the peer works, so a silent one is never reconnected. Change: case 4 with its proxy; no change of the software.

--- a/review/standin/review/Cluster.java
+++ b/review/standin/review/Cluster.java
@@ -25,12 +25,18 @@
   static final int CONTROL_PORT = 8146;
   static final int FRONT_PORT = 8144;
   static final int READY_PORT = 8140;
+  private static final int INTERNAL_PORT = 7660;
+  private static final int FIRST_PROXIED_PORT = 20_000;
 
   /** A response of the control address. */
   record Reply(int status, String body) {}
 
   final String prefix;
   final List<String> controls = new ArrayList<>();
+
+  /** Whether each process has an internal port of its own, so that proxies can stand between. */
+  boolean usesProxies;
+
   private final Path repository = Path.of("").toAbsolutePath();
   private final Path folder;
   private final Path record;
@@ -79,6 +85,14 @@
     return start("entry", "edge-" + i, entry(i), true);
   }
 
+  /**
+   * Returns the first internal port of a process: the same for all, or one of its own if a proxy
+   * stands between the processes.
+   */
+  int internalPort(String ip) {
+    return usesProxies ? FIRST_PROXIED_PORT + 20 * Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1)) : INTERNAL_PORT;
+  }
+
   String entry(int i) {
     return prefix + (50 + i);
   }
@@ -91,7 +105,7 @@
         "nodeName = \"" + name + "\"\nrole = \"" + role + "\"\nmachineClass = \""
             + (isControl ? "core" : "edge") + "\"\nserves = [\"" + (isControl ? "control" : "edge")
             + "\"]\nip = \"" + ip + "\"\nzone = \"plateau\"\nregion = \"dakar\"\n"
-            + "internalPortRange = [7660,7675]\nseeds = [" + String.join(",", seeds.subList(0, Math.min(3, seeds.size())))
+            + "internalPortRange = [" + internalPort(ip) + "," + (internalPort(ip) + 15) + "]\nseeds = [" + String.join(",", seeds.subList(0, Math.min(3, seeds.size())))
             + "]\nbootstrap = " + bootstrap + "\ncountsAsLoss = " + isControl + "\n"
             + "discovery = \"registration\"\nentry = \"vip\"\nheartbeatIntervalMs = 870\n"
             + (isControl ? "dataDir = \"" + data + "\"\n" : "")
