Probe each connection between instances on that connection

Cause: NodeLinks took a message of the peer, which arrives on the peer's connection, as proof for its own connection to the peer. A process whose outgoing connection was silent kept it, and its peer opened its own working connection again about once a second. Evidence: NodeLinksTest on: the silent connection is opened again when the peer sends nothing, and not within 20 s when it sends. Change: the opening side probes a connection while frames are sent on it, and the accepting side answers on the same connection. A data connection ends only when the control connection shows that the peer runs. In link/, so that it holds for the daemon too, which had no check at all. Peers of earlier versions are not probed.

--- a/src/main/java/io/coltsfootwheel/link/Frame.java
+++ b/src/main/java/io/coltsfootwheel/link/Frame.java
@@ -9,6 +9,9 @@
  * @param payload MessagePack bytes, at most {@link #MAX_PAYLOAD_BYTES}
  */
 public record Frame(FrameKind kind, byte[] payload) {
+  static final Frame PROBE = new Frame(FrameKind.PROBE, new byte[0]);
+  static final Frame PROBE_ANSWER = new Frame(FrameKind.PROBE_ANSWER, new byte[0]);
+
   /** Maximum size of a frame on the wire, without the length field. */
   public static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
--- a/src/main/java/io/coltsfootwheel/link/FrameKind.java
+++ b/src/main/java/io/coltsfootwheel/link/FrameKind.java
@@ -41,7 +41,11 @@
   /** Cancellation of a request whose caller disconnected; {@link RequestIdFrame}. */
   CANCEL(LinkChannel.DATA),
   /** Message of a deployment whose targets report the keys that they hold. */
-  NODE(LinkChannel.CONTROL);
+  NODE(LinkChannel.CONTROL),
+  /** Asks the accepting side for a {@link #PROBE_ANSWER}; sent on connections of both channels. */
+  PROBE(LinkChannel.CONTROL),
+  /** Shows the opening side that its connection works; sent on connections of both channels. */
+  PROBE_ANSWER(LinkChannel.CONTROL);
 
   private static final FrameKind[] KINDS = values();
 
@@ -54,7 +58,8 @@
   /**
    * Returns the channel that carries frames of this kind.
    *
-   * @return the channel; {@link #HELLO} is also sent on connections of the data channel
+   * @return the channel; {@link #HELLO}, {@link #PROBE} and {@link #PROBE_ANSWER} are also sent on
+   *     connections of the data channel
    */
   public LinkChannel channel() {
     return channel;
--- a/src/main/java/io/coltsfootwheel/link/Handshake.java
+++ b/src/main/java/io/coltsfootwheel/link/Handshake.java
@@ -83,7 +83,8 @@
         settings.session(),
         channel,
         nonce,
-        proof);
+        proof,
+        true);
   }
 
   /** Includes the role in the proof, so that a proof cannot be reflected to its sender. */
--- a/src/main/java/io/coltsfootwheel/link/Hello.java
+++ b/src/main/java/io/coltsfootwheel/link/Hello.java
@@ -13,6 +13,8 @@
  * @param channel channel that the connection carries
  * @param nonce random bytes of the sender, new for each connection
  * @param proof HMAC over the first two messages, empty in the first message
+ * @param answersProbes whether the sender answers {@link FrameKind#PROBE}; false for earlier
+ *     versions, which do not send this component
  */
 record Hello(
     String cluster,
@@ -21,7 +23,8 @@
     String session,
     LinkChannel channel,
     byte[] nonce,
-    byte[] proof) {
+    byte[] proof,
+    boolean answersProbes) {
   /** Protocol version; incremented on an incompatible change of frames or data-plane records. */
   static final int VERSION = 1;
 
--- a/src/main/java/io/coltsfootwheel/link/InboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/InboundHandler.java
@@ -52,7 +52,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-    if (state == State.READY) {
+    if (state == State.READY && frame.kind() == FrameKind.PROBE) {
+      answerProbe(context);
+    } else if (state == State.READY) {
       deliver(frame);
     } else if (state != State.CLOSED) {
       handleHello(context, frame);
@@ -81,8 +83,16 @@
     context.close();
   }
 
+  private void answerProbe(ChannelHandlerContext context) {
+    traffic.count(Frame.PROBE, LinkDirection.RECEIVED);
+    traffic.count(Frame.PROBE_ANSWER, LinkDirection.SENT);
+    context.writeAndFlush(FrameEncoder.encode(context.alloc(), Frame.PROBE_ANSWER));
+  }
+
   private void deliver(Frame frame) {
-    if (frame.kind() == FrameKind.HELLO || frame.kind().channel() != opening.channel()) {
+    boolean isForOpeningSide =
+        frame.kind() == FrameKind.HELLO || frame.kind() == FrameKind.PROBE_ANSWER;
+    if (isForOpeningSide || frame.kind().channel() != opening.channel()) {
       throw new BadFrameException(LinkFailure.BAD_FRAME);
     }
     traffic.count(frame, LinkDirection.RECEIVED);
--- a/src/main/java/io/coltsfootwheel/link/LinkFailure.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkFailure.java
@@ -16,6 +16,8 @@
   BAD_FRAME,
   /** The peer did not complete the handshake within its timeout. */
   HANDSHAKE_TIMEOUT,
+  /** The peer did not answer a probe on an established connection. */
+  SILENT,
   /** The connection could not be established. */
   CONNECT_FAILED,
   /** A frame was dropped because the outbound queue of its peer was full. */
--- a/src/main/java/io/coltsfootwheel/link/LinkListener.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkListener.java
@@ -31,6 +31,16 @@
    */
   void disconnected(InstanceId peer, LinkChannel channel);
 
+  /**
+   * Called when an outbound connection is closed because no probe on it was answered; {@link
+   * #disconnected} follows, and a new connection is opened.
+   *
+   * @param peer the peer
+   * @param channel channel of the connection
+   * @param unansweredMillis time since the unanswered probe was sent, in milliseconds
+   */
+  default void silent(InstanceId peer, LinkChannel channel, long unansweredMillis) {}
+
   /**
    * Called for each data frame that was queued but never written because its connection ended or
    * could not be established; {@link #disconnected} follows.
--- a/src/main/java/io/coltsfootwheel/link/LinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkTransport.java
@@ -8,7 +8,10 @@
  * Connections between instances.
  *
  * <p>Each instance sends on connections that it opened itself and receives on those that its peers
- * opened. Frames to one peer on one channel arrive in order and at most once.
+ * opened. Frames to one peer on one channel arrive in order and at most once. A connection on which
+ * frames are sent is probed, and opened again when its own probes stay unanswered: a connection
+ * that was cut without a TCP reset reports no error, and frames that the peer sends on its own
+ * connection do not show that this one works.
  *
  * <p>Usage: {@code LinkTransport link = LinkTransport.of(settings); link.start(listener);
  * link.replacePeers(addresses); link.send(peer, frame);}
@@ -53,14 +56,6 @@
    */
   void replacePeers(Map<InstanceId, Address> addresses);
 
-  /**
-   * Closes the control connection to a peer and opens a new one. To be called when a peer does not
-   * respond to frames: a connection that was cut without a TCP reset would otherwise hang.
-   *
-   * @param peer the peer
-   */
-  void reconnect(InstanceId peer);
-
   /**
    * Returns how many connections and frames were rejected.
    *
--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -27,21 +27,42 @@
   private final Address address;
   private final LinkChannel linkChannel;
   private final LinkContext context;
+
+  /** Control connection to the same peer, for a data connection. */
+  private final Optional<OutboundConnection> control;
+
   private final ArrayDeque<Frame> queue = new ArrayDeque<>();
 
   private State state = State.IDLE;
   private Channel activeChannel;
+  private Optional<ConnectionProber> prober = Optional.empty();
   private int queuedCostBytes;
   private boolean writeScheduled;
   private int failedAttempts;
   private long lastUsedNanos;
 
-  OutboundConnection(
-      InstanceId peer, Address address, LinkChannel linkChannel, LinkContext context) {
+  /** Creates a control connection. */
+  static OutboundConnection control(InstanceId peer, Address address, LinkContext context) {
+    return new OutboundConnection(peer, address, LinkChannel.CONTROL, context, Optional.empty());
+  }
+
+  /** Creates a data connection, which counts as silent only while the control connection works. */
+  static OutboundConnection data(
+      InstanceId peer, Address address, LinkContext context, OutboundConnection control) {
+    return new OutboundConnection(peer, address, LinkChannel.DATA, context, Optional.of(control));
+  }
+
+  private OutboundConnection(
+      InstanceId peer,
+      Address address,
+      LinkChannel linkChannel,
+      LinkContext context,
+      Optional<OutboundConnection> control) {
     this.peer = peer;
     this.address = address;
     this.linkChannel = linkChannel;
     this.context = context;
+    this.control = control;
   }
 
   InstanceId peer() {
@@ -97,7 +118,18 @@
     context.connect(this);
   }
 
-  void onConnected(Channel channel, String session) {
+  LinkTraffic traffic() {
+    return context.traffic();
+  }
+
+  /**
+   * Handles a completed handshake.
+   *
+   * @param channel the new connection
+   * @param session id of the peer's process
+   * @param newProber probes the connection; empty when the peer does not answer probes
+   */
+  void onConnected(Channel channel, String session, Optional<ConnectionProber> newProber) {
     synchronized (this) {
       if (state != State.CONNECTING) {
         channel.close();
@@ -105,6 +137,7 @@
       }
       state = State.CONNECTED;
       activeChannel = channel;
+      prober = newProber;
       failedAttempts = 0;
       lastUsedNanos = System.nanoTime();
       scheduleWrite();
@@ -135,7 +168,7 @@
         return;
       }
       lost = state == State.CONNECTED || !queue.isEmpty();
-      activeChannel = null;
+      endActiveChannel();
       unwritten = takeQueue();
       state = State.BACKOFF;
       failedAttempts++;
@@ -150,15 +183,34 @@
     context.schedule(this::retry, context.backoffMillis(failedAttempts));
   }
 
-  /** Closes the current channel, if any; {@link #onClosed} then schedules a reconnection. */
-  void closeActiveChannel() {
-    Channel channelToClose;
-    synchronized (this) {
-      channelToClose = activeChannel;
-    }
-    if (channelToClose != null) {
-      channelToClose.close();
+  /**
+   * Tells whether an overdue answer shows that the connection is silent. A control connection is
+   * opened again at once, which costs no more than repeated messages. The loss of a data connection
+   * leaves requests with an unknown outcome, so a data connection is kept while the whole peer may
+   * be paused: until the control connection has shown that the peer answers.
+   *
+   * @param probeSentNanos time at which the unanswered probe was sent
+   */
+  boolean showsSilence(long probeSentNanos) {
+    if (control.isEmpty()) {
+      return true;
     }
+    Optional<ConnectionProber> evidence = control.get().prober();
+    evidence.ifPresent(ConnectionProber::probeNow);
+    return evidence.filter(p -> p.hasAnsweredProbeSince(probeSentNanos)).isPresent();
+  }
+
+  /** Probes the control connection together with the data connection. */
+  void probeSent() {
+    control.flatMap(OutboundConnection::prober).ifPresent(ConnectionProber::probeNow);
+  }
+
+  private synchronized Optional<ConnectionProber> prober() {
+    return prober;
+  }
+
+  void reportSilent(long unansweredMillis) {
+    context.listener().silent(peer, linkChannel, unansweredMillis);
   }
 
   /** Closes this connection permanently. */
@@ -170,7 +222,7 @@
       lost = state == State.CONNECTED || !queue.isEmpty();
       state = State.CLOSED;
       channelToClose = activeChannel;
-      activeChannel = null;
+      endActiveChannel();
       unwritten = takeQueue();
     }
     if (channelToClose != null) {
@@ -197,6 +249,7 @@
         return;
       }
       FrameEncoder.write(channel, batch);
+      prober().ifPresent(ConnectionProber::framesWritten);
       channel.flush();
       batch = nextBatch();
     }
@@ -251,7 +304,7 @@
       }
       idle = queue.isEmpty() && System.nanoTime() - lastUsedNanos >= idleTimeoutNanos;
       if (idle) {
-        activeChannel = null;
+        endActiveChannel();
         state = State.IDLE;
       }
     }
@@ -268,6 +321,11 @@
     return linkChannel == LinkChannel.CONTROL && state != State.CONNECTED;
   }
 
+  private void endActiveChannel() {
+    activeChannel = null;
+    prober = Optional.empty();
+  }
+
   private List<Frame> takeQueue() {
     List<Frame> frames = List.copyOf(queue);
     queue.clear();
--- a/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
@@ -13,6 +13,7 @@
   private final OutboundConnection outbound;
   private final Handshake handshake;
 
+  private Optional<ConnectionProber> prober = Optional.empty();
   private boolean handshakeComplete;
   private Optional<LinkFailure> failure = Optional.empty();
 
@@ -36,6 +37,10 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    if (prober.isPresent() && frame.kind() == FrameKind.PROBE_ANSWER) {
+      prober.get().answered();
+      return;
+    }
     if (handshakeComplete || frame.kind() != FrameKind.HELLO) {
       closeWithFailure(context, LinkFailure.BAD_FRAME);
       return;
@@ -62,10 +67,16 @@
       closeWithFailure(context, LinkFailure.WRONG_INSTANCE);
     } else {
       handshakeComplete = true;
-      outbound.onConnected(context.channel(), hello.session());
+      prober = hello.answersProbes() ? Optional.of(newProber(context)) : Optional.empty();
+      outbound.onConnected(context.channel(), hello.session(), prober);
     }
   }
 
+  private ConnectionProber newProber(ChannelHandlerContext context) {
+    return new ConnectionProber(
+        context.channel(), outbound.traffic(), new ProbedConnection(context));
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (context.channel().isWritable()) {
@@ -76,6 +87,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    prober.ifPresent(ConnectionProber::stop);
     outbound.onClosed(
         handshakeComplete ? Optional.of(context.channel()) : Optional.empty(), failure);
     context.fireChannelInactive();
@@ -100,4 +112,29 @@
     failure = Optional.of(cause);
     context.close();
   }
+
+  /** Connection of this handler, as its prober sees it. */
+  private final class ProbedConnection implements ConnectionProber.Owner {
+    private final ChannelHandlerContext context;
+
+    private ProbedConnection(ChannelHandlerContext context) {
+      this.context = context;
+    }
+
+    @Override
+    public void probeSent() {
+      outbound.probeSent();
+    }
+
+    @Override
+    public boolean showsSilence(long probeSentNanos) {
+      return outbound.showsSilence(probeSentNanos);
+    }
+
+    @Override
+    public void closeSilent(long unansweredMillis) {
+      outbound.reportSilent(unansweredMillis);
+      closeWithFailure(context, LinkFailure.SILENT);
+    }
+  }
 }
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -140,14 +140,6 @@
             : new Peer(id, address, this));
   }
 
-  @Override
-  public void reconnect(InstanceId peer) {
-    Peer existing = peers.get(peer);
-    if (existing != null) {
-      existing.control.closeActiveChannel();
-    }
-  }
-
   @Override
   public long failureCount(LinkFailure failure) {
     return failureLog.total(failure);
@@ -262,8 +254,8 @@
     private final OutboundConnection data;
 
     private Peer(InstanceId id, Address address, LinkContext context) {
-      control = new OutboundConnection(id, address, LinkChannel.CONTROL, context);
-      data = new OutboundConnection(id, address, LinkChannel.DATA, context);
+      control = OutboundConnection.control(id, address, context);
+      data = OutboundConnection.data(id, address, context, control);
     }
 
     private void shutdown() {
--- a/src/main/java/io/coltsfootwheel/node/NodeLinks.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeLinks.java
@@ -15,36 +15,19 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
  * Links to other processes. Control members are named by their IP addresses and all listen on the
  * same port.
- *
- * <p>A link on which messages are sent but none are received is reconnected, because a connection
- * that was cut without a TCP reset reports no error.
  */
 final class NodeLinks implements LinkListener {
-  private static final long RESPONSE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
-
   private final int memberPort;
   private final LinkTransport transport;
   private final BiConsumer<InstanceId, NodeMessage> receiver;
   private final Consumer<InstanceId> onLost;
   private final EventLog log;
-  private final Map<InstanceId, ResponseTracker> trackerByPeer = new ConcurrentHashMap<>();
-
-  /**
-   * Response tracking of one peer. Several threads write it without a lock; a lost update only
-   * shifts the time of a reconnect.
-   */
-  private static final class ResponseTracker {
-    private volatile long firstUnansweredNanos;
-    private volatile boolean awaitsResponse;
-  }
 
   /**
    * Creates the links without starting them.
@@ -88,23 +71,11 @@
     Map<InstanceId, Address> addresses = new HashMap<>(others);
     members.forEach(m -> addresses.put(m, new Address(m.value(), memberPort)));
     transport.replacePeers(addresses);
-    trackerByPeer.keySet().retainAll(addresses.keySet());
   }
 
   void send(InstanceId to, NodeMessage message) {
     if (!transport.send(to, message.toFrame())) {
       onLost.accept(to);
-      return;
-    }
-    ResponseTracker tracker = trackerByPeer.computeIfAbsent(to, p -> new ResponseTracker());
-    long nowNanos = System.nanoTime();
-    if (!tracker.awaitsResponse) {
-      tracker.awaitsResponse = true;
-      tracker.firstUnansweredNanos = nowNanos;
-    } else if (nowNanos - tracker.firstUnansweredNanos > RESPONSE_TIMEOUT_NANOS) {
-      tracker.awaitsResponse = false;
-      log.write(LogEvent.of("link.silent").with("peer", to));
-      transport.reconnect(to);
     }
   }
 
@@ -114,10 +85,6 @@
 
   @Override
   public void received(InstanceId from, String session, Frame frame) {
-    ResponseTracker tracker = trackerByPeer.get(from);
-    if (tracker != null) {
-      tracker.awaitsResponse = false;
-    }
     if (frame.kind() != FrameKind.NODE) {
       log.write(LogEvent.of("link.frame.unexpected").with("peer", from).with("kind", frame.kind()));
       return;
@@ -135,6 +102,12 @@
     log.write(LogEvent.of("link.up").with("peer", peer));
   }
 
+  @Override
+  public void silent(InstanceId peer, LinkChannel channel, long unansweredMillis) {
+    log.write(
+        LogEvent.of("link.silent").with("peer", peer).with("unanswered_ms", unansweredMillis));
+  }
+
   @Override
   public void disconnected(InstanceId peer, LinkChannel channel) {
     log.write(LogEvent.of("link.down").with("peer", peer));
--- a/src/test/java/io/coltsfootwheel/link/LinkTransportTest.java
+++ b/src/test/java/io/coltsfootwheel/link/LinkTransportTest.java
@@ -120,7 +120,8 @@
     LinkTransport b = transport(B, "c1", "key", listener);
     Address address = start(b, listener);
     byte[] nonce = new byte[Handshake.NONCE_BYTES];
-    Hello hello = new Hello("c1", version, "a", "s", LinkChannel.CONTROL, nonce, new byte[32]);
+    Hello hello =
+        new Hello("c1", version, "a", "s", LinkChannel.CONTROL, nonce, new byte[32], true);
     try (Socket socket = new Socket(address.host(), address.port())) {
       DataOutputStream out = new DataOutputStream(socket.getOutputStream());
       write(out, hello);
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
@@ -0,0 +1,124 @@
+package io.coltsfootwheel.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.InstanceId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Transports of two instances whose connections to each other go silent without a reset. */
+@Timeout(30)
+class SilentConnectionTest {
+  private static final InstanceId A = InstanceId.of("a");
+  private static final InstanceId B = InstanceId.of("b");
+  private static final long SEND_INTERVAL_MILLIS = 20;
+
+  private final Side a = new Side(A);
+  private final Side b = new Side(B);
+  private final List<AutoCloseable> proxies = new ArrayList<>();
+  private SilentProxy proxyToB;
+
+  @BeforeEach
+  void connect() throws Exception {
+    proxyToB = proxyTo(b);
+    a.transport.replacePeers(Map.of(B, proxyToB.address()));
+    b.transport.replacePeers(Map.of(A, proxyTo(a).address()));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    a.transport.close();
+    b.transport.close();
+    for (AutoCloseable proxy : proxies) {
+      proxy.close();
+    }
+  }
+
+  /**
+   * Guards against a silent connection that is never opened again, above all while frames of the
+   * peer arrive on the peer's own connection.
+   */
+  @ParameterizedTest
+  @CsvSource({"RENEW,false", "RENEW,true", "FORWARD,false", "FORWARD,true"})
+  void silentConnectionIsOpenedAgain(FrameKind kind, boolean peerSends) throws Exception {
+    sendUntilReceived(kind, peerSends, (byte) 1);
+    proxyToB.silence();
+    sendUntilReceived(kind, peerSends, (byte) 2);
+    assertThat(a.silentChannels).contains(kind.channel());
+    assertThat(b.silentChannels).isEmpty();
+  }
+
+  /** Guards against requests with an unknown outcome after a pause of the peer. */
+  @Test
+  void dataConnectionOutlivesAPauseOfThePeer() throws Exception {
+    sendUntilReceived(FrameKind.FORWARD, false, (byte) 1);
+    proxyToB.pause();
+    a.transport.send(B, new Frame(FrameKind.FORWARD, new byte[] {2}));
+    while (!a.silentChannels.contains(LinkChannel.CONTROL)) {
+      a.transport.send(B, new Frame(FrameKind.RENEW, new byte[1]));
+      Thread.sleep(SEND_INTERVAL_MILLIS);
+    }
+    proxyToB.resume();
+    while (b.received.take().payload()[0] != 2) {
+      // Frames of before the pause, and those of the control channel.
+    }
+    assertThat(a.silentChannels).doesNotContain(LinkChannel.DATA);
+    assertThat(a.endedChannels).doesNotContain(LinkChannel.DATA);
+  }
+
+  private void sendUntilReceived(FrameKind kind, boolean peerSends, byte mark) throws Exception {
+    while (b.received.stream().noneMatch(f -> f.payload()[0] == mark)) {
+      a.transport.send(B, new Frame(kind, new byte[] {mark}));
+      if (peerSends) {
+        b.transport.send(A, new Frame(kind, new byte[] {mark}));
+      }
+      Thread.sleep(SEND_INTERVAL_MILLIS);
+    }
+  }
+
+  private SilentProxy proxyTo(Side side) throws Exception {
+    SilentProxy proxy = new SilentProxy(() -> side.address);
+    proxies.add(proxy);
+    return proxy;
+  }
+
+  /** Transport of one instance, which records what its listener is told. */
+  private static final class Side implements LinkListener {
+    private final BlockingQueue<Frame> received = new LinkedBlockingQueue<>();
+    private final BlockingQueue<LinkChannel> silentChannels = new LinkedBlockingQueue<>();
+    private final BlockingQueue<LinkChannel> endedChannels = new LinkedBlockingQueue<>();
+    private final LinkTransport transport;
+    private final Address address;
+
+    private Side(InstanceId id) {
+      transport =
+          LinkTransport.of(LinkSettings.of("c", id, "s-" + id, "127.0.0.1", 0, "key".getBytes()));
+      address = transport.start(this);
+    }
+
+    @Override
+    public void received(InstanceId from, String session, Frame frame) {
+      received.add(frame);
+    }
+
+    @Override
+    public void silent(InstanceId peer, LinkChannel channel, long unansweredMillis) {
+      silentChannels.add(channel);
+    }
+
+    @Override
+    public void disconnected(InstanceId peer, LinkChannel channel) {
+      endedChannels.add(channel);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/link/SilentProxy.java
@@ -0,0 +1,131 @@
+package io.coltsfootwheel.link;
+
+import io.coltsfootwheel.model.Address;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+
+/**
+ * Proxy between two processes, whose open connections can go silent for good without a reset while
+ * later ones work, and which can be paused as a whole.
+ */
+public final class SilentProxy implements AutoCloseable {
+  private final ServerSocket server;
+  private final Supplier<Address> target;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final List<Connection> open = new ArrayList<>();
+  private boolean isPaused;
+
+  /** Connection of the proxy; bytes are dropped once it is silent. */
+  private static final class Connection {
+    private final List<Socket> sockets = new ArrayList<>();
+    private volatile boolean isSilent;
+  }
+
+  /**
+   * Starts the proxy.
+   *
+   * @param target address to which connections are passed on, read for each connection
+   * @throws IOException when no port can be bound
+   */
+  public SilentProxy(Supplier<Address> target) throws IOException {
+    this.target = target;
+    this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    threads.execute(this::accept);
+  }
+
+  /**
+   * Returns the address of the proxy.
+   *
+   * @return a loopback address
+   */
+  public Address address() {
+    return new Address("127.0.0.1", server.getLocalPort());
+  }
+
+  /** Makes the connections silent that are open now. */
+  public synchronized void silence() {
+    open.forEach(c -> c.isSilent = true);
+  }
+
+  /** Holds all bytes back, in new connections too, until {@link #resume()}. */
+  public synchronized void pause() {
+    isPaused = true;
+  }
+
+  /** Passes bytes on again. */
+  public synchronized void resume() {
+    isPaused = false;
+    notifyAll();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket client = server.accept();
+        Socket peer = new Socket(target.get().host(), target.get().port());
+        Connection connection = new Connection();
+        connection.sockets.addAll(List.of(client, peer));
+        synchronized (this) {
+          open.add(connection);
+        }
+        threads.execute(() -> copy(connection, client, peer));
+        threads.execute(() -> copy(connection, peer, client));
+      } catch (IOException e) {
+        // The proxy was closed, or the target does not listen.
+      }
+    }
+  }
+
+  private void copy(Connection connection, Socket from, Socket to) {
+    byte[] buffer = new byte[65_536];
+    try {
+      InputStream in = from.getInputStream();
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        awaitResumed();
+        if (!connection.isSilent) {
+          to.getOutputStream().write(buffer, 0, count);
+        }
+      }
+    } catch (IOException e) {
+      // The connection has ended.
+    }
+    if (!connection.isSilent) {
+      close(connection);
+    }
+  }
+
+  private synchronized void awaitResumed() throws IOException {
+    while (isPaused) {
+      try {
+        wait();
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+    }
+  }
+
+  private static void close(Connection connection) {
+    for (Socket socket : connection.sockets) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // Closed already.
+      }
+    }
+  }
+
+  @Override
+  public synchronized void close() throws IOException {
+    server.close();
+    open.forEach(SilentProxy::close);
+    threads.shutdownNow();
+  }
+}
