Replace a lost member of the control group within its catch-up time

Cause: a voter was removed only after 12 s without contact. The third loss met a group with two dead voters. The time-out was long because a removed voter never came back: a member asked to join only while it knew no group. Change: the time-out is a quarter of catchUpS; a member without a leader for 1 s asks to join; the voter that is silent for longest is replaced first, and only by a learner that has caught up.

--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -243,7 +243,9 @@
       MemberId self = new MemberId(controlSettings.self(), opened.diskId());
       ReplicationReducer replication =
           new ReplicationReducer(
-              replicationSettings(self, controlSettings), opened.recovered(), nowNanos);
+              replicationSettings(self, controlSettings, System.nanoTime() ^ self.hashCode()),
+              opened.recovered(),
+              nowNanos);
       reducer = Optional.of(new ControlReducer(controlSettings, self, replication, nowNanos));
       JournalDriver driver =
           new JournalDriver(opened, persistTime, e -> loop.post(new ControlEvent.JournalResult(e)));
@@ -255,13 +257,13 @@
     }
   }
 
-  private static ReplicationSettings replicationSettings(
-      MemberId self, ControlSettings controlSettings) {
+  static ReplicationSettings replicationSettings(
+      MemberId self, ControlSettings controlSettings, long seed) {
     return new ReplicationSettings(
         self,
         controlSettings.initialMembers(),
         true,
-        System.nanoTime() ^ self.hashCode(),
+        seed,
         LOG_HEARTBEAT_MILLIS * 1_000_000,
         ELECTION_TIMEOUT_MIN_MILLIS * 1_000_000,
         ELECTION_TIMEOUT_MAX_MILLIS * 1_000_000,
--- a/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
@@ -14,6 +14,8 @@
  * @param seeds control processes to contact first, named by their IP addresses
  * @param firstStart true when the cluster is bootstrapped, with empty disks on all processes
  * @param toleratedLosses number of members that may fail at the same time
+ * @param catchUpMillis time after its start at which the successor of a lost member must have taken
+ *     its place, in milliseconds
  * @param ownership durations of leases on key ranges
  * @param dataFolder folder of the replicated log
  */
@@ -23,6 +25,7 @@
     List<InstanceId> seeds,
     boolean firstStart,
     int toleratedLosses,
+    long catchUpMillis,
     OwnershipSettings ownership,
     Path dataFolder) {
   ControlSettings controlSettings(List<InstanceId> currentSeeds) {
@@ -31,6 +34,7 @@
         currentSeeds,
         firstStart,
         2 * toleratedLosses + 1,
+        catchUpMillis / 4,
         ownership);
   }
 }
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -33,6 +33,9 @@
   private static final int COMMANDS_BETWEEN_SNAPSHOTS = 2_000;
   private static final long JOIN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+  /** Longer than most elections. */
+  private static final long REJOIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final ControlSettings settings;
   private final MemberId self;
   private final ReplicationReducer replication;
@@ -55,6 +58,7 @@
   private long nextRequestId = 1;
   private long nowNanos;
   private long nextJoinNanos;
+  private long leaderKnownNanos;
   private int commandsSinceSnapshot;
 
   ControlReducer(
@@ -64,6 +68,7 @@
     this.replication = replication;
     this.nowNanos = nowNanos;
     this.nextJoinNanos = nowNanos;
+    this.leaderKnownNanos = nowNanos;
     this.seeds = settings.seeds();
   }
 
@@ -139,12 +144,23 @@
     session.ifPresent(s -> s.setEntries(subscriptions.entries()));
     List<MemberProgress> progress = replication.progress();
     session.ifPresent(s -> s.tick(nowNanos, progress));
-    if (replication.configuration().isEmpty() && nowNanos - nextJoinNanos >= 0) {
+    if (leader.isPresent()) {
+      leaderKnownNanos = nowNanos;
+    }
+    if (mustJoin() && nowNanos - nextJoinNanos >= 0) {
       nextJoinNanos = nowNanos + JOIN_INTERVAL_NANOS;
       peerInstances().forEach(c -> actions.send(c, new NodeMessage.Join(self.diskId())));
     }
   }
 
+  /**
+   * Tells whether this process asks to join: it belongs to no group, or hears of no leader. A
+   * member that was removed while it could not be reached does not learn of its removal.
+   */
+  private boolean mustJoin() {
+    return replication.configuration().isEmpty() || nowNanos - leaderKnownNanos > REJOIN_NANOS;
+  }
+
   private void receive(InstanceId from, NodeMessage message) {
     if (message instanceof NodeMessage.Replication replicated) {
       MemberId sender = new MemberId(from, replicated.fromDisk());
@@ -273,7 +289,10 @@
               term,
               actions,
               settings.ownership(),
-              settings.wantedVoters(),
+              new GroupMembership(
+                  settings.wantedVoters(),
+                  TimeUnit.MILLISECONDS.toNanos(settings.voterTimeoutMillis()),
+                  nowNanos),
               state,
               nowNanos);
       started.setEventTime(nowNanos);
--- a/src/main/java/io/coltsfootwheel/node/ControlSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlSettings.java
@@ -11,6 +11,8 @@
  * @param seeds control processes to contact first
  * @param firstStart true when the cluster is bootstrapped
  * @param wantedVoters number of voters that the control group grows to
+ * @param voterTimeoutMillis time without contact after which a voter is replaced by a learner, in
+ *     milliseconds
  * @param ownership durations of leases on key ranges
  */
 record ControlSettings(
@@ -18,6 +20,7 @@
     List<InstanceId> seeds,
     boolean firstStart,
     int wantedVoters,
+    long voterTimeoutMillis,
     OwnershipSettings ownership) {
   ControlSettings {
     seeds = seeds.stream().sorted().toList();
--- a/src/main/java/io/coltsfootwheel/node/GroupMembership.java
+++ b/src/main/java/io/coltsfootwheel/node/GroupMembership.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.consensus.MemberId;
 import io.coltsfootwheel.consensus.MemberProgress;
 import io.coltsfootwheel.consensus.MembershipChange;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,16 +13,20 @@
 /**
  * Decides on changes of the control group: processes that ask to join become learners, learners are
  * promoted until the group has the wanted number of voters, and a voter that is unresponsive for
- * too long is removed when a learner can take its place.
+ * too long is removed when a learner can take its place. A removed voter that comes back joins as a
+ * learner again.
  */
 final class GroupMembership {
   private static final long STEP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long JOIN_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Longer than a restart takes, so that a voter that restarts is not removed. */
-  private static final long UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(12);
+  /**
+   * A learner that lacks more entries would leave the place of a removed voter empty for a time.
+   */
+  private static final long MAX_LEARNER_LAG_ENTRIES = 64;
 
   private final int wantedVoters;
+  private final long voterTimeoutNanos;
   private final Map<MemberId, Long> joinRequestNanos = new HashMap<>();
   private final Map<MemberId, Long> lastContactNanos = new HashMap<>();
   private long nextStepNanos;
@@ -29,8 +34,9 @@
   /** Membership change of one member. */
   record Step(MembershipChange change, MemberId member) {}
 
-  GroupMembership(int wantedVoters, long nowNanos) {
+  GroupMembership(int wantedVoters, long voterTimeoutNanos, long nowNanos) {
     this.wantedVoters = wantedVoters;
+    this.voterTimeoutNanos = voterTimeoutNanos;
     this.nextStepNanos = nowNanos;
   }
 
@@ -44,6 +50,7 @@
     }
     nextStepNanos = nowNanos + STEP_INTERVAL_NANOS;
     joinRequestNanos.values().removeIf(heard -> nowNanos - heard > JOIN_VALID_NANOS);
+    lastContactNanos.keySet().retainAll(group.stream().map(MemberProgress::member).toList());
     group.stream()
         .filter(m -> m.heard() || !lastContactNanos.containsKey(m.member()))
         .forEach(m -> lastContactNanos.put(m.member(), nowNanos));
@@ -64,14 +71,18 @@
   }
 
   private Optional<Step> replacement(long nowNanos, List<MemberProgress> group) {
-    if (readyLearner(group).isEmpty()) {
+    if (readyLearner(group).filter(m -> hasCaughtUp(m, group)).isEmpty()) {
       return Optional.empty();
     }
     return group.stream()
         .filter(m -> m.voter() && !m.heard())
-        .filter(m -> nowNanos - lastContactNanos.get(m.member()) > UNRESPONSIVE_NANOS)
-        .map(m -> new Step(MembershipChange.REMOVE, m.member()))
-        .findFirst();
+        .filter(m -> unresponsiveNanos(nowNanos, m) > voterTimeoutNanos)
+        .max(Comparator.comparingLong(m -> unresponsiveNanos(nowNanos, m)))
+        .map(m -> new Step(MembershipChange.REMOVE, m.member()));
+  }
+
+  private long unresponsiveNanos(long nowNanos, MemberProgress member) {
+    return nowNanos - lastContactNanos.get(member.member());
   }
 
   private static Optional<MemberProgress> readyLearner(List<MemberProgress> group) {
@@ -81,6 +92,20 @@
         .findFirst();
   }
 
+  private static boolean hasCaughtUp(MemberProgress learner, List<MemberProgress> group) {
+    return committedIndex(group) - learner.matchIndex() <= MAX_LEARNER_LAG_ENTRIES;
+  }
+
+  private static long committedIndex(List<MemberProgress> group) {
+    long[] ascending =
+        group.stream()
+            .filter(MemberProgress::voter)
+            .mapToLong(MemberProgress::matchIndex)
+            .sorted()
+            .toArray();
+    return ascending[(ascending.length - 1) / 2];
+  }
+
   private static long voterCount(List<MemberProgress> group) {
     return group.stream().filter(MemberProgress::voter).count();
   }
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -64,7 +64,7 @@
       long term,
       LeaderActions actions,
       OwnershipSettings settings,
-      int wantedVoters,
+      GroupMembership membership,
       FleetState state,
       long nowNanos) {
     this.self = self;
@@ -73,7 +73,7 @@
     this.state = state;
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
     this.entryUpdates = new EntryUpdates(term, actions, ownership.view(nowNanos));
-    this.membership = new GroupMembership(wantedVoters, nowNanos);
+    this.membership = membership;
   }
 
   void report(long nowNanos, long requestId, HeartbeatReport report) {
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -117,6 +117,7 @@
         seeds(),
         root.path("bootstrap").asBoolean(false),
         root.path("faultTolerance").path("machines").asInt(1),
+        (long) (1_000 * bound("catchUpS", 4)),
         OwnershipSettings.of(
             root.path("heartbeatIntervalMs").asLong(1_000), (long) bound("maxHoldMs", 10_000)),
         Path.of(text("dataDir")));
--- a/src/test/java/io/coltsfootwheel/node/ControlGroup.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlGroup.java
@@ -25,6 +25,9 @@
  * isolated and on simulated disks whose writes always succeed.
  */
 final class ControlGroup {
+  /** Time that the successor of a lost member has to take its place. */
+  static final long CATCH_UP_MILLIS = 4_000;
+
   private static final long STEP_NANOS = 10_000_000;
 
   private final Map<InstanceId, ControlReducer> members = new HashMap<>();
@@ -48,11 +51,21 @@
 
   /** Adds a process with an empty disk. */
   void add(InstanceId id, boolean firstStart) {
+    add(id, firstStart, seeds);
+  }
+
+  /** Adds a process with an empty disk that joins through some of the running ones. */
+  void addSuccessor(InstanceId id, List<InstanceId> someRunning) {
+    add(id, false, someRunning);
+  }
+
+  private void add(InstanceId id, boolean firstStart, List<InstanceId> seeds) {
     MemberId self = new MemberId(id, "disk-" + id + "-" + members.size());
     ControlSettings settings =
-        new ControlSettings(id, seeds, firstStart, 5, OwnershipSettings.of(870, 10_000));
+        new ControlSettings(
+            id, seeds, firstStart, 5, CATCH_UP_MILLIS / 4, OwnershipSettings.of(870, 10_000));
     ReplicationSettings replication =
-        ReplicationSettings.of(self, settings.initialMembers(), true, id.hashCode());
+        ControlNode.replicationSettings(self, settings, id.hashCode());
     members.put(
         id,
         new ControlReducer(
@@ -80,6 +93,10 @@
     isolated.clear();
   }
 
+  void reconnect(InstanceId id) {
+    isolated.remove(id);
+  }
+
   Optional<InstanceId> leader() {
     return members.entrySet().stream()
         .filter(m -> m.getValue().role() == Role.LEADER_READY)
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -242,7 +242,7 @@
         term,
         new RecordingActions(sent),
         OwnershipSettings.of(870, 10_000),
-        5,
+        new GroupMembership(5, 2_000_000_000L, group.nowNanos()),
         FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target)),
         group.nowNanos());
   }
--- a/src/test/java/io/coltsfootwheel/node/FullDisksTest.java
+++ b/src/test/java/io/coltsfootwheel/node/FullDisksTest.java
@@ -59,6 +59,7 @@
                 seeds,
                 firstStart,
                 2,
+                4_000,
                 OwnershipSettings.of(1_000, 10_000),
                 folder.resolve("disk-" + index)),
             disk::open,
--- a/src/test/java/io/coltsfootwheel/node/GroupMembershipTest.java
+++ b/src/test/java/io/coltsfootwheel/node/GroupMembershipTest.java
@@ -8,9 +8,12 @@
 import io.coltsfootwheel.model.InstanceId;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class GroupMembershipTest {
   private static final long SECOND_NANOS = 1_000_000_000L;
+  private static final long VOTER_TIMEOUT_NANOS = 12 * SECOND_NANOS;
 
   private static MemberId member(String name) {
     return new MemberId(InstanceId.of(name), "disk");
@@ -23,7 +26,7 @@
   /** Guards against a process that asks to join and never becomes a voter. */
   @Test
   void joiningProcessBecomesALearnerThenAVoter() {
-    GroupMembership membership = new GroupMembership(3, 0);
+    GroupMembership membership = new GroupMembership(3, VOTER_TIMEOUT_NANOS, 0);
     membership.recordJoinRequest(1, member("c"));
     List<MemberProgress> two = List.of(progress("a", true, true), progress("b", true, true));
     assertThat(membership.nextStep(SECOND_NANOS / 2, two))
@@ -37,7 +40,7 @@
   /** Guards against more voters than wanted, which would raise the quorum. */
   @Test
   void learnerStaysALearnerInAFullGroup() {
-    GroupMembership membership = new GroupMembership(1, 0);
+    GroupMembership membership = new GroupMembership(1, VOTER_TIMEOUT_NANOS, 0);
     List<MemberProgress> group = List.of(progress("a", true, true), progress("b", false, true));
     assertThat(membership.nextStep(SECOND_NANOS, group)).isEmpty();
   }
@@ -45,7 +48,7 @@
   /** Guards against a lost voter that stays in the group and keeps raising the quorum. */
   @Test
   void unresponsiveVoterIsRemovedOnlyAfterTheTimeout() {
-    GroupMembership membership = new GroupMembership(2, 0);
+    GroupMembership membership = new GroupMembership(2, VOTER_TIMEOUT_NANOS, 0);
     List<MemberProgress> healthy =
         List.of(progress("a", true, true), progress("b", true, true), progress("c", false, true));
     List<MemberProgress> unresponsive =
@@ -55,4 +58,37 @@
     assertThat(membership.nextStep(20 * SECOND_NANOS, unresponsive))
         .contains(new GroupMembership.Step(MembershipChange.REMOVE, member("b")));
   }
+
+  /** Guards against a learner that takes the place of a paused voter and not of a lost one. */
+  @Test
+  void voterThatIsUnresponsiveForLongestIsRemovedFirst() {
+    GroupMembership membership = new GroupMembership(3, VOTER_TIMEOUT_NANOS, 0);
+    membership.nextStep(SECOND_NANOS, threeVoters(true, true));
+    membership.nextStep(2 * SECOND_NANOS, threeVoters(true, false));
+    assertThat(membership.nextStep(20 * SECOND_NANOS, threeVoters(false, false)))
+        .contains(new GroupMembership.Step(MembershipChange.REMOVE, member("c")));
+  }
+
+  /** Guards against a place that stays empty while the learner still receives a snapshot. */
+  @ParameterizedTest
+  @CsvSource({"0,false", "900,false", "990,true", "1000,true"})
+  void voterIsRemovedOnlyForALearnerThatHasCaughtUp(long learnerMatchIndex, boolean isRemoved) {
+    GroupMembership membership = new GroupMembership(3, VOTER_TIMEOUT_NANOS, 0);
+    List<MemberProgress> group =
+        List.of(
+            new MemberProgress(member("a"), true, 1_000, true),
+            new MemberProgress(member("b"), true, 1_000, true),
+            new MemberProgress(member("c"), true, 1, false),
+            new MemberProgress(member("d"), false, learnerMatchIndex, true));
+    membership.nextStep(SECOND_NANOS, group);
+    assertThat(membership.nextStep(20 * SECOND_NANOS, group).isPresent()).isEqualTo(isRemoved);
+  }
+
+  private static List<MemberProgress> threeVoters(boolean hearsB, boolean hearsC) {
+    return List.of(
+        progress("a", true, true),
+        progress("b", true, hearsB),
+        progress("c", true, hearsC),
+        progress("d", false, true));
+  }
 }
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -308,7 +308,7 @@
             1,
             new Actions(),
             OwnershipSettings.of(REPORT_INTERVAL_MILLIS, 10_000),
-            5,
+            new GroupMembership(5, 2_000_000_000L, nanos()),
             state,
             nanos());
     for (int i = 0; i < targetCount; i++) {
--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointBytesTest.java
@@ -59,6 +59,7 @@
                 List.of(InstanceId.of(HOST)),
                 true,
                 0,
+                4_000,
                 OwnershipSettings.of(300, 3_000),
                 folder),
             call -> Mono.never(),
--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
@@ -50,6 +50,7 @@
                 List.of(InstanceId.of(HOST)),
                 true,
                 0,
+                4_000,
                 OwnershipSettings.of(1_000, 10_000),
                 folder),
             call -> Mono.never(),
