End an accepted connection when its peer opens a new one

The accepting side of a silent connection kept it for good, with its descriptor, and in the daemon responses waited on it until they timed out. Cause: only the end of a connection removed it, and a silent one reports none. Change: of each peer and channel one accepted connection is current. The one accepted later wins, whichever handshake ends first, and the end of the earlier one is reported before any frame of the later one. Result: SilentConnectionTest 7 of 7, LinkTransportTest 20 of 20, NodeLinksTest 2 of 2.

--- a/src/main/java/io/coltsfootwheel/link/InboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/InboundHandler.java
@@ -20,9 +20,14 @@
   private final LinkFailureLog failureLog;
   private final LinkTraffic traffic;
   private final FrameDecoder decoder;
+  private final InboundConnections connections;
+  private final long acceptNumber;
   private final Handshake handshake;
 
-  private State state = State.AWAITING_OPENING;
+  /** Written on the event loop of the connection, and by the one of the connection after it. */
+  private volatile State state = State.AWAITING_OPENING;
+
+  private ChannelHandlerContext context;
   private Hello opening;
   private InstanceId peer;
 
@@ -31,17 +36,25 @@
       LinkListener listener,
       LinkFailureLog failureLog,
       LinkTraffic traffic,
-      FrameDecoder decoder) {
+      FrameDecoder decoder,
+      InboundConnections connections) {
     this.settings = settings;
     this.listener = listener;
     this.failureLog = failureLog;
     this.traffic = traffic;
     this.decoder = decoder;
+    this.connections = connections;
+    this.acceptNumber = connections.nextAcceptNumber();
     this.handshake = new Handshake(settings);
   }
 
+  long acceptNumber() {
+    return acceptNumber;
+  }
+
   @Override
-  public void handlerAdded(ChannelHandlerContext context) {
+  public void handlerAdded(ChannelHandlerContext addedContext) {
+    context = addedContext;
     context
         .executor()
         .schedule(
@@ -63,13 +76,31 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    if (state == State.READY) {
-      listener.disconnected(peer, opening.channel());
-    }
+    reportEnd();
     state = State.CLOSED;
     context.fireChannelInactive();
   }
 
+  /**
+   * Ends this connection because its peer has opened a new one. The end is reported before any
+   * frame of the new one is, because frames of this one may be lost.
+   */
+  private void endSuperseded() {
+    reportEnd();
+    context.close();
+  }
+
+  private void reportEnd() {
+    synchronized (this) {
+      if (state != State.READY) {
+        return;
+      }
+      state = State.CLOSED;
+    }
+    connections.remove(peer, opening.channel(), this);
+    listener.disconnected(peer, opening.channel());
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (cause instanceof DecoderException && cause.getCause() instanceof BadFrameException) {
@@ -108,7 +139,7 @@
       if (state == State.AWAITING_OPENING) {
         acceptOpening(context, hello);
       } else {
-        acceptConfirmation(context, hello);
+        acceptConfirmation(hello);
       }
     } catch (ColtsfootwheelException e) {
       throw new BadFrameException(LinkFailure.BAD_FRAME);
@@ -140,10 +171,17 @@
         .addListener(ChannelFutureListener.CLOSE);
   }
 
-  private void acceptConfirmation(ChannelHandlerContext context, Hello hello) {
+  private void acceptConfirmation(Hello hello) {
     if (hello.proof() == null || !handshake.isConfirmationProofValid(opening, hello)) {
       throw new BadFrameException(LinkFailure.WRONG_KEY);
     }
+    Optional<InboundHandler> superseded = connections.add(peer, opening.channel(), this);
+    if (superseded.filter(s -> s == this).isPresent()) {
+      state = State.CLOSED;
+      context.close();
+      return;
+    }
+    superseded.ifPresent(InboundHandler::endSuperseded);
     state = State.READY;
     decoder.raiseFrameLimit();
   }
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -46,6 +46,7 @@
   private final LinkSettings settings;
   private final LinkFailureLog failureLog = new LinkFailureLog();
   private final LinkTraffic traffic = new LinkTraffic();
+  private final InboundConnections inboundConnections = new InboundConnections();
   private final LoopResources eventLoops = LoopResources.create("link", EVENT_LOOP_THREADS, true);
   private final TcpClient client;
   private final Random jitter;
@@ -240,7 +241,8 @@
     connection.onDispose(() -> removeAccepted(connection));
     FrameDecoder decoder = new FrameDecoder(MAX_HANDSHAKE_FRAME_BYTES);
     connection.addHandlerLast(decoder);
-    connection.addHandlerLast(new InboundHandler(settings, listener, failureLog, traffic, decoder));
+    connection.addHandlerLast(
+        new InboundHandler(settings, listener, failureLog, traffic, decoder, inboundConnections));
     connection.channel().config().setAutoRead(true);
   }
 
--- a/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Transports of two instances whose connections to each other go silent without a reset. */
 @Timeout(30)
@@ -58,6 +59,19 @@
     assertThat(b.silentChannels).isEmpty();
   }
 
+  /**
+   * Guards against an accepting side that keeps a silent connection: it leaks its descriptor, and
+   * responses wait on it until they time out.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"RENEW", "FORWARD"})
+  void acceptingSideEndsTheSupersededConnection(FrameKind kind) throws Exception {
+    sendUntilReceived(kind, false, (byte) 1);
+    proxyToB.silence();
+    sendUntilReceived(kind, false, (byte) 2);
+    assertThat(b.endedChannels).contains(kind.channel());
+  }
+
   /** Guards against requests with an unknown outcome after a pause of the peer. */
   @Test
   void dataConnectionOutlivesAPauseOfThePeer() throws Exception {
