Keep a data connection whose probe can't be written while its peer is paused

A probe that waited 7 s behind other frames closed a data connection without asking whether the peer runs, and a probe sent as the connection ended was logged as silent later. An accepted connection that was superseded between its handshake and its state could be reported as ended. Change: each overdue probe is decided in one place, only on an open connection; the state is set before the connection is added. These orders of events have no test of their own.

--- a/src/main/java/io/coltsfootwheel/link/ConnectionProber.java
+++ b/src/main/java/io/coltsfootwheel/link/ConnectionProber.java
@@ -9,14 +9,13 @@
  * Probes one outbound connection while frames are sent on it, and reports it as silent when a probe
  * stays unanswered. Probes travel with other frames where possible, so that they cost no wake-up.
  *
- * <p>All state is confined to the event loop of the connection, except the time of the last
- * answered probe.
+ * <p>All state is confined to the event loop of the connection, except what was answered last.
  */
 final class ConnectionProber {
   /** Time between two probes on a connection on which frames are sent all the time. */
   private static final long INTERVAL_MILLIS = 250;
 
-  /** Time after which a probe is sent even if no other frame follows. */
+  /** Time after a probe at which the next one follows even without another frame to go with. */
   private static final long MAX_DELAY_MILLIS = 500;
 
   /** Longer than the pauses of a small machine, and short enough to be served again within 1 s. */
@@ -72,7 +71,9 @@
     this.probeSentNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLIS);
   }
 
-  /** Called after frames were written and before they are flushed. */
+  /**
+   * Called after frames were written and before they are flushed, so that a probe goes with them.
+   */
   void framesWritten() {
     hasFramesSinceProbe = true;
     if (awaitsAnswer) {
@@ -134,7 +135,7 @@
     probeSentNanos = System.nanoTime();
     traffic.count(Frame.PROBE, LinkDirection.SENT);
     owner.probeSent();
-    schedule(this::reportSilent, WRITE_TIMEOUT_MILLIS);
+    schedule(this::onOverdue, WRITE_TIMEOUT_MILLIS);
     channel
         .write(FrameEncoder.encode(channel.alloc(), Frame.PROBE))
         .addListener(written -> onProbeWritten(written.isSuccess()));
@@ -149,17 +150,16 @@
   }
 
   private void onOverdue() {
+    if (!channel.isActive()) {
+      return;
+    }
     if (owner.showsSilence(probeSentNanos)) {
-      reportSilent();
+      owner.closeSilent(millisSinceProbe());
     } else {
       schedule(this::onOverdue, RECHECK_MILLIS);
     }
   }
 
-  private void reportSilent() {
-    owner.closeSilent(millisSinceProbe());
-  }
-
   private long millisSinceProbe() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - probeSentNanos);
   }
--- a/src/main/java/io/coltsfootwheel/link/InboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/InboundHandler.java
@@ -175,14 +175,15 @@
     if (hello.proof() == null || !handshake.isConfirmationProofValid(opening, hello)) {
       throw new BadFrameException(LinkFailure.WRONG_KEY);
     }
+    state = State.READY;
     Optional<InboundHandler> superseded = connections.add(peer, opening.channel(), this);
     if (superseded.filter(s -> s == this).isPresent()) {
+      // Not reported as an end: the current connection of the peer works.
       state = State.CLOSED;
       context.close();
       return;
     }
     superseded.ifPresent(InboundHandler::endSuperseded);
-    state = State.READY;
     decoder.raiseFrameLimit();
   }
 
