--- a/src/test/java/io/coltsfootwheel/link/SilentProxy.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentProxy.java
@@ -17,6 +17,8 @@
  * later ones work, and which can be paused as a whole.
  */
 public final class SilentProxy implements AutoCloseable {
+  private static final int BACKLOG = 50;
+
   private final ServerSocket server;
   private final Supplier<Address> target;
   private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -36,8 +38,19 @@
    * @throws IOException when no port can be bound
    */
   public SilentProxy(Supplier<Address> target) throws IOException {
+    this(new Address("127.0.0.1", 0), target);
+  }
+
+  /**
+   * Starts the proxy at an address.
+   *
+   * @param listen loopback address on which the proxy listens, with port 0 for any free one
+   * @param target address to which connections are passed on, read for each connection
+   * @throws IOException when the address cannot be bound
+   */
+  public SilentProxy(Address listen, Supplier<Address> target) throws IOException {
     this.target = target;
-    this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this.server = new ServerSocket(listen.port(), BACKLOG, InetAddress.getByName(listen.host()));
     threads.execute(this::accept);
   }
 
@@ -47,7 +60,7 @@
    * @return a loopback address
    */
   public Address address() {
-    return new Address("127.0.0.1", server.getLocalPort());
+    return new Address(server.getInetAddress().getHostAddress(), server.getLocalPort());
   }
 
   /** Makes the connections silent that are open now. */
