--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointBytesTest.java
@@ -5,18 +5,13 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.model.Address;
-import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNode;
-import io.coltsfootwheel.node.ControlNodeSettings;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,13 +22,12 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
 /** Tests the HTTP server of a control process against callers that send odd bytes. */
 @Timeout(30)
 class ControlEndpointBytesTest {
-  private static final String HOST = "127.0.0.1";
+  private static final String HOST = SingleControlNode.HOST;
 
   /** Largest socket buffers of sender and receiver; bytes in them use no memory of the server. */
   private static final long SOCKET_BUFFER_BYTES = 12L * 1024 * 1024;
@@ -51,22 +45,8 @@
 
   @BeforeEach
   void start() throws IOException {
-    ControlNode node =
-        new ControlNode(
-            new ControlNodeSettings(
-                "test",
-                new Address(HOST, freePort()),
-                List.of(InstanceId.of(HOST)),
-                true,
-                0,
-                4_000,
-                OwnershipSettings.of(300, 3_000),
-                folder),
-            call -> Mono.never(),
-            log,
-            new SimpleMeterRegistry(),
-            () -> {});
-    port = freePort();
+    ControlNode node = SingleControlNode.create(OwnershipSettings.of(300, 3_000), folder, log);
+    port = SingleControlNode.freePort();
     endpoint = new ControlEndpoint(new Address(HOST, port), node, log, loops);
     endpoint.start();
   }
@@ -78,12 +58,6 @@
     log.close();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0)) {
-      return probe.getLocalPort();
-    }
-  }
-
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
@@ -5,18 +5,13 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.model.Address;
-import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNode;
-import io.coltsfootwheel.node.ControlNodeSettings;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -29,7 +24,7 @@
 
 @Timeout(60)
 class ControlEndpointTest {
-  private static final String HOST = "127.0.0.1";
+  private static final String HOST = SingleControlNode.HOST;
   private static final long LIMIT_MILLIS = 20_000;
 
   @TempDir private Path folder;
@@ -41,22 +36,8 @@
 
   @BeforeEach
   void start() throws IOException {
-    port = freePort();
-    node =
-        new ControlNode(
-            new ControlNodeSettings(
-                "test",
-                new Address(HOST, freePort()),
-                List.of(InstanceId.of(HOST)),
-                true,
-                0,
-                4_000,
-                OwnershipSettings.of(1_000, 10_000),
-                folder),
-            call -> Mono.never(),
-            log,
-            new SimpleMeterRegistry(),
-            () -> {});
+    port = SingleControlNode.freePort();
+    node = SingleControlNode.create(OwnershipSettings.of(1_000, 10_000), folder, log);
     node.start();
     endpoint = new ControlEndpoint(new Address(HOST, port), node, log, loops);
     endpoint.start();
@@ -69,12 +50,6 @@
     log.close();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0)) {
-      return probe.getLocalPort();
-    }
-  }
-
   private static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
--- a/src/test/java/io/coltsfootwheel/relay/EndlessTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessTarget.java
@@ -2,7 +2,6 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
-import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
@@ -10,9 +9,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
@@ -32,7 +28,7 @@
 
   private final TargetId id;
   private final ServiceName service;
-  private final ServerSocket server;
+  private final LoopbackServer server;
   private final String beginning;
   private final byte[] block;
   private final long pauseMillis;
@@ -54,12 +50,7 @@
     this.beginning = beginning;
     this.block = block(repeated, pauseMillis == 0);
     this.pauseMillis = pauseMillis;
-    try {
-      server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    startDaemonThread(this::accept);
+    this.server = new LoopbackServer("endless-target", this::serve);
   }
 
   private static byte[] block(String repeated, boolean large) {
@@ -69,13 +60,7 @@
 
   OwnershipView.Target view() {
     return new OwnershipView.Target(
-        id,
-        service,
-        new Address("127.0.0.1", server.getLocalPort()),
-        AvailabilityZone.of("z"),
-        20,
-        TargetPhase.READY,
-        1);
+        id, service, server.address(), AvailabilityZone.of("z"), 20, TargetPhase.READY, 1);
   }
 
   /** Returns the number of requests received. */
@@ -95,28 +80,7 @@
 
   @Override
   public void close() {
-    try {
-      server.close();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private static void startDaemonThread(Runnable task) {
-    Thread thread = new Thread(task, "endless-target");
-    thread.setDaemon(true);
-    thread.start();
-  }
-
-  private void accept() {
-    try {
-      while (true) {
-        Socket socket = server.accept();
-        startDaemonThread(() -> serve(socket));
-      }
-    } catch (IOException e) {
-      // The server socket is closed at the end of a test.
-    }
+    server.close();
   }
 
   private void serve(Socket socket) {
--- a/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/ScriptedTarget.java
@@ -2,7 +2,6 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
-import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
@@ -10,9 +9,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -76,7 +72,7 @@
 
   private final TargetId id;
   private final ServiceName service;
-  private final ServerSocket server;
+  private final LoopbackServer server;
   private final Queue<Step> script;
   private final CountDownLatch released = new CountDownLatch(1);
   private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
@@ -87,12 +83,7 @@
     this.id = TargetId.of(id);
     this.service = service;
     this.script = new ArrayDeque<>(List.of(steps));
-    try {
-      server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    startDaemonThread(this::accept);
+    this.server = new LoopbackServer("scripted-target", this::serve);
   }
 
   OwnershipView.Target view() {
@@ -105,13 +96,7 @@
 
   OwnershipView.Target view(TargetPhase phase, long incarnationMillis) {
     return new OwnershipView.Target(
-        id,
-        service,
-        new Address("127.0.0.1", server.getLocalPort()),
-        AvailabilityZone.of("z"),
-        2,
-        phase,
-        incarnationMillis);
+        id, service, server.address(), AvailabilityZone.of("z"), 2, phase, incarnationMillis);
   }
 
   TargetId id() {
@@ -140,28 +125,7 @@
 
   @Override
   public void close() {
-    try {
-      server.close();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private static void startDaemonThread(Runnable task) {
-    Thread thread = new Thread(task, "scripted-target");
-    thread.setDaemon(true);
-    thread.start();
-  }
-
-  private void accept() {
-    try {
-      while (true) {
-        Socket socket = server.accept();
-        startDaemonThread(() -> serve(socket));
-      }
-    } catch (IOException e) {
-      // The server socket is closed at the end of a test.
-    }
+    server.close();
   }
 
   private void serve(Socket socket) {
