Wait in relay tests until published targets are in force

Cause: TargetNoticeRelayTest#wordOfALeavingTargetOutlastsAnOlderView failed once: 503 "service has no targets" right after a new life of the target was published. The relay applies views on its event loop, which may read a request first that is sent right after; a real entry gives no such order either. On a busy machine (load average 7) 5 of 60 repetitions failed, each with that line. Change: RelayFixture#updateOwnership waits for the event loop. The checks are the same. Result: 60 of 60 repetitions pass at the same load; the relay's tests pass.

--- a/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/EndlessBytesTest.java
@@ -112,7 +112,7 @@
   }
 
   private void publish(OwnershipView.Target... views) {
-    relay.updateOwnership(new OwnershipView(List.of(views), List.of()));
+    fixture.updateOwnership(new OwnershipView(List.of(views), List.of()));
   }
 
   private CompletableFuture<HttpResponse<String>> send(String path) {
--- a/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
@@ -78,7 +78,7 @@
             20,
             TargetPhase.READY,
             1);
-    fixture.relay().updateOwnership(new OwnershipView(List.of(view), List.of()));
+    fixture.updateOwnership(new OwnershipView(List.of(view), List.of()));
   }
 
   @AfterEach
--- a/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
@@ -113,6 +114,15 @@
     return relay;
   }
 
+  /**
+   * Publishes targets and owners, and waits until they are in force: the relay applies them on its
+   * event loop, which may read a request first that is sent right after.
+   */
+  void updateOwnership(OwnershipView view) {
+    relay.updateOwnership(view);
+    CompletableFuture.runAsync(() -> {}, relay.executor()).join();
+  }
+
   EventLog log() {
     return log;
   }
--- a/src/test/java/io/coltsfootwheel/relay/RelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayTest.java
@@ -84,7 +84,7 @@
         ranges.add(new OwnershipView.Range(KEYED, KeyRange.ALL, t.id(), granted, 200));
       }
     }
-    relay.updateOwnership(
+    fixture.updateOwnership(
         new OwnershipView(Arrays.stream(viewTargets).map(ScriptedTarget::view).toList(), ranges));
   }
 
@@ -351,7 +351,7 @@
   void drainingTargetReceivesNoNewRequests() throws Exception {
     ScriptedTarget draining = target("a", UNKEYED, ScriptedTarget.Step.ANSWER);
     ScriptedTarget ready = target("b", UNKEYED, ScriptedTarget.Step.ANSWER);
-    relay.updateOwnership(
+    fixture.updateOwnership(
         new OwnershipView(List.of(draining.view(TargetPhase.DRAINING), ready.view()), List.of()));
     for (int i = 0; i < 5; i++) {
       assertThat(get("/safe/" + i).statusCode()).isEqualTo(200);
@@ -422,7 +422,7 @@
             TargetPhase.READY,
             1);
     ScriptedTarget sound = target("b", UNKEYED, ScriptedTarget.Step.ANSWER);
-    relay.updateOwnership(new OwnershipView(List.of(odd, sound.view()), List.of()));
+    fixture.updateOwnership(new OwnershipView(List.of(odd, sound.view()), List.of()));
     for (int i = 0; i < 4; i++) {
       assertThat(get("/unsafe/" + i).statusCode()).isEqualTo(200);
     }
@@ -437,7 +437,7 @@
   @ValueSource(ints = {Integer.MAX_VALUE, 0, -1, Integer.MIN_VALUE})
   void oddNumberOfSlotsDoesNotFailRequests(int slots) throws Exception {
     ScriptedTarget odd = target("a", UNKEYED, ScriptedTarget.Step.ANSWER);
-    relay.updateOwnership(new OwnershipView(List.of(withSlots(odd.view(), slots)), List.of()));
+    fixture.updateOwnership(new OwnershipView(List.of(withSlots(odd.view(), slots)), List.of()));
     for (int i = 0; i < 4; i++) {
       assertThat(get("/unsafe/" + i).statusCode()).isEqualTo(200);
     }
--- a/src/test/java/io/coltsfootwheel/relay/TargetNoticeRelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetNoticeRelayTest.java
@@ -61,7 +61,7 @@
             .filter(v -> v.service().equals(KEYED))
             .map(v -> new OwnershipView.Range(KEYED, KeyRange.ALL, v.id(), true, 0))
             .toList();
-    entry.relay().updateOwnership(new OwnershipView(List.of(views), ranges));
+    entry.updateOwnership(new OwnershipView(List.of(views), ranges));
   }
 
   private static double retryAfterSeconds(HttpResponse<String> response) {
