Mend the proxy of the tests of silent connections

Besides, a connection whose target did not listen yet stayed open, so that processes that started early waited for the handshake's time-out. Change: a constructor takes the port; the proxy closes such a connection.

--- a/src/test/java/io/coltsfootwheel/link/SilentProxy.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentProxy.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.model.Address;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -18,6 +19,7 @@
  */
 public final class SilentProxy implements AutoCloseable {
   private static final int BACKLOG = 50;
+  private static final int ANY_PORT = 0;
 
   private final ServerSocket server;
   private final Supplier<Address> target;
@@ -38,19 +40,23 @@
    * @throws IOException when no port can be bound
    */
   public SilentProxy(Supplier<Address> target) throws IOException {
-    this(new Address("127.0.0.1", 0), target);
+    this(InetAddress.getLoopbackAddress(), ANY_PORT, target);
   }
 
   /**
    * Starts the proxy at an address.
    *
-   * @param listen loopback address on which the proxy listens, with port 0 for any free one
+   * @param listen loopback address on which the proxy listens
    * @param target address to which connections are passed on, read for each connection
    * @throws IOException when the address cannot be bound
    */
   public SilentProxy(Address listen, Supplier<Address> target) throws IOException {
+    this(InetAddress.getByName(listen.host()), listen.port(), target);
+  }
+
+  private SilentProxy(InetAddress host, int port, Supplier<Address> target) throws IOException {
     this.target = target;
-    this.server = new ServerSocket(listen.port(), BACKLOG, InetAddress.getByName(listen.host()));
+    this.server = new ServerSocket(port, BACKLOG, host);
     threads.execute(this::accept);
   }
 
@@ -82,21 +88,30 @@
   private void accept() {
     while (!server.isClosed()) {
       try {
-        Socket client = server.accept();
-        Socket peer = new Socket(target.get().host(), target.get().port());
-        Connection connection = new Connection();
-        connection.sockets.addAll(List.of(client, peer));
-        synchronized (this) {
-          open.add(connection);
-        }
-        threads.execute(() -> copy(connection, client, peer));
-        threads.execute(() -> copy(connection, peer, client));
+        passOn(server.accept());
       } catch (IOException e) {
-        // The proxy was closed, or the target does not listen.
+        // The proxy was closed.
       }
     }
   }
 
+  private void passOn(Socket client) throws IOException {
+    Connection connection = new Connection();
+    connection.sockets.add(client);
+    try {
+      Socket peer = new Socket(target.get().host(), target.get().port());
+      connection.sockets.add(peer);
+      synchronized (this) {
+        open.add(connection);
+      }
+      threads.execute(() -> copy(connection, client, peer));
+      threads.execute(() -> copy(connection, peer, client));
+    } catch (ConnectException e) {
+      // The target does not listen yet.
+      close(connection);
+    }
+  }
+
   private void copy(Connection connection, Socket from, Socket to) {
     byte[] buffer = new byte[65_536];
     try {
