Choose the learner that lacks fewest entries for a place in the group

Cause: only the first learner was looked at. One that lags, such as one whose disk stalls while it still answers heartbeats, kept another that had caught up from an empty place, and since also from that of a lost voter. Change: the learner with the highest index is chosen.

--- a/src/main/java/io/coltsfootwheel/node/GroupMembership.java
+++ b/src/main/java/io/coltsfootwheel/node/GroupMembership.java
@@ -85,11 +85,12 @@
     return nowNanos - lastContactNanos.get(member.member());
   }
 
+  /** Returns the learner that lacks fewest entries; one that lags must not block the others. */
   private static Optional<MemberProgress> readyLearner(List<MemberProgress> group) {
     return group.stream()
         .filter(m -> !m.voter() && m.heard())
         .filter(m -> group.stream().noneMatch(o -> o.voter() && isSameInstance(o, m.member())))
-        .findFirst();
+        .max(Comparator.comparingLong(MemberProgress::matchIndex));
   }
 
   private static boolean hasCaughtUp(MemberProgress learner, List<MemberProgress> group) {
--- a/src/test/java/io/coltsfootwheel/node/GroupMembershipTest.java
+++ b/src/test/java/io/coltsfootwheel/node/GroupMembershipTest.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.consensus.MemberProgress;
 import io.coltsfootwheel.consensus.MembershipChange;
 import io.coltsfootwheel.model.InstanceId;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -84,6 +85,27 @@
     assertThat(membership.nextStep(20 * SECOND_NANOS, group).isPresent()).isEqualTo(isRemoved);
   }
 
+  /**
+   * Guards against a learner that lags, such as one with a stalled disk, and keeps another that has
+   * caught up from an empty place or from that of a lost voter.
+   */
+  @ParameterizedTest
+  @CsvSource({"2,PROMOTE,e", "3,REMOVE,c"})
+  void laggingLearnerDoesNotBlockAnother(int voters, MembershipChange change, String changed) {
+    GroupMembership membership = new GroupMembership(3, VOTER_TIMEOUT_NANOS, 0);
+    List<MemberProgress> group = new ArrayList<>();
+    group.add(new MemberProgress(member("a"), true, 1_000, true));
+    group.add(new MemberProgress(member("b"), true, 1_000, true));
+    if (voters == 3) {
+      group.add(new MemberProgress(member("c"), true, 1, false));
+    }
+    group.add(new MemberProgress(member("d"), false, 1, true));
+    group.add(new MemberProgress(member("e"), false, 1_000, true));
+    membership.nextStep(SECOND_NANOS, group);
+    assertThat(membership.nextStep(20 * SECOND_NANOS, group))
+        .contains(new GroupMembership.Step(change, member(changed)));
+  }
+
   private static List<MemberProgress> threeVoters(boolean hearsB, boolean hearsC) {
     return List.of(
         progress("a", true, true),
