--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -3,8 +3,6 @@
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
 import io.netty.channel.Channel;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -13,11 +11,6 @@
  * Connection to one peer for one channel, with a bounded send queue. Reconnects after a failure.
  */
 final class OutboundConnection {
-  /**
-   * Memory charged for a queued frame besides its payload, so that empty frames are bounded too.
-   */
-  private static final int FRAME_OVERHEAD_BYTES = 64;
-
   /**
    * Bytes after which a batch is written and flushed; larger batches do not increase throughput.
    */
@@ -31,12 +24,11 @@
   /** Control connection to the same peer, for a data connection. */
   private final Optional<OutboundConnection> control;
 
-  private final ArrayDeque<Frame> queue = new ArrayDeque<>();
+  private final SendQueue queue;
 
   private State state = State.IDLE;
   private Channel activeChannel;
   private Optional<ConnectionProber> prober = Optional.empty();
-  private int queuedCostBytes;
   private boolean writeScheduled;
   private int failedAttempts;
   private long lastUsedNanos;
@@ -63,6 +55,7 @@
     this.linkChannel = linkChannel;
     this.context = context;
     this.control = control;
+    this.queue = new SendQueue(context.settings().maxQueueBytes());
   }
 
   InstanceId peer() {
@@ -87,13 +80,10 @@
       if (state == State.CLOSED || state == State.BACKOFF || isControlDown()) {
         return false;
       }
-      int costBytes = queueCostBytes(frame);
-      if (queuedCostBytes + costBytes > context.settings().maxQueueBytes()) {
+      if (!queue.offer(frame)) {
         context.failureLog().count(LinkFailure.QUEUE_FULL);
         return false;
       }
-      queuedCostBytes += costBytes;
-      queue.add(frame);
       if (state == State.IDLE) {
         state = State.CONNECTING;
         startConnecting = true;
@@ -260,15 +250,8 @@
     if (activeChannel == null || !activeChannel.isWritable()) {
       return List.of();
     }
-    List<Frame> batch = new ArrayList<>(Math.min(queue.size(), 64));
-    int bytes = 0;
-    while (!queue.isEmpty() && bytes < BATCH_BYTES) {
-      Frame frame = queue.poll();
-      batch.add(frame);
-      context.traffic().count(frame, LinkDirection.SENT);
-      bytes += queueCostBytes(frame);
-    }
-    queuedCostBytes -= bytes;
+    List<Frame> batch = queue.takeBatch(BATCH_BYTES);
+    batch.forEach(frame -> context.traffic().count(frame, LinkDirection.SENT));
     lastUsedNanos = System.nanoTime();
     return batch;
   }
@@ -327,11 +310,8 @@
   }
 
   private List<Frame> takeQueue() {
-    List<Frame> frames = List.copyOf(queue);
-    queue.clear();
-    queuedCostBytes = 0;
     writeScheduled = false;
-    return frames;
+    return queue.takeAll();
   }
 
   /** Reports frames that were not written first: the peer has certainly not received them. */
@@ -344,10 +324,6 @@
     }
   }
 
-  private static int queueCostBytes(Frame frame) {
-    return frame.payload().length + FRAME_OVERHEAD_BYTES;
-  }
-
   private String logName() {
     return "to " + peer + " (" + linkChannel + ")";
   }
