--- a/src/main/java/io/coltsfootwheel/link/ConnectionProber.java
+++ b/src/main/java/io/coltsfootwheel/link/ConnectionProber.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.util.concurrent.Future;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -54,8 +55,7 @@
   private boolean hasFramesSinceProbe;
   private long probeSentNanos;
   private Optional<Future<?>> timer = Optional.empty();
-  private volatile long answeredProbeSentNanos;
-  private volatile boolean hasAnsweredProbe;
+  private volatile OptionalLong answeredProbeSentNanos = OptionalLong.empty();
 
   /**
    * Creates the prober of a connection whose handshake is complete.
@@ -100,7 +100,8 @@
 
   /** Tells whether a probe was answered that was sent after a time; on any thread. */
   boolean hasAnsweredProbeSince(long nanos) {
-    return hasAnsweredProbe && answeredProbeSentNanos - nanos > 0;
+    OptionalLong sentNanos = answeredProbeSentNanos;
+    return sentNanos.isPresent() && sentNanos.getAsLong() - nanos > 0;
   }
 
   void answered() {
@@ -108,8 +109,7 @@
       return;
     }
     traffic.count(Frame.PROBE_ANSWER, LinkDirection.RECEIVED);
-    answeredProbeSentNanos = probeSentNanos;
-    hasAnsweredProbe = true;
+    answeredProbeSentNanos = OptionalLong.of(probeSentNanos);
     awaitsAnswer = false;
     stop();
     if (hasFramesSinceProbe) {
--- a/src/main/java/io/coltsfootwheel/link/InboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/InboundHandler.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -27,7 +28,7 @@
   /** Written on the event loop of the connection, and by the one of the connection after it. */
   private volatile State state = State.AWAITING_OPENING;
 
-  private ChannelHandlerContext context;
+  private Channel channel;
   private Hello opening;
   private InstanceId peer;
 
@@ -53,8 +54,8 @@
   }
 
   @Override
-  public void handlerAdded(ChannelHandlerContext addedContext) {
-    context = addedContext;
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
     context
         .executor()
         .schedule(
@@ -87,7 +88,7 @@
    */
   private void endSuperseded() {
     reportEnd();
-    context.close();
+    channel.close();
   }
 
   private void reportEnd() {
@@ -165,9 +166,9 @@
   private void rejectHandshake(ChannelHandlerContext context, Hello hello, LinkFailure failure) {
     state = State.CLOSED;
     failureLog.connectionFailed(remoteName(context), failure);
-    LinkChannel channel = hello.channel() == null ? LinkChannel.CONTROL : hello.channel();
+    LinkChannel linkChannel = hello.channel() == null ? LinkChannel.CONTROL : hello.channel();
     context
-        .writeAndFlush(encode(context, handshake.openingHello(channel)))
+        .writeAndFlush(encode(context, handshake.openingHello(linkChannel)))
         .addListener(ChannelFutureListener.CLOSE);
   }
 
@@ -180,7 +181,7 @@
     if (superseded.filter(s -> s == this).isPresent()) {
       // Not reported as an end: the current connection of the peer works.
       state = State.CLOSED;
-      context.close();
+      channel.close();
       return;
     }
     superseded.ifPresent(InboundHandler::endSuperseded);
--- a/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
@@ -28,13 +28,18 @@
     long catchUpMillis,
     OwnershipSettings ownership,
     Path dataFolder) {
+  /**
+   * Each leader measures anew, so the loss of a leader makes a group wait for the time-out again.
+   */
+  private static final int VOTER_TIMEOUTS_PER_CATCH_UP = 4;
+
   ControlSettings controlSettings(List<InstanceId> currentSeeds) {
     return new ControlSettings(
         InstanceId.of(linkAddress.host()),
         currentSeeds,
         firstStart,
         2 * toleratedLosses + 1,
-        catchUpMillis / 4,
+        catchUpMillis / VOTER_TIMEOUTS_PER_CATCH_UP,
         ownership);
   }
 }
