Split the random test of replaced members into steps

Cause: one method of 35 lines with bare numbers. Change: methods for a loss, a pause and their ends, named numbers; each seed plays the same run as before, the checks are the same.

--- a/src/test/java/io/coltsfootwheel/node/MemberReplacementTest.java
+++ b/src/test/java/io/coltsfootwheel/node/MemberReplacementTest.java
@@ -26,10 +26,18 @@
   private static final long STEP_MILLIS = 500;
   private static final long RANDOM_RUN_MILLIS = 60_000;
   private static final long SETTLE_MILLIS = 3_000;
+  private static final int STEPS_PER_LOSS = 4;
+  private static final int MAX_PAUSE_STEPS = 16;
 
   private final ControlGroup group = new ControlGroup(3, TOLERATED_LOSSES);
   private final List<InstanceId> running = new ArrayList<>();
 
+  /** Times at which the losses end that count now. */
+  private final List<Long> lossEndsMillis = new ArrayList<>();
+
+  private final List<Pause> pauses = new ArrayList<>();
+  private int successorCount;
+
   /** Member that can't be reached until a time of the run. */
   private record Pause(InstanceId member, long endMillis) {}
 
@@ -90,40 +98,51 @@
   @MethodSource("seeds")
   void groupOutlivesRandomLossesAndPauses(long seed) {
     Random random = new Random(seed);
-    List<Long> lossEndsMillis = new ArrayList<>();
-    List<Pause> pauses = new ArrayList<>();
-    int successorCount = 0;
     for (long millis = 0; millis < RANDOM_RUN_MILLIS; millis += STEP_MILLIS) {
-      long now = millis;
-      lossEndsMillis.removeIf(end -> end <= now);
-      pauses.stream().filter(p -> p.endMillis() == now).forEach(p -> group.reconnect(p.member()));
-      pauses.removeIf(p -> p.endMillis() <= now);
-      boolean mayLose = lossEndsMillis.size() < TOLERATED_LOSSES && random.nextInt(4) == 0;
-      if (mayLose && random.nextBoolean()) {
-        InstanceId lost = anyRunning(random, pauses);
-        running.remove(lost);
-        group.isolate(lost);
-        addSuccessor("10.0.3." + ++successorCount);
-        lossEndsMillis.add(now + ControlGroup.CATCH_UP_MILLIS);
-      } else if (mayLose) {
-        InstanceId paused = anyRunning(random, pauses);
-        group.isolate(paused);
-        long endMillis = now + STEP_MILLIS * (1 + random.nextInt(16));
-        pauses.add(new Pause(paused, endMillis));
-        lossEndsMillis.add(endMillis + ControlGroup.CATCH_UP_MILLIS);
+      endLosses(millis);
+      boolean mayLose = lossEndsMillis.size() < TOLERATED_LOSSES;
+      if (mayLose && random.nextInt(STEPS_PER_LOSS) == 0) {
+        boolean isForGood = random.nextBoolean();
+        InstanceId member = anyReachable(random);
+        if (isForGood) {
+          replace(member, millis);
+        } else {
+          pause(member, millis, STEP_MILLIS * (1 + random.nextInt(MAX_PAUSE_STEPS)));
+        }
       }
       group.run(STEP_MILLIS);
     }
-    pauses.forEach(p -> group.reconnect(p.member()));
+    endLosses(Long.MAX_VALUE);
     group.run(SETTLE_MILLIS);
     assertThat(group.leader()).isPresent();
   }
 
+  private void endLosses(long nowMillis) {
+    lossEndsMillis.removeIf(end -> end <= nowMillis);
+    pauses.stream()
+        .filter(p -> p.endMillis() <= nowMillis)
+        .forEach(p -> group.reconnect(p.member()));
+    pauses.removeIf(p -> p.endMillis() <= nowMillis);
+  }
+
+  private void replace(InstanceId lost, long nowMillis) {
+    running.remove(lost);
+    group.isolate(lost);
+    addSuccessor("10.0.3." + ++successorCount);
+    lossEndsMillis.add(nowMillis + ControlGroup.CATCH_UP_MILLIS);
+  }
+
+  private void pause(InstanceId member, long nowMillis, long durationMillis) {
+    group.isolate(member);
+    pauses.add(new Pause(member, nowMillis + durationMillis));
+    lossEndsMillis.add(nowMillis + durationMillis + ControlGroup.CATCH_UP_MILLIS);
+  }
+
   static LongStream seeds() {
     return LongStream.rangeClosed(1, Long.getLong("coltsfootwheel.replacement-seeds", 20));
   }
 
-  private InstanceId anyRunning(Random random, List<Pause> pauses) {
+  private InstanceId anyReachable(Random random) {
     List<InstanceId> candidates =
         running.stream().filter(i -> pauses.stream().noneMatch(p -> p.member().equals(i))).toList();
     return candidates.get(random.nextInt(candidates.size()));
