Log late decisions and large messages

Both roles now write decisions.late with the longest time of a second for which an event waited for the deciding thread, and message.large for each message of 128 KiB or more. LatenessMonitorTest, OutdatedRoutingTest and ControlReducerTest pass.

--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -15,6 +15,7 @@
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.runtime.DecisionLoop;
 import io.coltsfootwheel.runtime.JournalDriver;
+import io.coltsfootwheel.runtime.LatenessMonitor;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.nio.file.Path;
@@ -67,6 +68,7 @@
   private final DecisionLoop<ControlEvent, ControlEffect> loop;
   private final Map<Long, MonoSink<ControlAnswer>> pendingCalls = new ConcurrentHashMap<>();
   private final AtomicLong lastRequestId = new AtomicLong();
+  private final LatenessMonitor lateness = new LatenessMonitor(System.nanoTime());
   private Optional<JournalDriver> journal = Optional.empty();
   private Optional<ControlReducer> reducer = Optional.empty();
   private List<InstanceId> seeds;
@@ -205,6 +207,9 @@
   }
 
   private List<ControlEffect> decide(ControlEvent event) {
+    lateness
+        .record(System.nanoTime(), event.nowNanos())
+        .ifPresent(millis -> log.write(LogEvent.of("decisions.late").with("late_ms", millis)));
     if (event instanceof ControlEvent.SeedsChanged changed) {
       seeds = changed.seeds();
     }
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
 import io.coltsfootwheel.relay.StopReport;
+import io.coltsfootwheel.runtime.LatenessMonitor;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
   private final NodeLinks links;
   private final LeaderFinder finder;
   private final ScheduledExecutorService executor;
+  private final LatenessMonitor lateness = new LatenessMonitor(System.nanoTime());
   private Optional<ScheduledFuture<?>> subscriptionTask = Optional.empty();
   private Set<InstanceId> linkedMembers = Set.of();
   private long configurationVersion;
@@ -126,12 +128,16 @@
 
   /** Passes a message to the event loop; messages that arrive after its end are dropped. */
   private void enqueue(InstanceId from, NodeMessage message) {
+    long arrivedNanos = System.nanoTime();
     if (!executor.isShutdown()) {
-      executor.execute(() -> receive(from, message));
+      executor.execute(() -> receive(arrivedNanos, from, message));
     }
   }
 
-  private void receive(InstanceId from, NodeMessage message) {
+  private void receive(long arrivedNanos, InstanceId from, NodeMessage message) {
+    lateness
+        .record(System.nanoTime(), arrivedNanos)
+        .ifPresent(millis -> log.write(LogEvent.of("decisions.late").with("late_ms", millis)));
     if (message instanceof NodeMessage.Routing update) {
       applyUpdate(from, update);
     } else if (message instanceof NodeMessage.Directory directory) {
--- a/src/main/java/io/coltsfootwheel/node/NodeLinks.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeLinks.java
@@ -23,6 +23,9 @@
  * same port.
  */
 final class NodeLinks implements LinkListener {
+  /** A quarter of a second on a link of 4 Mbit/s. */
+  private static final int LARGE_MESSAGE_BYTES = 128 * 1024;
+
   private final int memberPort;
   private final LinkTransport transport;
   private final BiConsumer<InstanceId, NodeMessage> receiver;
@@ -74,7 +77,15 @@
   }
 
   void send(InstanceId to, NodeMessage message) {
-    if (!transport.send(to, message.toFrame())) {
+    Frame frame = message.toFrame();
+    if (frame.payload().length >= LARGE_MESSAGE_BYTES) {
+      log.write(
+          LogEvent.of("message.large")
+              .with("peer", to)
+              .with("type", message.getClass().getSimpleName())
+              .with("bytes", frame.payload().length));
+    }
+    if (!transport.send(to, frame)) {
       onLost.accept(to);
     }
   }
