End the use of facts that are known to be replaced, also in silence

Facts are now outdated when they were confirmed 1.5 s before the leader's last answer, or 1.5 s ago while newer ones are known to exist. Silence alone still outdates nothing, since an entry cannot tell a lost leader from being cut off. OutdatedRoutingTest#silenceAfterNews... failed before (200 instead of 503) and passes; RoutingFreshnessTest has the bounds.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -181,6 +181,7 @@
               view = next;
               relay.updateOwnership(next);
             });
+    relay.recordNewest(hasConfigurationOf(update), hasViewOf(update));
     if (update.confirmedNanos().isPresent()) {
       confirmation = Optional.of(update);
     }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -188,6 +188,17 @@
                 System.nanoTime(), asOfNanos, isConfigurationNewest, isOwnershipNewest));
   }
 
+  /**
+   * Records whether the routes, and the targets and owners, in use are the newest that the leader
+   * has named.
+   *
+   * @param isConfigurationNewest whether no newer routes are known to exist
+   * @param isOwnershipNewest whether no newer targets and owners are known to exist
+   */
+  public void recordNewest(boolean isConfigurationNewest, boolean isOwnershipNewest) {
+    runOnEventLoop(() -> freshness.recordNewest(isConfigurationNewest, isOwnershipNewest));
+  }
+
   /**
    * Returns what was observed since the last call, and resets the counts.
    *
--- a/src/main/java/io/coltsfootwheel/relay/RoutingFreshness.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingFreshness.java
@@ -17,9 +17,6 @@
   /** Leaves time to connect and to send within the 2 s in which changes and leaves take effect. */
   private static final long MAX_USABLE_AGE_MILLIS = 1_500;
 
-  /** Time after the last answer in which the leader counts as answering. */
-  private static final long ANSWERING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
   /** Age of facts that were never confirmed. */
   static final long NEVER_CONFIRMED_MILLIS = -1;
 
@@ -27,6 +24,8 @@
   private volatile OptionalLong configurationNanos = OptionalLong.empty();
   private volatile OptionalLong ownershipNanos = OptionalLong.empty();
   private OptionalLong lastAnswerNanos = OptionalLong.empty();
+  private boolean isConfigurationNewest = true;
+  private boolean isOwnershipNewest = true;
 
   RoutingFreshness(long startNanos) {
     this.startNanos = startNanos;
@@ -55,21 +54,35 @@
     }
   }
 
+  /**
+   * Records whether the routes, and the targets and owners, in use are the newest that are known to
+   * exist.
+   */
+  void recordNewest(boolean isConfigurationNewestKnown, boolean isOwnershipNewestKnown) {
+    isConfigurationNewest = isConfigurationNewestKnown;
+    isOwnershipNewest = isOwnershipNewestKnown;
+  }
+
   /** Returns whether the routes are so fresh that no newer routes can be in force. */
   boolean isConfigurationCurrent(long nowNanos) {
     return isConfirmedWithin(MAX_CERTAIN_AGE_MILLIS, configurationAgeMillis(nowNanos));
   }
 
   /**
-   * Returns whether the leader answers, but its changes do not arrive in time: what the entry knows
-   * may contradict confirmed changes. Without answers there may be no leader, and so no change.
+   * Returns whether what the entry knows may contradict confirmed changes: it was confirmed too
+   * long before the leader's last answer, or too long ago while something newer is known to exist.
+   * Otherwise silence outdates nothing, because without a leader there is no change.
    */
   boolean isOutdated(long nowNanos) {
-    boolean isLeaderAnswering =
-        lastAnswerNanos.isPresent() && nowNanos - lastAnswerNanos.getAsLong() < ANSWERING_NANOS;
-    return isLeaderAnswering
-        && !(isConfirmedWithin(MAX_USABLE_AGE_MILLIS, configurationAgeMillis(nowNanos))
-            && isConfirmedWithin(MAX_USABLE_AGE_MILLIS, ownershipAgeMillis(nowNanos)));
+    return isOutdated(nowNanos, isConfigurationNewest, configurationNanos)
+        || isOutdated(nowNanos, isOwnershipNewest, ownershipNanos);
+  }
+
+  private boolean isOutdated(long nowNanos, boolean isNewest, OptionalLong confirmedNanos) {
+    OptionalLong changeableUntilNanos = isNewest ? lastAnswerNanos : OptionalLong.of(nowNanos);
+    return changeableUntilNanos.isPresent()
+        && !isConfirmedWithin(
+            MAX_USABLE_AGE_MILLIS, ageMillis(changeableUntilNanos.getAsLong(), confirmedNanos));
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -36,7 +36,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -227,10 +226,6 @@
    * Guards against requests by old routes when the leader falls silent after it has named newer
    * ones, as it seems to while a large configuration fills the link of the entry.
    */
-  @EnabledIfSystemProperty(
-      named = "coltsfootwheel.known-red",
-      matches = "true",
-      disabledReason = "listed in KNOWN-RED.txt, issue 39")
   @Test
   void silenceAfterNewsOfNewerRoutesEndsTheUseOfOldOnes() throws Exception {
     leader.loseConfigurations();
--- a/src/test/java/io/coltsfootwheel/relay/RoutingFreshnessTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RoutingFreshnessTest.java
@@ -48,6 +48,33 @@
     assertThat(freshness.isOutdated(nanos(millis))).isEqualTo(expected);
   }
 
+  /** Guards against the use of facts that are known to be replaced, while the leader is silent. */
+  @ParameterizedTest
+  @CsvSource({
+    "false, true, 1499, false",
+    "false, true, 1500, true",
+    "true, false, 1500, true",
+    "true, true, 60000, false"
+  })
+  void silenceOutdatesWhatIsKnownToBeReplaced(
+      boolean isConfigurationNewest, boolean isOwnershipNewest, long millis, boolean expected) {
+    freshness.confirm(nanos(100), nanos(0), true, true);
+    freshness.recordNewest(isConfigurationNewest, isOwnershipNewest);
+    assertThat(freshness.isOutdated(nanos(millis))).isEqualTo(expected);
+    freshness.recordNewest(true, true);
+    assertThat(freshness.isOutdated(nanos(millis))).isFalse();
+  }
+
+  /**
+   * Guards against late facts that are used again once the leader whose answers were late is lost.
+   */
+  @ParameterizedTest
+  @CsvSource({"1499, false", "1500, true"})
+  void silenceDoesNotRenewWhatWasOutdated(long delayMillis, boolean expected) {
+    freshness.confirm(nanos(5_000), nanos(5_000 - delayMillis), true, true);
+    assertThat(freshness.isOutdated(nanos(60_000))).isEqualTo(expected);
+  }
+
   /** Guards against an answer to an earlier process at the same address, whose clock differs. */
   @ParameterizedTest
   @CsvSource({"-1", "60000"})
