Count the targets without keys once for all grants of a round

Each grant asked of every target of its service whether it has keys, so the work of the grants grew with the square of the targets. The count is now kept with the load of the round. Tests of keyspace and LeaderSessionTest pass.

--- a/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
@@ -33,7 +33,7 @@
   private boolean hasStarted;
 
   /** Loads of services that the answers of one quorum round share, all as of one time. */
-  private final Map<ServiceName, ServiceLoad> loadsOfRound = new HashMap<>();
+  private final Map<ServiceName, RoundLoad> loadsOfRound = new HashMap<>();
 
   private long roundNanos;
 
@@ -78,6 +78,14 @@
     loadsOfRound.clear();
   }
 
+  /**
+   * Load of a service, computed once for all grants of a round.
+   *
+   * @param load load of its targets
+   * @param idleTargets targets that report and have no keys
+   */
+  private record RoundLoad(ServiceLoad load, long idleTargets) {}
+
   /** Returns whether a move was started since the last call, and resets the flag. */
   boolean takeHasStarted() {
     boolean taken = hasStarted;
@@ -90,7 +98,8 @@
     if (owned.isEmpty()) {
       return;
     }
-    ServiceLoad load = loadOfRound(nowNanos, target.service());
+    RoundLoad round = loadOfRound(nowNanos, target.service());
+    ServiceLoad load = round.load();
     if (load.receivers().stream().allMatch(t -> t.id().equals(target.id()))) {
       return;
     }
@@ -109,7 +118,7 @@
     RangePlanner.isolatedColdRange(
             nowNanos, target, grantedRanges(nowNanos, target, heartbeat), load, keys)
         .ifPresent(r -> startMove(target, heartbeat, r, "ranges can be joined"));
-    if (parts.isEmpty() && isAmongBusiest(nowNanos, target, load)) {
+    if (parts.isEmpty() && isAmongBusiest(target, round)) {
       RangePlanner.halfOfLoad(
               nowNanos, target, grantedRanges(nowNanos, target, heartbeat), load, keys)
           .ifPresent(r -> startMove(target, heartbeat, r, "another target has no keys"));
@@ -120,12 +129,22 @@
    * Returns the load of a service. Grants are sent in rounds, so all grants at one time use one
    * result until a move starts; computing it for each grant would cost the square of the targets.
    */
-  private ServiceLoad loadOfRound(long nowNanos, ServiceName service) {
+  private RoundLoad loadOfRound(long nowNanos, ServiceName service) {
     if (nowNanos != roundNanos) {
       loadsOfRound.clear();
       roundNanos = nowNanos;
     }
-    return loadsOfRound.computeIfAbsent(service, s -> placement.load(nowNanos, s, state));
+    return loadsOfRound.computeIfAbsent(service, s -> computeLoad(nowNanos, s));
+  }
+
+  private RoundLoad computeLoad(long nowNanos, ServiceName service) {
+    ServiceLoad load = placement.load(nowNanos, service, state);
+    long idleTargets =
+        load.receivers().stream()
+            .filter(t -> state.table(t.service()).rangesOf(t.id()).isEmpty())
+            .filter(t -> isEstablished(nowNanos, t.id()))
+            .count();
+    return new RoundLoad(load, idleTargets);
   }
 
   /**
@@ -171,20 +190,16 @@
    * taken to supply one of the targets without keys. If n more targets have no keys, the n targets
    * with the highest utilisation give keys.
    */
-  private boolean isAmongBusiest(long nowNanos, TargetRecord target, ServiceLoad load) {
-    long idleTargets =
-        load.receivers().stream()
-            .filter(t -> state.table(t.service()).rangesOf(t.id()).isEmpty())
-            .filter(t -> isEstablished(nowNanos, t.id()))
-            .count();
+  private boolean isAmongBusiest(TargetRecord target, RoundLoad round) {
+    ServiceLoad load = round.load();
     long moving = moves.count(target.service());
-    if (idleTargets <= moving) {
+    if (round.idleTargets() <= moving) {
       return false;
     }
     double utilisation = load.utilisation(target);
     long busierTargets =
         load.receivers().stream().filter(t -> load.utilisation(t) > utilisation).count();
-    return busierTargets < idleTargets - moving;
+    return busierTargets < round.idleTargets() - moving;
   }
 
   /**
