--- a/src/main/java/io/coltsfootwheel/node/EntryUpdates.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryUpdates.java
@@ -12,9 +12,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 
 /** Routing updates of one term that the leader sends to the entries. */
 final class EntryUpdates {
+  /** Bounds the messages about changes of the view to a thousand a second over all entries. */
+  private static final long CHANGE_NANOS_PER_ENTRY = TimeUnit.MILLISECONDS.toNanos(1);
+
+  /** Shorter than most requests wait for a key whose range moves. */
+  private static final long MAX_CHANGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  private static final long ESTIMATE_NANOS_PER_TARGET = TimeUnit.MICROSECONDS.toNanos(300);
+
+  /** Interval at which an entry asks for the estimates. */
+  private static final long MAX_ESTIMATE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private final long term;
   private final LeaderActions actions;
   private final Map<InstanceId, EntryProgress> progressByEntry = new HashMap<>();
@@ -24,6 +37,8 @@
 
   private List<InstanceId> entries = List.of();
   private long viewSequence;
+  private long changeSentNanos;
+  private long estimatedNanos;
 
   /** The view that entries were sent last; at first the one at the start of the term. */
   private OwnershipView view;
@@ -88,7 +103,15 @@
     }
   }
 
-  EntryUpdates(long term, LeaderActions actions, OwnershipView view) {
+  /**
+   * Creates the updates of a term.
+   *
+   * @param nowNanos monotonic time
+   * @param view the view at the start of the term
+   */
+  EntryUpdates(long nowNanos, long term, LeaderActions actions, OwnershipView view) {
+    this.changeSentNanos = nowNanos - MAX_CHANGE_INTERVAL_NANOS;
+    this.estimatedNanos = nowNanos - MAX_ESTIMATE_INTERVAL_NANOS;
     this.term = term;
     this.actions = actions;
     this.view = view;
@@ -173,8 +196,24 @@
     progressByEntry.remove(entry);
   }
 
-  void updateLoadEstimates(long nowNanos, Map<TargetId, TargetLoadEstimate> estimates) {
-    loadEstimates.update(nowNanos, estimates);
+  /**
+   * Returns whether changes of the view are to be sent now. The more entries there are, the longer
+   * changes are collected, so that the messages leave the processor time for decisions.
+   */
+  boolean isChangeDue(long nowNanos) {
+    long intervalNanos =
+        Math.min(MAX_CHANGE_INTERVAL_NANOS, CHANGE_NANOS_PER_ENTRY * entries.size());
+    return nowNanos - changeSentNanos >= intervalNanos;
+  }
+
+  /** Publishes new load estimates when they are due: the more targets, the less often. */
+  void updateLoadEstimates(long nowNanos, LongFunction<Map<TargetId, TargetLoadEstimate>> source) {
+    long intervalNanos =
+        Math.min(MAX_ESTIMATE_INTERVAL_NANOS, ESTIMATE_NANOS_PER_TARGET * view.targets().size());
+    if (nowNanos - estimatedNanos >= intervalNanos) {
+      estimatedNanos = nowNanos;
+      loadEstimates.update(nowNanos, source.apply(nowNanos));
+    }
   }
 
   /**
@@ -191,10 +230,11 @@
   }
 
   /**
-   * Sends the changes of the view since the last tick. Each entry processes each message, so the
+   * Sends the changes of the view since the last ones. Each entry processes each message, so the
    * rate of messages must not grow with the moves.
    */
-  void sendView(OwnershipView newView, GroupFacts facts) {
+  void sendView(long nowNanos, OwnershipView newView, GroupFacts facts) {
+    changeSentNanos = nowNanos;
     OwnershipView.Change change = newView.changesSince(view);
     view = newView;
     viewSequence++;
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -72,7 +72,7 @@
     this.actions = actions;
     this.state = state;
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
-    this.entryUpdates = new EntryUpdates(term, actions, ownership.view(nowNanos));
+    this.entryUpdates = new EntryUpdates(nowNanos, term, actions, ownership.view(nowNanos));
     this.membership = membership;
   }
 
@@ -227,7 +227,7 @@
 
   void tick(long nowNanos, List<MemberProgress> progress) {
     groupProgress = progress;
-    entryUpdates.updateLoadEstimates(nowNanos, ownership.loadEstimates(nowNanos));
+    entryUpdates.updateLoadEstimates(nowNanos, ownership::loadEstimates);
     for (FleetCommand command : ownership.tick(nowNanos)) {
       propose(command, committed -> {});
     }
@@ -242,8 +242,8 @@
               actions.changeMembership(step.change(), step.member());
             });
     ownership.takeStartedMoves().forEach(this::logMove);
-    if (ownership.takeViewChanged()) {
-      entryUpdates.sendView(ownership.view(eventNanos), groupFacts());
+    if (entryUpdates.isChangeDue(nowNanos) && ownership.takeViewChanged()) {
+      entryUpdates.sendView(nowNanos, ownership.view(eventNanos), groupFacts());
     }
     confirmTargetCalls(nowNanos);
     startRound();
--- a/src/test/java/io/coltsfootwheel/node/LargeConfigurationTest.java
+++ b/src/test/java/io/coltsfootwheel/node/LargeConfigurationTest.java
@@ -49,7 +49,7 @@
   private final RecordingActions actions = new RecordingActions();
   private final List<InstanceId> entries =
       IntStream.range(0, ENTRIES).mapToObj(i -> InstanceId.of("10.9.0." + i)).toList();
-  private final EntryUpdates updates = new EntryUpdates(1, actions, view());
+  private final EntryUpdates updates = new EntryUpdates(0, 1, actions, view());
 
   /** Counts the bytes that are sent, and the large messages that are encoded for one entry. */
   private static final class RecordingActions implements LeaderActions {
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -68,6 +68,7 @@
   private final List<SimulatedEntry> entries = new ArrayList<>();
   private final Map<Long, SimulatedTarget> waiting = new HashMap<>();
   private final Queue<Runnable> results = new ArrayDeque<>();
+  private final Queue<Runnable> transfers = new ArrayDeque<>();
   private final LeaderSession session;
   private final int requestsPerSecond;
   private final long messageDelayMillis;
@@ -256,13 +257,7 @@
     public void send(InstanceId to, NodeMessage message) {
       SimulatedEntry entry = entries.get(Integer.parseInt(to.value().split("\\.")[3]));
       Frame frame = measure(Work.ENCODE, message::toFrame);
-      byte[] bytes = frame.payload();
-      NodeMessage.Routing routing = (NodeMessage.Routing) NodeMessage.decode(frame);
-      boolean isChange = routing.change().isPresent();
-      counts.merge(isChange ? CHANGES : ANSWERS, 1L, Long::sum);
-      counts.merge(WHOLE_VIEWS, routing.view().isPresent() ? 1L : 0L, Long::sum);
-      counts.merge(isChange ? BYTES_OF_CHANGES : BYTES_OF_ANSWERS, (long) bytes.length, Long::sum);
-      entry.receive(routing);
+      transfers.add(() -> transfer(entry, frame));
     }
 
     @Override
@@ -344,6 +339,7 @@
                   () -> (NodeMessage.Subscribe) ControlCodec.decode(bytes, NodeMessage.class));
           counts.merge("bytes subscribe", (long) bytes.length, Long::sum);
           measure(Work.SUBSCRIPTION, () -> session.subscribe(nanos(), entry.id, decoded));
+          deliver();
         }
       }
       for (SimulatedTarget target : targets) {
@@ -359,10 +355,28 @@
       while (!results.isEmpty()) {
         measure(Work.RESULT, () -> results.poll().run());
       }
+      deliver();
       maxChangesPerTick = Math.max(maxChangesPerTick, changesToEntries() - changesBefore);
     }
   }
 
+  private void deliver() {
+    while (!transfers.isEmpty()) {
+      transfers.poll().run();
+    }
+  }
+
+  /** Passes a message on, apart from the measured work of the leader. */
+  private void transfer(SimulatedEntry entry, Frame frame) {
+    NodeMessage.Routing routing = (NodeMessage.Routing) NodeMessage.decode(frame);
+    boolean isChange = routing.change().isPresent();
+    counts.merge(isChange ? CHANGES : ANSWERS, 1L, Long::sum);
+    counts.merge(WHOLE_VIEWS, routing.view().isPresent() ? 1L : 0L, Long::sum);
+    counts.merge(
+        isChange ? BYTES_OF_CHANGES : BYTES_OF_ANSWERS, (long) frame.payload().length, Long::sum);
+    entry.receive(routing);
+  }
+
   private void sendRequests() {
     double expected = requestsPerSecond * TICK_MILLIS / 1_000.0;
     for (int i = 0; i < expected; i++) {
@@ -439,7 +453,7 @@
     return maxChangesPerTick;
   }
 
-  private long changesToEntries() {
+  long changesToEntries() {
     return counts.getOrDefault(CHANGES, 0L);
   }
 
--- a/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderSessionTest.java
@@ -14,6 +14,12 @@
   /** Bandwidth of control messages that each instance may use. */
   private static final double MAX_CONTROL_BYTES_PER_SECOND = 4_096;
 
+  private static final int LARGE_TARGETS = 306;
+  private static final int LARGE_ENTRIES = 84;
+
+  /** No more than the answers to the subscriptions of as many entries, ten a second each. */
+  private static final int MAX_CHANGES_PER_SECOND = 10 * LARGE_ENTRIES;
+
   private static final int REQUESTS_PER_SECOND = 60;
   private static final int HIGH_REQUESTS_PER_SECOND = 2_400;
   private static final int HOT_KEYS = 200;
@@ -92,6 +98,24 @@
     assertThat(simulation.maxChangesPerTick()).isLessThanOrEqualTo(ENTRIES);
   }
 
+  /**
+   * Load: hot keys at 84 entries, so that ranges move all the time. Guards against a leader that
+   * spends its processor time on messages about each move to each entry: its decisions wait, and
+   * all that entries know is late.
+   */
+  @Test
+  void changesToManyEntriesAreCollected() {
+    LeaderLoadSimulation simulation =
+        new LeaderLoadSimulation(1, LARGE_TARGETS, LARGE_ENTRIES, HIGH_REQUESTS_PER_SECOND);
+    simulation.run(START_MILLIS);
+    simulation.setHotKeys(HOT_KEYS, HOT_SHARE);
+    simulation.resetMeasurements();
+    simulation.run(MEASURED_MILLIS);
+    assertThat(simulation.changesToEntries() * 1_000 / MEASURED_MILLIS)
+        .isPositive()
+        .isLessThanOrEqualTo(MAX_CHANGES_PER_SECOND);
+  }
+
   private static double allocatedBytesPerReport(int targets) {
     LeaderLoadSimulation simulation =
         new LeaderLoadSimulation(1, targets, ENTRIES, REQUESTS_PER_SECOND);
