--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -28,9 +28,6 @@
    */
   private static final long RESPONSE_GRACE_MILLIS = 60;
 
-  /** A request is retried only while more than this time remains until the deadline. */
-  private static final long MIN_RETRY_REMAINING_MILLIS = 40;
-
   /** Delay before a keyed request that its target rejected is routed again. */
   private static final long REJECTED_RETRY_DELAY_MILLIS = 25;
 
@@ -318,7 +315,7 @@
     boolean isKeyed = service.orElseThrow().keyed();
     long pauseMillis = calledTarget.remainingPauseMillis(System.nanoTime());
     boolean isOwnerPaused = isKeyed && pauseMillis > 0;
-    if (!isOwnerPaused && mayRetry(calledTarget.spec().id(), false)) {
+    if (!isOwnerPaused && mayRetry(false)) {
       context.schedule(this::decide, isKeyed ? REJECTED_RETRY_DELAY_MILLIS : 0);
       return;
     }
@@ -329,7 +326,7 @@
 
   private void retryMisdirected() {
     lastFailure = "target does not hold the key";
-    if (mayRetry(null, false)) {
+    if (mayRetry(false)) {
       awaitsRouting = true;
       context.schedule(this::routingChanged, OWNERSHIP_WAIT_MILLIS);
     } else {
@@ -340,7 +337,7 @@
   private void retryFailed(CallFailure failure) {
     lastFailure = "connection to the target: " + failure.name().toLowerCase(Locale.ROOT);
     mayHaveExecuted |= failure.mayHaveExecuted();
-    if (mayRetry(null, failure.mayHaveExecuted())) {
+    if (mayRetry(failure.mayHaveExecuted())) {
       decide();
     } else if (mayHaveExecuted) {
       respond(HttpResponseStatus.BAD_GATEWAY, lastFailure, RetryAfter.NONE);
@@ -349,17 +346,18 @@
     }
   }
 
-  private boolean mayRetry(TargetId rejectingTarget, boolean callMayHaveExecuted) {
-    boolean isRepeatable = !callMayHaveExecuted || route.orElseThrow().kind().isIdempotent();
-    boolean hasAttemptsLeft =
-        service.orElseThrow().keyed() || triedTargets.size() < route.orElseThrow().maxAttempts();
-    return isRepeatable
-        && hasAttemptsLeft
-        && remainingMillis() > MIN_RETRY_REMAINING_MILLIS
-        && sendCount < Math.max(2, route.orElseThrow().maxAttempts() + 1)
+  private boolean mayRetry(boolean callMayHaveExecuted) {
+    ServicePolicy calledService = service.orElseThrow();
+    return RetryPolicy.allows(
+            route.orElseThrow(),
+            calledService.keyed(),
+            callMayHaveExecuted,
+            triedTargets.size(),
+            sendCount,
+            remainingMillis())
         && context
             .retryBudget()
-            .tryRetry(System.nanoTime(), service.get().name(), context.routing().entryCount());
+            .tryRetry(System.nanoTime(), calledService.name(), context.routing().entryCount());
   }
 
   private void onDeadline() {
