Count the first view of a new leader as no news of a change

Only a change that the leader of the entry's own view has named, and a newer configuration of any leader, are known to replace what the entry has.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -154,7 +154,7 @@
     EntryRouting.News news = routing.apply(update);
     news.configuration().ifPresent(relay::configure);
     news.view().ifPresent(relay::updateOwnership);
-    relay.recordNewest(routing.hasConfigurationOf(update), routing.hasViewOf(update));
+    relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
     routing.confirmation().ifPresent(this::confirmRouting);
   }
 
--- a/src/main/java/io/coltsfootwheel/node/EntryRouting.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryRouting.java
@@ -73,6 +73,14 @@
     return viewTerm == update.term() && viewSequence >= update.viewSequence();
   }
 
+  /**
+   * Returns whether an update names a change of targets and owners that the entry has not received.
+   * The first view of a new leader tells nothing: it may equal the last one of the leader before.
+   */
+  boolean lacksChangeOf(NodeMessage.Routing update) {
+    return viewTerm == update.term() && viewSequence < update.viewSequence();
+  }
+
   /**
    * Records which load estimates were received. Estimates of targets that were missing in the view
    * are lost, so all are requested again after a whole view.
