Confirm a question only when the changes from before it have been sent

Before the changes of each tick went out before the quorum round that confirms. Confirmed questions are now stated from the next time on at which no change waits. CollectedChangesTest fails without this (at 500 ms: confirmed, leave unknown), and passes.

--- a/src/main/java/io/coltsfootwheel/node/EntryProgress.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryProgress.java
@@ -27,6 +27,7 @@
   private long sentEstimateSequence;
   private long statedEstimateSequence;
   private long estimateProgressNanos;
+  private OptionalLong confirmedByQuorumNanos = OptionalLong.empty();
   private OptionalLong confirmedNanos = OptionalLong.empty();
 
   /** Records whether the entry reads messages that were encoded once for many entries. */
@@ -45,10 +46,18 @@
    * @param sentNanos time of the entry's clock at which it sent the subscription
    */
   void subscriptionConfirmed(long sentNanos) {
-    confirmedNanos = OptionalLong.of(sentNanos);
+    confirmedByQuorumNanos = OptionalLong.of(sentNanos);
   }
 
-  /** Returns when the entry sent its last confirmed subscription, by the entry's clock. */
+  /** Records that all changes from before the confirmed subscription have been sent. */
+  void completeConfirmation() {
+    confirmedNanos = confirmedByQuorumNanos;
+  }
+
+  /**
+   * Returns when the entry sent the last subscription that is confirmed and whose changes have been
+   * sent, by the entry's clock.
+   */
   OptionalLong confirmedNanos() {
     return confirmedNanos;
   }
--- a/src/main/java/io/coltsfootwheel/node/EntryUpdates.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryUpdates.java
@@ -191,6 +191,14 @@
     progressOf(from).subscriptionConfirmed(sentNanos);
   }
 
+  /**
+   * Lets answers state the subscriptions that were confirmed so far. Called when no change of the
+   * view waits to be sent: until then an entry may lack a change from before its subscription.
+   */
+  void completeConfirmations() {
+    progressByEntry.values().forEach(EntryProgress::completeConfirmation);
+  }
+
   /** Forgets what was sent to an entry, so that its next subscription gets all that it lacks. */
   void linkLost(InstanceId entry) {
     progressByEntry.remove(entry);
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -242,8 +242,11 @@
               actions.changeMembership(step.change(), step.member());
             });
     ownership.takeStartedMoves().forEach(this::logMove);
-    if (entryUpdates.isChangeDue(nowNanos) && ownership.takeViewChanged()) {
-      entryUpdates.sendView(nowNanos, ownership.view(eventNanos), groupFacts());
+    if (entryUpdates.isChangeDue(nowNanos)) {
+      if (ownership.takeViewChanged()) {
+        entryUpdates.sendView(nowNanos, ownership.view(eventNanos), groupFacts());
+      }
+      entryUpdates.completeConfirmations();
     }
     confirmTargetCalls(nowNanos);
     startRound();
