Take the removal of targets out of OwnershipLeader

When a silent target is removed, and how much longer in a mass outage, is now decided in TargetRemovals; no other behaviour. Tests of ownership and ranges pass unchanged.

--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -37,25 +37,6 @@
    */
   private static final double INITIAL_ASSIGNMENT_DELAY_INTERVALS = 1.5;
 
-  /**
-   * Time without a report after which a ready target of an unkeyed service is removed. Such a
-   * target needs no lease and may still serve requests while it cannot reach the control leader;
-   * entries detect by themselves when it does not.
-   */
-  private static final long UNRESPONSIVE_UNKEYED_NANOS = TimeUnit.SECONDS.toNanos(30);
-
-  /**
-   * Share of all targets above which simultaneously unresponsive targets are a mass outage. A mass
-   * outage is probably a transient fault on the control side, so removals are delayed.
-   */
-  private static final double MASS_OUTAGE_SHARE = 0.34;
-
-  /** Number of unresponsive targets that is no mass outage, however few targets are registered. */
-  private static final int MASS_OUTAGE_ABOVE_TARGETS = 3;
-
-  /** Time after the end of its lease at which a target is removed during a mass outage. */
-  private static final long MASS_OUTAGE_DELAY_NANOS = TimeUnit.SECONDS.toNanos(4);
-
   /** Time between two evictions of idle entries from the load statistics. */
   private static final long EVICTION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -77,6 +58,7 @@
 
   private final LoadStatistics loadStatistics = new LoadStatistics();
   private final RangePlacement placement;
+  private final TargetRemovals removals;
   private final RemovedOwnerLeases removedOwnerLeases;
   private final long termStartNanos;
   private FleetState state;
@@ -110,6 +92,7 @@
     removedOwnerLeases.recordStart(state, nowNanos + settings.leaseNanos(GrantMethod.CALL));
     this.grantCalls = new GrantCalls(settings, heartbeats, moves, pendingRemovals, keyedServices);
     this.placement = new RangePlacement(heartbeats, loadStatistics, moves, pendingRemovals);
+    this.removals = new TargetRemovals(settings, heartbeats, keyedServices, pendingRemovals);
     this.moveStarter =
         new MoveStarter(
             heartbeats,
@@ -235,7 +218,7 @@
     commands.addAll(assign(nowNanos, moves.expired(nowNanos, heartbeats)));
     commands.addAll(assign(nowNanos, moveStarter.startUngrantedMoves(nowNanos)));
     moveStarter.startMovesOfCalledTargets(nowNanos);
-    commands.addAll(removals(nowNanos));
+    commands.addAll(removals.due(nowNanos, state));
     for (ServiceName service : keyedServices.names()) {
       assignGaps(nowNanos, service).ifPresent(commands::add);
     }
@@ -420,41 +403,6 @@
     return commands;
   }
 
-  private List<FleetCommand> removals(long nowNanos) {
-    List<TargetRecord> unresponsive =
-        state.targets().stream()
-            .filter(t -> !pendingRemovals.contains(t.id()))
-            .filter(t -> isRemovable(nowNanos, t))
-            .toList();
-    long total = state.targets().size();
-    boolean massOutage =
-        unresponsive.size() > Math.max(MASS_OUTAGE_ABOVE_TARGETS, MASS_OUTAGE_SHARE * total);
-    List<FleetCommand> commands = new ArrayList<>();
-    for (TargetRecord target : unresponsive) {
-      TargetHeartbeat heartbeat = heartbeats.getOrCreate(nowNanos, target, state);
-      if (!massOutage || nowNanos - heartbeat.leaseEndNanos() > MASS_OUTAGE_DELAY_NANOS) {
-        pendingRemovals.add(target.id());
-        commands.add(new FleetCommand.RemoveTarget(target.id(), target.incarnationMillis()));
-      }
-    }
-    return commands;
-  }
-
-  /** Returns whether the lease of a target has expired and it has not reported for long enough. */
-  private boolean isRemovable(long nowNanos, TargetRecord target) {
-    TargetHeartbeat heartbeat = heartbeats.getOrCreate(nowNanos, target, state);
-    if (!heartbeat.isLeaseEnded(nowNanos)) {
-      return false;
-    }
-    long sinceReportNanos = nowNanos - heartbeat.lastReportNanos();
-    boolean isUnkeyed = !keyedServices.contains(target.service());
-    boolean unresponsive =
-        isUnkeyed && target.phase() == TargetPhase.READY
-            ? sinceReportNanos > UNRESPONSIVE_UNKEYED_NANOS
-            : sinceReportNanos > settings.leaseNanos();
-    return unresponsive;
-  }
-
   private Optional<FleetCommand> assignGaps(long nowNanos, ServiceName service) {
     List<KeyRange> gaps =
         removedOwnerLeases.withoutLeased(nowNanos, service, state.table(service).gaps());
