Decide nothing after a failure of the decision loop

Cause: after an exception of the reducer or the driver the loop reported the failure and went on with the next event, while the process stops for up to its grace period. Class: a confirmation that outlives the failure before it.

Change: the loop processes no event after a failure. It stays able to answer queries, and the process ends as before. The daemon uses the same loop. The test that asked for later events to be processed guarded against a silent end of the queue; the new one still checks that the queue is alive and the failure reported, for reducer and driver.

Measured: failureIsReportedAndNothingIsDecidedAfterIt failed in both cases before ("effect 2", "effect after 2" were executed), passes now.

--- a/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
@@ -40,6 +40,10 @@
   private final Queue<Runnable> tasks = Queues.<Runnable>unboundedMultiproducer().get();
   private final AtomicInteger pending = new AtomicInteger();
   private volatile boolean closed;
+
+  /** Whether processing an event has failed; used on the decision thread only. */
+  private boolean failed;
+
   private final LongAdder processedEvents = new LongAdder();
   private final LongAdder busyNanos = new LongAdder();
 
@@ -50,7 +54,8 @@
    * @param tick creates the tick event from the monotonic time in nanoseconds
    * @param tickMillis time between two tick events
    * @param driver executes one effect
-   * @param onFailure called when the reducer or the driver throws an exception
+   * @param onFailure called when the reducer or the driver throws an exception; no event is
+   *     processed after that
    */
   public DecisionLoop(
       Function<E, List<F>> reducer,
@@ -176,16 +181,21 @@
   }
 
   /**
-   * Processes an event. An exception or error may leave the state of the reducer inconsistent, so
-   * the process stops. Errors are caught too: one that escaped would leave {@link #pending} above
-   * 0, and the queue would never be processed again.
+   * Processes an event. An exception or error may leave the state of the reducer inconsistent and
+   * effects without execution, so the process stops, and nothing more is decided until then: a
+   * later effect could confirm what an earlier one has not written. Errors are caught too: one that
+   * escaped would leave {@link #pending} above 0, and the queue would never be processed again.
    */
   private void process(E event) {
+    if (failed) {
+      return;
+    }
     try {
       for (F effect : reducer.apply(event)) {
         driver.accept(effect);
       }
     } catch (RuntimeException | Error e) {
+      failed = true;
       LOG.fatal(
           "reducer or driver failed on event {}; stopping the instance",
           event.getClass().getSimpleName(),
