--- a/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
+++ b/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
@@ -20,6 +20,9 @@
 public final class JournalDriver {
   private static final Logger LOG = LogManager.getLogger(JournalDriver.class);
 
+  private static final String FAILED =
+      "journal write failed; this member takes no part until its journal is open again";
+
   private final Journal journal;
   private final Timer persistTimer;
   private final Consumer<ReplicationEvent> events;
@@ -77,9 +80,10 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (ColtsfootwheelException e) {
-      LOG.error(
-          "journal write failed; this member takes no part until its journal is open again: {}",
-          e.getMessage());
+      LOG.error("{}: {}", FAILED, e.getMessage());
+      events.accept(new ReplicationEvent.PersistFailed(System.nanoTime()));
+    } catch (RuntimeException | Error e) {
+      LOG.error(FAILED, e);
       events.accept(new ReplicationEvent.PersistFailed(System.nanoTime()));
     }
   }
