Never wait for the reader of standard output on a thread that serves

Cause: only the event log has a queue in front of standard output. The library logger wrote to System.out directly, from the threads of the links and the scheduler. When nobody reads the pipe and it is full, the writer of the event log holds the lock of the stream for good, and each network thread that has a line to log waits for that lock. A thread dump shows "link-nio-1" BLOCKED in PrintStream.writeln while "event-log" is in FileOutputStream.writeBytes.

Change: System.out and System.err are replaced at the start by streams with a bounded queue and a thread of their own (StandardStreams); the event log writes to the original stream. An end of the process gives the last lines 0.15 s for each stream.

--- a/src/main/java/io/coltsfootwheel/daemon/Main.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Main.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.daemon;
 
+import io.coltsfootwheel.eventlog.StandardStreams;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.settings.DaemonSettings;
 import io.coltsfootwheel.settings.SettingsException;
@@ -20,6 +21,10 @@
  * <p>Exit codes: 0 after a graceful shutdown, 1 after a failure, 2 for wrong usage or settings.
  */
 public final class Main {
+  /** First of the static fields, because a logger keeps the stream that it finds. */
+  private static final StandardStreams STREAMS = StandardStreams.install();
+
+  private static final long OUTPUT_TIMEOUT_MILLIS = 150;
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_USAGE = 2;
 
@@ -31,7 +36,9 @@
    * @param args {@code --config FILE}
    */
   public static void main(String[] args) {
-    System.exit(run(args));
+    int status = run(args);
+    awaitOutput();
+    System.exit(status);
   }
 
   private static int run(String[] args) {
@@ -76,6 +83,7 @@
     }
     Mono.defer(() -> Mono.delay(daemon.refreshHealth())).repeat().subscribe();
     daemon.awaitFailure();
+    awaitOutput();
     Runtime.getRuntime().halt(EXIT_FAILED);
     return EXIT_FAILED;
   }
@@ -83,9 +91,19 @@
   private static void shutDown(Daemon daemon) {
     daemon.shutDown();
     LogManager.shutdown();
+    awaitOutput();
     Runtime.getRuntime().halt(0);
   }
 
+  /** Gives the last log lines a limited time to leave the process. */
+  private static void awaitOutput() {
+    try {
+      STREAMS.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static Path configFile(String[] args) throws ParseException {
     Options options =
         new Options()
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.eventlog.StandardStreams;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
@@ -33,6 +34,9 @@
   /** First of the static fields, because loading the classes of the others takes long. */
   private static final ProcessSignals SIGNALS = ProcessSignals.install();
 
+  /** Second, because a logger keeps the stream that it finds. */
+  private static final StandardStreams STREAMS = StandardStreams.install();
+
   /** Port on which every process serves its metrics. */
   static final int METRICS_PORT = 9464;
 
@@ -41,6 +45,7 @@
   private static final int EXIT_FAILED = 1;
 
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
+  private static final long OUTPUT_TIMEOUT_MILLIS = 150;
 
   private static final Logger LOGGER = LogManager.getLogger(PlatformMain.class);
 
@@ -56,7 +61,7 @@
   private PlatformMain(Path settingsFile, PlatformSettings settings) {
     this.settingsFile = settingsFile;
     this.settings = settings;
-    this.log = new EventLog(System.out::println, Map.of("instance", settings.name()));
+    this.log = new EventLog(STREAMS.directOutput()::println, Map.of("instance", settings.name()));
   }
 
   /**
@@ -110,6 +115,16 @@
       Thread.currentThread().interrupt();
       status = EXIT_FAILED;
     }
+    exit(status);
+  }
+
+  /** Ends the process, after a limited time for its last log lines. */
+  private static void exit(int status) {
+    try {
+      STREAMS.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     Runtime.getRuntime().halt(status);
   }
 
