Read configurations in full or refuse them

Cause: the reader of config.put and config.patch asked for the fields that it uses, took a default for a field of another type or a missing one, and never looked at the rest. A change of which a part was dropped was answered 200: a remove that is a text, "sharded":"yes", maxAttempts 0, a version that stands twice.

Change: a typed reader. ValueType knows type and range of a value, FieldSet the required and optional fields of a kind of object, JsonValue the path. RouteJson, ServiceJson, LimitsJson and ItemJson read the items, ConfigurationJson the envelope. The answer names the field: "resources[1].spec.sharded: expected true or false, got the text "yes"". Unknown parts of the envelope are refused, unknown fields of metadata and spec are kept with each digit. A complete configuration has limits; a name stands once in an object; bodies are strict UTF-8; half a surrogate pair, which has no UTF-8 form to return, is refused. Ranges are checked when a change arrives, so stored configurations of earlier versions load and can be patched as before.

Test fixtures, the stop soak and the class-data archive run relied on defaults: they send all fields now. The test of excessive documents also checks that the parser refuses them.

--- a/src/main/java/io/coltsfootwheel/platform/ClassDataArchiveRun.java
+++ b/src/main/java/io/coltsfootwheel/platform/ClassDataArchiveRun.java
@@ -185,9 +185,10 @@
         {"resourceType":"routes","metadata":{"name":"a"},"spec":{"hostname":"%s",
         "pathPrefix":"/a/","kind":"safe","timeoutMs":1000,"targetLatencyMs":400,"priority":1,
         "service":"%s","maxAttempts":2}},
-        {"resourceType":"services","metadata":{"name":"%s"},"spec":{"sharded":true,
-        "maxConnections":10}},
-        {"resourceType":"limits","metadata":{},"spec":{"idleTimeoutMs":15000}}]}
+        {"resourceType":"services","metadata":{"name":"%s"},"spec":{"healthPath":"/healthz",
+        "maxConnections":10,"protocol":"h1","tls":false,"sharded":true}},
+        {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+        "maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}]}
         """
         .formatted(HOST, SERVICE, SERVICE);
   }
--- a/src/main/java/io/coltsfootwheel/platform/ConfigurationJson.java
+++ b/src/main/java/io/coltsfootwheel/platform/ConfigurationJson.java
@@ -1,75 +1,110 @@
 package io.coltsfootwheel.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.coltsfootwheel.model.ServiceName;
-import io.coltsfootwheel.routing.ClientLimits;
+import io.coltsfootwheel.model.ColtsfootwheelException;
+import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.routing.ConfigurationItem;
-import io.coltsfootwheel.routing.GrantMethod;
 import io.coltsfootwheel.routing.ItemKey;
 import io.coltsfootwheel.routing.ItemType;
-import io.coltsfootwheel.routing.Route;
-import io.coltsfootwheel.routing.RouteKind;
-import io.coltsfootwheel.routing.ServicePolicy;
-import io.coltsfootwheel.routing.WeightedService;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.apache.commons.codec.digest.DigestUtils;
 
 /**
  * Converts the JSON configuration format of the platform to and from {@link Configuration}.
  *
- * <p>A configuration version is an {@code r} followed by a number, such as {@code r12}.
+ * <p>A configuration version is an {@code r} followed by a number, such as {@code r12}. A change is
+ * read in full or refused: a field of another type, a missing field or an unknown part of the order
+ * is an error, and none is dropped or replaced by a default.
  */
 final class ConfigurationJson {
-  private static final char VERSION_PREFIX = 'r';
-  private static final int DEFAULT_MAX_ATTEMPTS = 1;
-  private static final int DEFAULT_MAX_CONNECTIONS = 64;
-
-  /** Keeps sums of weights finite. */
-  private static final double MAX_WEIGHT = 1e9;
+  static final FieldSet COMPLETE_FIELDS = new FieldSet();
+  static final FieldSet PATCH_FIELDS = new FieldSet();
+  static final FieldSet UPSERT_FIELDS = new FieldSet();
+  static final FieldSet REMOVE_FIELDS = new FieldSet();
+
+  private static final String VERSION_PREFIX = "r";
+
+  /** Value of the If-Match header for the first configuration. */
+  private static final String NO_VERSION = "0";
+
+  private static final Pattern VERSION = Pattern.compile(VERSION_PREFIX + "[0-9]+");
+  private static final ValueType<Long> VERSION_TYPE =
+      ValueType.parsedText("'r' followed by a number above 0", ConfigurationJson::newVersion);
+
+  private static final RequiredField<Long> COMPLETE_VERSION =
+      COMPLETE_FIELDS.required("version", VERSION_TYPE);
+  private static final RequiredField<List<JsonValue>> COMPLETE_ITEMS =
+      COMPLETE_FIELDS.required("resources", ValueType.list());
+
+  private static final RequiredField<Long> PATCH_VERSION =
+      PATCH_FIELDS.required("version", VERSION_TYPE);
+  private static final OptionalField<JsonValue> UPSERT =
+      PATCH_FIELDS.optional("upsert", ValueType.object());
+  private static final OptionalField<JsonValue> REMOVE =
+      PATCH_FIELDS.optional("remove", ValueType.object());
+  private static final OptionalField<List<JsonValue>> UPSERT_ITEMS =
+      UPSERT_FIELDS.optional("resources", ValueType.list());
+  private static final OptionalField<List<JsonValue>> REMOVED_ROUTES =
+      REMOVE_FIELDS.optional("routes", ValueType.list());
+  private static final OptionalField<List<JsonValue>> REMOVED_SERVICES =
+      REMOVE_FIELDS.optional("services", ValueType.list());
 
   private ConfigurationJson() {}
 
+  /**
+   * Reads a change that replaces the whole configuration.
+   *
+   * @param baseVersion value of the If-Match header
+   * @param body body of the call
+   * @throws ColtsfootwheelException that names the path of the first field that cannot be read
+   */
   static ConfigurationChange parseComplete(String baseVersion, byte[] body) {
-    JsonNode root = JsonFields.parse(body);
+    JsonValue root = JsonValue.root(JsonFields.parse(body), ErrorKind.INVALID_REQUEST);
+    root.requireOnly(COMPLETE_FIELDS);
+    List<ConfigurationItem> items = ItemJson.readAll(root.read(COMPLETE_ITEMS));
+    if (items.stream().noneMatch(item -> item.key().type() == ItemType.LIMITS)) {
+      throw root.unexpected("limits among the resources", "none");
+    }
     return new ConfigurationChange(
         parseVersion(baseVersion),
-        parseVersion(JsonFields.text(root, "version")),
+        root.read(COMPLETE_VERSION),
         fingerprint("put", baseVersion, body),
         true,
-        parseItems(JsonFields.list(root, "resources")),
+        items,
         List.of());
   }
 
+  /**
+   * Reads a change of single items.
+   *
+   * @param baseVersion value of the If-Match header
+   * @param body body of the call
+   * @throws ColtsfootwheelException that names the path of the first field that cannot be read
+   */
   static ConfigurationChange parsePatch(String baseVersion, byte[] body) {
-    JsonNode root = JsonFields.parse(body);
-    JsonNode upsert = root.path("upsert");
-    List<ItemKey> removals = new ArrayList<>();
-    Iterator<Map.Entry<String, JsonNode>> lists = root.path("remove").fields();
-    while (lists.hasNext()) {
-      Map.Entry<String, JsonNode> list = lists.next();
-      for (JsonNode name : list.getValue()) {
-        removals.add(new ItemKey(parseType(list.getKey()), name.asText()));
-      }
+    JsonValue root = JsonValue.root(JsonFields.parse(body), ErrorKind.INVALID_REQUEST);
+    root.requireOnly(PATCH_FIELDS);
+    Optional<JsonValue> upsert = root.read(UPSERT);
+    Optional<JsonValue> remove = root.read(REMOVE);
+    if (upsert.isEmpty() && remove.isEmpty()) {
+      throw root.unexpected("upsert or remove", "neither");
     }
     return new ConfigurationChange(
         parseVersion(baseVersion),
-        parseVersion(JsonFields.text(root, "version")),
+        root.read(PATCH_VERSION),
         fingerprint("patch", baseVersion, body),
         false,
-        upsert.has("resources") ? parseItems(JsonFields.list(upsert, "resources")) : List.of(),
-        removals);
+        upsert.map(ConfigurationJson::upsertedItems).orElse(List.of()),
+        remove.map(ConfigurationJson::removedItems).orElse(List.of()));
   }
 
   static ObjectNode write(Configuration configuration) {
@@ -80,16 +115,35 @@
     return root;
   }
 
-  static long parseVersion(String text) {
-    String digits = text.replace("\"", "").trim();
-    if (!digits.isEmpty() && digits.charAt(0) == VERSION_PREFIX) {
-      digits = digits.substring(1);
+  /**
+   * Reads the value of an If-Match header.
+   *
+   * @param header the version, with or without quotation marks; 0 for the first configuration
+   * @return number of the version
+   */
+  static long parseVersion(String header) {
+    boolean quoted = header.length() > 1 && header.startsWith("\"") && header.endsWith("\"");
+    String text = quoted ? header.substring(1, header.length() - 1) : header;
+    return text.equals(NO_VERSION) ? 0 : versionNumber(text);
+  }
+
+  private static long newVersion(String text) {
+    long version = versionNumber(text);
+    if (version == 0) {
+      throw JsonFields.invalid("version 0 is the empty configuration");
     }
+    return version;
+  }
+
+  private static long versionNumber(String text) {
     try {
-      return Long.parseLong(digits);
+      if (VERSION.matcher(text).matches()) {
+        return Long.parseLong(text.substring(VERSION_PREFIX.length()));
+      }
     } catch (NumberFormatException e) {
-      throw JsonFields.invalid("version '" + text + "' is not 'r' followed by a number");
+      // Falls through to the error for all other texts.
     }
+    throw JsonFields.invalid("version '" + text + "' is not 'r' followed by a number");
   }
 
   private static String fingerprint(String call, String baseVersion, byte[] body) {
@@ -100,119 +154,24 @@
     return DigestUtils.sha256Hex(hashedBytes);
   }
 
-  private static List<ConfigurationItem> parseItems(JsonNode resources) {
-    List<ConfigurationItem> items = new ArrayList<>();
-    Set<ItemKey> keys = new HashSet<>();
-    for (JsonNode resource : resources) {
-      ConfigurationItem item = parseItem(resource);
-      if (!keys.add(item.key())) {
-        throw JsonFields.invalid("item " + item.key().name() + " is listed twice");
-      }
-      items.add(item);
-    }
-    return items;
-  }
-
-  private static ConfigurationItem parseItem(JsonNode resource) {
-    String document = resource.toString();
-    JsonNode spec = resource.path("spec");
-    return switch (parseType(JsonFields.text(resource, "resourceType"))) {
-      case ROUTE -> ConfigurationItem.of(route(name(resource), spec), document);
-      case SERVICE -> ConfigurationItem.of(service(name(resource), spec), document);
-      case LIMITS -> ConfigurationItem.of(limits(spec), document);
-    };
-  }
-
-  private static String name(JsonNode resource) {
-    return JsonFields.text(resource.path("metadata"), "name");
-  }
-
-  private static ItemType parseType(String text) {
-    return switch (text) {
-      case "routes" -> ItemType.ROUTE;
-      case "services" -> ItemType.SERVICE;
-      case "limits" -> ItemType.LIMITS;
-      default -> throw JsonFields.invalid("resourceType " + text + " is unknown");
-    };
-  }
-
-  private static Route route(String name, JsonNode spec) {
-    return new Route(
-        name,
-        JsonFields.text(spec, "hostname"),
-        JsonFields.text(spec, "pathPrefix"),
-        parseKind(JsonFields.text(spec, "kind")),
-        JsonFields.integer(spec, "timeoutMs"),
-        spec.has("targetLatencyMs")
-            ? JsonFields.integer(spec, "targetLatencyMs")
-            : JsonFields.integer(spec, "timeoutMs"),
-        integer32(spec, "priority", 0, Integer.MIN_VALUE),
-        integer32(spec, "maxAttempts", DEFAULT_MAX_ATTEMPTS, 0),
-        destinations(spec));
-  }
-
-  private static RouteKind parseKind(String text) {
-    try {
-      return RouteKind.valueOf(text.toUpperCase(Locale.ROOT));
-    } catch (IllegalArgumentException e) {
-      throw JsonFields.invalid("kind " + text + " is unknown");
-    }
-  }
-
-  private static List<WeightedService> destinations(JsonNode spec) {
-    if (!spec.has("split")) {
-      return List.of(new WeightedService(serviceName(spec), 1));
-    }
-    List<WeightedService> services = new ArrayList<>();
-    for (JsonNode destination : JsonFields.list(spec, "split")) {
-      services.add(new WeightedService(serviceName(destination), weight(destination)));
-    }
-    return services;
-  }
-
-  private static double weight(JsonNode destination) {
-    double weight = JsonFields.number(destination, "weight");
-    if (!(weight <= MAX_WEIGHT)) {
-      throw JsonFields.invalid("field weight must be at most " + MAX_WEIGHT);
-    }
-    return weight;
+  private static List<ConfigurationItem> upsertedItems(JsonValue upsert) {
+    upsert.requireOnly(UPSERT_FIELDS);
+    return ItemJson.readAll(upsert.read(UPSERT_ITEMS).orElse(List.of()));
   }
 
-  private static int integer32(JsonNode spec, String name, int defaultValue, int min) {
-    return (int) JsonFields.integer(spec, name, defaultValue, min, Integer.MAX_VALUE);
+  private static List<ItemKey> removedItems(JsonValue remove) {
+    remove.requireOnly(REMOVE_FIELDS);
+    Set<ItemKey> removals = new LinkedHashSet<>();
+    remove.read(REMOVED_ROUTES).ifPresent(names -> addAll(removals, ItemType.ROUTE, names));
+    remove.read(REMOVED_SERVICES).ifPresent(names -> addAll(removals, ItemType.SERVICE, names));
+    return List.copyOf(removals);
   }
 
-  private static ServiceName serviceName(JsonNode parent) {
-    return ServiceName.of(JsonFields.text(parent, "service"));
-  }
-
-  private static ServicePolicy service(String name, JsonNode spec) {
-    return new ServicePolicy(
-        ServiceName.of(name),
-        spec.path("sharded").asBoolean(false),
-        integer32(spec, "maxConnections", DEFAULT_MAX_CONNECTIONS, 0),
-        grantMethod(spec));
-  }
-
-  private static GrantMethod grantMethod(JsonNode spec) {
-    if (!spec.has("grants")) {
-      return GrantMethod.HEARTBEAT;
+  private static void addAll(Set<ItemKey> removals, ItemType type, List<JsonValue> names) {
+    for (JsonValue name : names) {
+      if (!removals.add(new ItemKey(type, name.as(ValueType.text())))) {
+        throw name.unexpected("each name once");
+      }
     }
-    String name = JsonFields.text(spec, "grants");
-    return GrantMethod.find(name)
-        .orElseThrow(() -> JsonFields.invalid("grants " + name + " is unknown"));
-  }
-
-  private static ClientLimits limits(JsonNode spec) {
-    ClientLimits defaults = ClientLimits.DEFAULT;
-    return new ClientLimits(
-        integer32(spec, "maxHeaderBytes", defaults.maxHeaderBytes(), 1),
-        nonNegative(spec, "maxBodyBytes", defaults.maxBodyBytes()),
-        nonNegative(spec, "headerTimeoutMs", defaults.headerTimeoutMillis()),
-        nonNegative(spec, "idleTimeoutMs", defaults.idleTimeoutMillis()));
-  }
-
-  private static long nonNegative(JsonNode spec, String name, long defaultValue) {
-    return JsonFields.integer(spec, name, defaultValue, 0, Long.MAX_VALUE);
   }
 }
--- a/src/test/java/io/coltsfootwheel/bench/StopSoakCluster.java
+++ b/src/test/java/io/coltsfootwheel/bench/StopSoakCluster.java
@@ -236,9 +236,10 @@
   static String configuration(long version) {
     return """
         {"version":"r%1$d","resources":[%2$s,%3$s,
-        {"resourceType":"services","metadata":{"name":"%4$s"},"spec":{"sharded":false,
-        "maxConnections":200}},
-        {"resourceType":"limits","metadata":{},"spec":{"idleTimeoutMs":%5$d}}]}
+        {"resourceType":"services","metadata":{"name":"%4$s"},"spec":{"healthPath":"/healthz",
+        "maxConnections":200,"protocol":"h1","tls":false,"sharded":false}},
+        {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+        "maxBodyBytes":8388608,"headerTimeoutMs":5000,"idleTimeoutMs":%5$d}}]}
         """
         .formatted(
             version,
--- a/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationJsonTest.java
@@ -23,15 +23,22 @@
           + "\"priority\":2,\"split\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"s\","
           + "\"weight\":10}],\"maxAttempts\":2,\"future\":{\"x\":1}}}";
   private static final String SERVICE =
-      "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"s\"},\"spec\":{\"sharded\":true,"
-          + "\"maxConnections\":130}}";
+      "{\"resourceType\":\"services\",\"metadata\":{\"name\":\"s\"},\"spec\":{\"healthPath\":"
+          + "\"/healthz\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"sharded\":true}}";
+  private static final String LIMITS =
+      "{\"resourceType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":100,"
+          + "\"maxBodyBytes\":100,\"headerTimeoutMs\":100,\"idleTimeoutMs\":100}}";
 
   private static byte[] body(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
 
+  private static String configuration(String... items) {
+    return "{\"version\":\"r7\",\"resources\":[" + String.join(",", items) + "," + LIMITS + "]}";
+  }
+
   private static byte[] completeConfiguration() {
-    return body("{\"version\":\"r7\",\"resources\":[" + ROUTE + "," + SERVICE + "]}");
+    return body(configuration(ROUTE, SERVICE));
   }
 
   /** Guards against a configuration that is returned with other content than was sent. */
@@ -67,8 +74,7 @@
   void kindDecidesWhetherRequestsMayBeRepeated(String kind, boolean idempotent) {
     String text = ROUTE.replace("\"safe\"", "\"" + kind + "\"");
     Route route =
-        ConfigurationJson.parseComplete(
-                "r0", body("{\"version\":\"r7\",\"resources\":[" + text + "," + SERVICE + "]}"))
+        ConfigurationJson.parseComplete("r0", body(configuration(text, SERVICE)))
             .items()
             .get(0)
             .route()
@@ -96,8 +102,7 @@
 
   private static GrantMethod grantMethod(String field) {
     String service = SERVICE.replace("130", "130" + field);
-    return ConfigurationJson.parseComplete(
-            "r0", body("{\"version\":\"r7\",\"resources\":[" + service + "]}"))
+    return ConfigurationJson.parseComplete("r0", body(configuration(service)))
         .items()
         .get(0)
         .service()
@@ -174,11 +179,7 @@
         "\"idleTimeoutMs\":100|\"idleTimeoutMs\":\"x\"",
       })
   void oddNumberIsRejected(String part, String replacement) {
-    String limits =
-        "{\"resourceType\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":100,"
-            + "\"maxBodyBytes\":100,\"headerTimeoutMs\":100,\"idleTimeoutMs\":100}}";
-    String sound =
-        "{\"version\":\"r7\",\"resources\":[" + ROUTE + "," + SERVICE + "," + limits + "]}";
+    String sound = configuration(ROUTE, SERVICE);
     assertThat(Configuration.empty().evaluate(ConfigurationJson.parseComplete("0", body(sound))))
         .isInstanceOf(ChangeOutcome.Applicable.class);
     String odd = sound.replace(part, replacement);
@@ -201,6 +202,30 @@
   void excessiveDocumentIsRejected(String part) {
     String text = "{\"version\":\"r7\",\"resources\":[],\"x\":[" + part.repeat(500_000) + "[]]}";
     assertThatThrownBy(() -> ConfigurationJson.parseComplete("r0", body(text)))
+        .isInstanceOf(ColtsfootwheelException.class)
+        .hasMessageContaining("not complete, valid JSON");
+  }
+
+  /** Guards against a base version that is guessed from a text that is not one. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "7",
+        "r",
+        "r-7",
+        "r 7",
+        "r+7",
+        " r7",
+        "r7.5",
+        "\"",
+        "\"r7",
+        "\"\"r7\"\"",
+        "R7",
+        "r99999999999999999999"
+      })
+  void malformedBaseVersionIsRejected(String text) {
+    assertThatThrownBy(() -> ConfigurationJson.parseVersion(text))
         .isInstanceOf(ColtsfootwheelException.class);
   }
 }
