Let an entry subscribe again after a failed subscription

Cause: the entry subscribes in a task that its executor repeats. Such a task never runs again after one exception or error that reaches the executor (one out of memory is enough; the entry's heap has 64 MiB and nothing ends the process). The entry stays ready, and serves its routes of that moment for as long as it runs. Class: the silent death of a thread's work. After a pause of the process the executor also made up for each missed run at once.

Change: RepeatedTask runs again an interval after the end of the last run, whatever that has thrown, and the failure is in the log, also one that Reactor dropped before for want of an error handler.

Measured: subscriptionsGoOnAfterOneHasFailed timed out after 60 s for both an exception and an error with the EntryNode of before; both pass now, with the other tests of OutdatedRoutingTest and RepeatedTaskTest.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -7,14 +7,12 @@
 import io.coltsfootwheel.relay.Relay;
 import io.coltsfootwheel.relay.StopReport;
 import io.coltsfootwheel.runtime.LatenessMonitor;
+import io.coltsfootwheel.runtime.RepeatedTask;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import reactor.core.publisher.Mono;
 
 /**
@@ -33,7 +31,7 @@
   private final LeaderFinder finder;
   private final ScheduledExecutorService executor;
   private final LatenessMonitor lateness = new LatenessMonitor(System.nanoTime());
-  private Optional<ScheduledFuture<?>> subscriptionTask = Optional.empty();
+  private final RepeatedTask subscriptionTask;
   private Set<InstanceId> linkedMembers = Set.of();
   private final EntryRouting routing = new EntryRouting();
 
@@ -58,16 +56,19 @@
             this::enqueue,
             lost -> {},
             log);
+    this.subscriptionTask =
+        new RepeatedTask(
+            executor,
+            this::reportLoadAndSubscribe,
+            SUBSCRIBE_INTERVAL_MILLIS,
+            this::logFailedSubscription);
   }
 
   /** Starts to accept client connections and to subscribe to routing updates. */
   public void start() {
     relay.start();
     links.start();
-    subscriptionTask =
-        Optional.of(
-            executor.scheduleAtFixedRate(
-                this::reportLoadAndSubscribe, 0, SUBSCRIBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+    subscriptionTask.start();
   }
 
   /**
@@ -81,13 +82,17 @@
 
   @Override
   public void close() {
-    subscriptionTask.ifPresent(s -> s.cancel(false));
+    subscriptionTask.close();
     links.close();
     relay.close();
   }
 
   private void reportLoadAndSubscribe() {
-    relay.takeLoadReport().subscribe(this::subscribe);
+    relay.takeLoadReport().subscribe(this::subscribe, this::logFailedSubscription);
+  }
+
+  private void logFailedSubscription(Throwable failure) {
+    log.write(LogEvent.of("subscription.failed").with("error", failure));
   }
 
   private void subscribe(LoadReport load) {
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -31,6 +31,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -38,6 +39,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import reactor.core.publisher.Hooks;
 
 /** Tests an entry over sockets whose leader's changes do not reach it in time. */
 @Timeout(60)
@@ -238,4 +240,46 @@
     assertThat(statusOf("old")).isEqualTo(503);
     assertThat(receivedByTarget).hasValue(receivedBefore);
   }
+
+  /** What a subscription of the entry may end with. */
+  private enum SubscriptionFailure {
+    EXCEPTION {
+      @Override
+      void raise() {
+        throw new IllegalStateException("for the test");
+      }
+    },
+    ERROR {
+      @Override
+      void raise() {
+        throw new StackOverflowError();
+      }
+    };
+
+    abstract void raise();
+  }
+
+  /** Guards against an entry that serves old routes for good after one subscription has failed. */
+  @ParameterizedTest
+  @EnumSource
+  void subscriptionsGoOnAfterOneHasFailed(SubscriptionFailure failure) throws Exception {
+    CountDownLatch failed = new CountDownLatch(1);
+    Hooks.onEachOperator(
+        publisher -> {
+          if (Thread.currentThread().getName().startsWith("relay") && failed.getCount() > 0) {
+            failed.countDown();
+            failure.raise();
+          }
+          return publisher;
+        });
+    try {
+      failed.await();
+    } finally {
+      Hooks.resetOnEachOperator();
+    }
+    leader.change(configuration(2, "new"), view());
+    while (statusOf("new") != 200) {
+      leader.awaitNextAnswer();
+    }
+  }
 }
