Read liveness reports with the typed reader

Cause: a report was read by the fields that are used, with a default for some: without warmupLeftMs or info.version, with a released row without its handover text, with rows of four, or with a key that stands twice, it registered a target.

Change: ReportJson names its fields (three FieldSets) and reads them with JsonValue; rows have exactly three elements and a released row ends with its handover text. The error names the path, such as "status.sequence: expected an integer of at least 0, got nothing". Unknown fields are ignored, holds and released may be left out.

--- a/src/main/java/io/coltsfootwheel/platform/JsonFields.java
+++ b/src/main/java/io/coltsfootwheel/platform/JsonFields.java
@@ -17,7 +17,7 @@
 import java.io.Reader;
 import java.nio.charset.StandardCharsets;
 
-/** Reads typed fields of JSON documents; errors name the field that is missing or mistyped. */
+/** Parses JSON documents, whose fields {@link JsonValue} reads. */
 final class JsonFields {
   /** Deeper than any message of the platform. */
   private static final int MAX_DEPTH = 64;
@@ -82,62 +82,6 @@
     }
   }
 
-  static String text(JsonNode parent, String name) {
-    JsonNode node = parent.path(name);
-    if (!node.isTextual()) {
-      throw invalid("field " + name + " must be a text value");
-    }
-    return node.asText();
-  }
-
-  static long integer(JsonNode parent, String name) {
-    JsonNode node = parent.path(name);
-    if (!node.isIntegralNumber() || !node.canConvertToLong()) {
-      throw invalid("field " + name + " must be an integer");
-    }
-    return node.asLong();
-  }
-
-  static double number(JsonNode parent, String name) {
-    JsonNode node = parent.path(name);
-    if (!node.isNumber()) {
-      throw invalid("field " + name + " must be a number");
-    }
-    return node.asDouble();
-  }
-
-  /**
-   * Returns an optional integer.
-   *
-   * @param defaultValue result when the field is missing
-   * @param min smallest valid value
-   * @param max largest valid value
-   */
-  static long integer(JsonNode parent, String name, long defaultValue, long min, long max) {
-    JsonNode node = parent.path(name);
-    if (node.isMissingNode()) {
-      return defaultValue;
-    }
-    long value = integer(parent, name);
-    if (value < min || value > max) {
-      throw invalid("field " + name + " must be " + min + " to " + max);
-    }
-    return value;
-  }
-
-  /** Returns an optional list; a missing field is an empty list. */
-  static JsonNode optionalList(JsonNode parent, String name) {
-    return parent.path(name).isMissingNode() ? parent.path(name) : list(parent, name);
-  }
-
-  static JsonNode list(JsonNode parent, String name) {
-    JsonNode node = parent.path(name);
-    if (!node.isArray()) {
-      throw invalid("field " + name + " must be a list");
-    }
-    return node;
-  }
-
   static ColtsfootwheelException invalid(String reason) {
     return ColtsfootwheelException.of(ErrorKind.INVALID_REQUEST, reason);
   }
--- a/src/test/java/io/coltsfootwheel/platform/ReportJsonTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ReportJsonTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.KeyRange;
 import io.coltsfootwheel.keyspace.LeaseGrant;
@@ -14,12 +16,16 @@
 import io.coltsfootwheel.model.Fence;
 import io.coltsfootwheel.model.TargetId;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ReportJsonTest {
@@ -94,6 +100,17 @@
         "[0,9,7]|[0,9,9223372036854775808]",
         "[10,19,\"tok\"]|[10,19,5]",
         "[10,19,\"tok\"]|[10,19,[]]",
+        "[10,19,\"tok\"]|[10,19]",
+        "[10,19,\"tok\"]|[10,19,\"tok\",7]",
+        "[10,19,\"tok\"]|[10,19,null]",
+        "[10,19,\"tok\"]|[10.0,19,\"tok\"]",
+        "[0,9,7]|[0,9,7,7]",
+        "[0,9,7]|[0,9,null]",
+        "[0,9,7]|null",
+        "[0,9,7]|{}",
+        "[[0,9,7]]|null",
+        "\"sequence\":4|\"sequence\":4,\"sequence\":4",
+        "\"service\":\"s\"|\"service\":\"a b\"",
       })
   void malformedReportIsRejected(String part, String replacement) {
     String malformed = REPORT.replace(part, replacement == null ? "" : replacement);
@@ -102,6 +119,74 @@
         .isInstanceOf(ColtsfootwheelException.class);
   }
 
+  private static Stream<Arguments> wrongTypes() {
+    return Stream.of(
+            wrongTypes(ReportJson.FIELDS, ""),
+            wrongTypes(ReportJson.INFO_FIELDS, "info"),
+            wrongTypes(ReportJson.STATUS_FIELDS, "status"))
+        .flatMap(List::stream);
+  }
+
+  private static List<Arguments> wrongTypes(FieldSet fields, String parent) {
+    List<Arguments> reports = new ArrayList<>();
+    for (Field<?> field : fields.fields()) {
+      ObjectNode root = ConfigurationExamples.json(REPORT);
+      ObjectNode object = parent.isEmpty() ? root : (ObjectNode) root.get(parent);
+      JsonNode valid = object.get(field.name());
+      String path = parent.isEmpty() ? field.name() : parent + "." + field.name();
+      for (String odd : List.of("null", "true", "\"\\u0000\"", "7", "7.5", "[]", "{}")) {
+        JsonNode value = ConfigurationExamples.value(odd);
+        if (value.getNodeType() != valid.getNodeType() || odd.equals("7.5")) {
+          object.set(field.name(), value);
+          reports.add(Arguments.of(path, root.toString()));
+        }
+      }
+      if (field instanceof RequiredField) {
+        object.remove(field.name());
+        reports.add(Arguments.of(path, root.toString()));
+      }
+    }
+    return reports;
+  }
+
+  /** Guards against a report of another writer that registers a target with a default. */
+  @ParameterizedTest
+  @MethodSource("wrongTypes")
+  void fieldOfAnotherTypeIsRefusedWithItsPath(String path, String report) {
+    assertThatThrownBy(() -> ReportJson.parse("i-1", bytes(report)))
+        .isInstanceOf(ColtsfootwheelException.class)
+        .hasMessageStartingWith(path + ": expected ");
+  }
+
+  /** Guards against the refusal of a target that reports more than is known, or holds no keys. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "\"born\":|\"future\":{\"x\":[1.5]},\"born\":",
+        "\"capacity\":3|\"capacity\":3,\"future\":null",
+        "\"sequence\":4|\"sequence\":4,\"future\":1",
+        "\"holds\":[[0,9,7]],|''",
+        ",\"released\":[[10,19,\"tok\"]]|''",
+        "\"tok\"|\"\"",
+      })
+  void unknownAndOptionalFieldsAreBorne(String part, String replacement) {
+    String report = REPORT.replace(part, replacement);
+    assertThat(report).isNotEqualTo(REPORT);
+    assertThat(ReportJson.parse("i-1", bytes(report)).sequence()).isEqualTo(4);
+  }
+
+  /** Guards against the refusal of the report on the platform's page. */
+  @Test
+  void exampleOfThePageIsRead() {
+    String report =
+        "{\"address\":\"10.128.0.9:8080\",\"info\":{\"service\":\"huvo11a\",\"version\":\"v1\",\"zone\":"
+            + "\"northvale-a\",\"capacity\":3},\"status\":{\"phase\":\"ready\",\"sequence\":4,"
+            + "\"warmupLeftMs\":0},\"born\":1700000000000}";
+    assertThat(ReportJson.parse("i-7f3a91c2", bytes(report)).target().phase())
+        .isEqualTo(TargetPhase.READY);
+  }
+
   /** Guards against an answer that renews a lease although none was granted. */
   @Test
   void answerWithoutGrantContainsNoRanges() {
