A report with an unknown service replaces no target in use

Cause: FleetState.register removed any other target at the address of a record with a later start, without asking whether the service of the record is configured.

Change: a record whose service is not configured replaces no target whose service is, neither by its address nor by its identifier; the leader asks the same before it takes any note of the report. A record replaces another target at its address only if its process started later. The keys of a removed target get an owner after the end of its lease, for both ways of granting and across a change of leader. A target whose service is configured later than its first reports is then used without a restart.

Result: the new cases on the code before: 44 of 111 cases of FleetStateTest and OwnershipLeaderTest fail, for example keysNeverHaveTwoHolders[1] with "6720: t3 21845-32767 and t6 0-32767"; with the change all pass. OwnershipSimulationMain 1 30: no key with two holders, none without a holder. GrantCallsTest, RangeMovesTest, ControlReducerTest, OutdatedRoutingTest and MemberReplacementTest pass.

FleetStateTest: its initial state now configures the service of its targets, as every state has it in which a target is in use.

--- a/src/main/java/io/coltsfootwheel/keyspace/FleetCommand.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetCommand.java
@@ -19,9 +19,11 @@
 public sealed interface FleetCommand {
   /**
    * Adds a target or replaces its record. A later incarnation keeps the ranges of the target under
-   * a new fence. Another target at the same address is removed, because its process must have
-   * ended. The command has no effect when the registered record is of a later incarnation, when the
-   * address belongs to a target whose process started later, or when this incarnation has left.
+   * a new fence. Another target at the same address whose process started earlier is removed,
+   * because that process must have ended. The command has no effect when the registered record is
+   * of a later incarnation, when the process of another target at the address did not start
+   * earlier, when this incarnation has left, or when the service of the target is not configured
+   * and the record would replace a target whose service is.
    *
    * @param target the target
    */
--- a/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
@@ -177,16 +177,14 @@
     Optional<TargetRecord> before = target(target.id());
     boolean isOutdated =
         before.filter(b -> b.incarnationMillis() > target.incarnationMillis()).isPresent();
-    if (isOutdated || hasDeparted(target)) {
+    if (isOutdated || hasDeparted(target) || conflictsWithTargetInUse(target)) {
       return withIndex(commandIndex);
     }
     FleetState base = this;
-    for (TargetRecord other : targets.values()) {
-      if (other.address().equals(target.address()) && !other.id().equals(target.id())) {
-        if (other.incarnationMillis() > target.incarnationMillis()) {
-          return withIndex(commandIndex);
-        }
-        base = base.remove(commandIndex, other).withDeparted(other);
+    for (TargetRecord other : othersAtAddressOf(target)) {
+      base = base.remove(commandIndex, other);
+      if (other.incarnationMillis() < target.incarnationMillis()) {
+        base = base.withDeparted(other);
       }
     }
     Map<TargetId, TargetRecord> nextTargets = new TreeMap<>(base.targets);
@@ -200,6 +198,35 @@
     return new FleetState(commandIndex, configuration, nextTargets, nextTables, base.departed);
   }
 
+  /**
+   * Returns whether a record may not be registered because of a target in use: it would replace
+   * that target, but its own service is not configured, or its process did not start later than
+   * that of the target at its address.
+   */
+  boolean conflictsWithTargetInUse(TargetRecord target) {
+    boolean isConfigured = isConfigured(target);
+    boolean replacesOwnRecord =
+        target(target.id()).filter(t -> !isConfigured && isConfigured(t)).isPresent();
+    return replacesOwnRecord
+        || othersAtAddressOf(target).stream().anyMatch(t -> !mayReplace(target, isConfigured, t));
+  }
+
+  private boolean mayReplace(TargetRecord target, boolean isConfigured, TargetRecord other) {
+    boolean isLater = target.incarnationMillis() > other.incarnationMillis();
+    return isConfigured(other) ? isConfigured && isLater : isConfigured || isLater;
+  }
+
+  /** Returns whether the service of a target is configured; no other target is in use. */
+  boolean isConfigured(TargetRecord target) {
+    return configuration.contains(target.service());
+  }
+
+  private List<TargetRecord> othersAtAddressOf(TargetRecord target) {
+    return targetsInOrder.stream()
+        .filter(t -> t.address().equals(target.address()) && !t.id().equals(target.id()))
+        .toList();
+  }
+
   /**
    * Returns whether this incarnation of a target was removed after it had ended. A target that was
    * removed only because it was silent has not departed.
--- a/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
@@ -76,8 +76,8 @@
 
   /**
    * Returns whether a report is outdated: it is of an earlier incarnation, has a lower sequence
-   * number than the last report, has an earlier phase than the one that is registered, or its
-   * address belongs to a target whose process started later.
+   * number than the last report, has an earlier phase than the one that is registered, or conflicts
+   * with a target in use.
    */
   boolean isOutdated(HeartbeatReport report, FleetState state) {
     TargetRecord target = report.target();
@@ -89,13 +89,9 @@
             .filter(t -> t.incarnationMillis() == target.incarnationMillis())
             .filter(t -> t.phase().compareTo(target.phase()) > 0)
             .isPresent();
-    boolean addressTaken =
-        state.targets().stream()
-            .filter(t -> t.address().equals(target.address()) && !t.id().equals(target.id()))
-            .anyMatch(t -> t.incarnationMillis() > target.incarnationMillis());
     return earlierIncarnation
         || earlierPhase
-        || addressTaken
+        || state.conflictsWithTargetInUse(target)
         || state.hasDeparted(target)
         || isOutOfOrder(report);
   }
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -89,7 +89,7 @@
     this.heartbeats = new HeartbeatMonitor(settings, nowNanos, keyedServices::grantMethod);
     this.viewBuilder = new ViewBuilder(settings, heartbeats, moves, keyedServices::grantMethod);
     this.removedOwnerLeases = new RemovedOwnerLeases(keyedServices);
-    removedOwnerLeases.recordStart(state, nowNanos + settings.leaseNanos(GrantMethod.CALL));
+    removedOwnerLeases.recordStart(state, nowNanos, settings);
     this.grantCalls = new GrantCalls(settings, heartbeats, moves, pendingRemovals, keyedServices);
     this.placement = new RangePlacement(heartbeats, loadStatistics, moves, pendingRemovals);
     this.removals = new TargetRemovals(settings, heartbeats, keyedServices, pendingRemovals);
--- a/src/main/java/io/coltsfootwheel/keyspace/RemovedOwnerLeases.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RemovedOwnerLeases.java
@@ -1,16 +1,15 @@
 package io.coltsfootwheel.keyspace;
 
 import io.coltsfootwheel.model.ServiceName;
-import io.coltsfootwheel.routing.GrantMethod;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * Leases granted by calls to targets that were removed before the leases ended.
+ * Leases of targets that were removed before the leases ended.
  *
- * <p>A target is removed early when another one reports the same address, because its process must
- * have ended. A call that was sent to it may have reached the new process, which then holds the
- * keys until the lease ends.
+ * <p>A target is removed early when a later process reports the same address. Its keys get no new
+ * owner before its lease ends: the report may come from a process that does not run there, and a
+ * call that was sent to the removed target may have reached the new process.
  */
 final class RemovedOwnerLeases {
   private final KeyedServices keyedServices;
@@ -30,10 +29,10 @@
    * Records that the earlier leader may have granted the keys that have no owner at the start of a
    * term, because it may have removed their owner just before.
    */
-  void recordStart(FleetState state, long leaseEndNanos) {
+  void recordStart(FleetState state, long nowNanos, OwnershipSettings settings) {
     for (ServiceName service : keyedServices.names()) {
-      boolean isCalled = keyedServices.grantMethod(service) == GrantMethod.CALL;
-      if (isCalled && !state.table(service).ranges().isEmpty()) {
+      long leaseEndNanos = nowNanos + settings.leaseNanos(keyedServices.grantMethod(service));
+      if (state.tables().containsKey(service)) {
         state
             .table(service)
             .gaps()
@@ -45,8 +44,7 @@
   /** Records the leases of the targets that a command has removed. */
   void recordRemoved(FleetState before, FleetState after, HeartbeatMonitor heartbeats) {
     for (TargetRecord target : before.targets()) {
-      boolean isCalled = keyedServices.grantMethod(target.service()) == GrantMethod.CALL;
-      if (isCalled && after.target(target.id()).isEmpty()) {
+      if (after.target(target.id()).isEmpty()) {
         heartbeats.find(target.id()).ifPresent(h -> record(target, h, before));
       }
     }
--- a/src/main/java/io/coltsfootwheel/routing/Configuration.java
+++ b/src/main/java/io/coltsfootwheel/routing/Configuration.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import io.coltsfootwheel.model.ServiceName;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -81,6 +82,16 @@
     return List.copyOf(items.values());
   }
 
+  /**
+   * Returns whether a service is configured.
+   *
+   * @param service the service
+   * @return true when an item describes the service
+   */
+  public boolean contains(ServiceName service) {
+    return items.containsKey(new ItemKey(ItemType.SERVICE, service.value()));
+  }
+
   /**
    * Returns the fingerprints of accepted changes.
    *
--- a/src/test/java/io/coltsfootwheel/keyspace/FleetStateTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/FleetStateTest.java
@@ -9,6 +9,8 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
+import io.coltsfootwheel.routing.ConfigurationChange;
+import io.coltsfootwheel.routing.ConfigurationItem;
 import io.coltsfootwheel.routing.GrantMethod;
 import io.coltsfootwheel.routing.ServicePolicy;
 import java.util.List;
@@ -20,13 +22,19 @@
 
 class FleetStateTest {
   private static final ServiceName LEDGER = ServiceName.of("ledger");
+  private static final ServiceName LATER = ServiceName.of("later");
 
   private static TargetRecord target(
       String id, long incarnationMillis, int port, TargetPhase phase) {
+    return target(id, incarnationMillis, LEDGER, port, phase);
+  }
+
+  private static TargetRecord target(
+      String id, long incarnationMillis, ServiceName service, int port, TargetPhase phase) {
     return new TargetRecord(
         TargetId.of(id),
         incarnationMillis,
-        LEDGER,
+        service,
         new Address("10.0.0.1", port),
         AvailabilityZone.of("z"),
         2,
@@ -35,10 +43,28 @@
 
   private static FleetState withOwner() {
     return FleetState.empty()
+        .apply(1, configure(0, LEDGER))
         .apply(1, register("a", 100, 1, TargetPhase.READY))
         .apply(2, assignFrom(Optional.empty(), "a", 0, 99));
   }
 
+  private static FleetCommand configure(long baseVersion, ServiceName service) {
+    ServicePolicy policy = new ServicePolicy(service, true, 100, GrantMethod.HEARTBEAT);
+    return new FleetCommand.ChangeConfiguration(
+        new ConfigurationChange(
+            baseVersion,
+            baseVersion + 1,
+            "change " + baseVersion,
+            false,
+            List.of(ConfigurationItem.of(policy, "{}")),
+            List.of()));
+  }
+
+  private static FleetCommand registerLater(String id, long incarnationMillis, int port) {
+    return new FleetCommand.RegisterTarget(
+        target(id, incarnationMillis, LATER, port, TargetPhase.READY));
+  }
+
   private static FleetCommand register(
       String id, long incarnationMillis, int port, TargetPhase phase) {
     return new FleetCommand.RegisterTarget(target(id, incarnationMillis, port, phase));
@@ -81,6 +107,57 @@
     assertThat(state.table(LEDGER).ranges()).isEmpty();
   }
 
+  /**
+   * Guards against a report with an unknown service that takes the address or the identifier of a
+   * target in use, and with it the keys of that target.
+   */
+  @ParameterizedTest
+  @CsvSource({"b, 300", "b, 50", "a, 300", "a, 100"})
+  void targetOfAnUnknownServiceReplacesNoTargetInUse(String id, long incarnationMillis) {
+    FleetState before = withOwner();
+    FleetState state = before.apply(3, registerLater(id, incarnationMillis, 1));
+    assertThat(state.targets()).isEqualTo(before.targets());
+    assertThat(state.table(LEDGER).ranges()).isEqualTo(before.table(LEDGER).ranges());
+  }
+
+  /** Guards against a target that is replaced by one that did not start later. */
+  @Test
+  void targetThatStartedAtTheSameTimeReplacesNoTarget() {
+    FleetState state = withOwner().apply(3, register("b", 100, 1, TargetPhase.READY));
+    assertThat(state.targets()).extracting(TargetRecord::id).containsExactly(TargetId.of("a"));
+  }
+
+  /**
+   * Guards against a target that must be restarted before it is used, because its first reports
+   * came before its service was configured.
+   */
+  @Test
+  void targetIsUsedOnceItsServiceIsConfigured() {
+    FleetState state =
+        withOwner()
+            .apply(3, registerLater("b", 300, 1))
+            .apply(4, configure(1, LATER))
+            .apply(5, registerLater("b", 300, 1));
+    assertThat(state.targets()).extracting(TargetRecord::id).containsExactly(TargetId.of("b"));
+  }
+
+  /**
+   * Guards against a report with an unknown service that keeps the target at its address out of
+   * use, and against one that cannot be used any more after its service was configured.
+   */
+  @Test
+  void targetOfAnUnknownServiceIsReplacedByATargetInUse() {
+    FleetState state =
+        withOwner()
+            .apply(3, registerLater("b", 300, 2))
+            .apply(4, register("c", 200, 2, TargetPhase.READY));
+    assertThat(state.target(TargetId.of("b"))).isEmpty();
+    assertThat(state.target(TargetId.of("c"))).isPresent();
+    state = state.apply(5, configure(1, LATER)).apply(6, registerLater("b", 300, 2));
+    assertThat(state.target(TargetId.of("b"))).isPresent();
+    assertThat(state.target(TargetId.of("c"))).isEmpty();
+  }
+
   /**
    * Guards against a delayed report of a stopped target that removes the new owner of its address.
    */
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -103,18 +103,34 @@
 
   /** Sends a report of a target that holds no keys, and returns the commands to propose. */
   List<FleetCommand> report(String name, TargetPhase phase) {
-    return report(name, 1, 1_000 + Math.floorMod(name.hashCode(), 1_000), phase);
+    return report(name, 1, port(name), phase);
+  }
+
+  /** Returns the port at which a target runs for which a test chooses none. */
+  static int port(String name) {
+    return 1_000 + Math.floorMod(name.hashCode(), 1_000);
   }
 
   /** Sends a report of a target that holds no keys, and returns the commands to propose. */
   List<FleetCommand> report(String name, long incarnationMillis, int port, TargetPhase phase) {
+    return report(name, incarnationMillis, LEDGER, port, phase);
+  }
+
+  /** Sends a report of a target whose service is not configured. */
+  List<FleetCommand> reportOfUnknownService(String name, long incarnationMillis, int port) {
+    ServiceName unknown = ServiceName.of("unknown");
+    return report(name, incarnationMillis, unknown, port, TargetPhase.READY);
+  }
+
+  private List<FleetCommand> report(
+      String name, long incarnationMillis, ServiceName service, int port, TargetPhase phase) {
     nowNanos += STEP_NANOS;
     long sequence = sequences.merge(name, 1L, Long::sum);
     TargetRecord target =
         new TargetRecord(
             TargetId.of(name),
             incarnationMillis,
-            LEDGER,
+            service,
             new Address("10.0.0.1", port),
             AvailabilityZone.of("z"),
             2,
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -16,7 +16,8 @@
 class OwnershipLeaderTest {
   /**
    * Guards against two holders of one key while targets start, drain, crash and restart under the
-   * same name, while reports and answers are lost or delayed, and while the leader changes.
+   * same name, while reports and answers are lost or delayed, while reports with an unknown service
+   * and reports of later processes name their addresses, and while the leader changes.
    */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
@@ -244,6 +245,49 @@
     assertThat(harness.isRegistered("a")).isTrue();
   }
 
+  /**
+   * Guards against a target in use that loses its lease because a report with an unknown service
+   * names its address or its identifier.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"other", "a"})
+  void reportWithAnUnknownServiceTakesNoKeys(String name) {
+    OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
+    harness.register("a");
+    harness.assign(KeyRange.ALL, "a");
+    harness.reportAndGrant("a", TargetPhase.READY);
+    harness.apply(harness.reportOfUnknownService(name, 2, OwnershipLeaderHarness.port("a")));
+    harness.apply(harness.tick());
+    assertThat(harness.owner(0)).isEqualTo("a");
+    assertThat(harness.reportAndGrant("a", TargetPhase.READY)).containsExactly(KeyRange.ALL);
+  }
+
+  /**
+   * Guards against two holders of one key: a later process reports the address of a target whose
+   * lease has not ended, and the leader may change after that.
+   */
+  @ParameterizedTest
+  @CsvSource({"HEARTBEAT, false", "HEARTBEAT, true", "CALL, false", "CALL, true"})
+  void keysOfAReplacedTargetWaitForTheEndOfItsLease(GrantMethod method, boolean leaderChanges) {
+    OwnershipLeaderHarness harness = new OwnershipLeaderHarness(method);
+    harness.register("a");
+    harness.assign(KeyRange.ALL, "a");
+    harness.reportAndGrant("a", TargetPhase.READY);
+    harness.apply(harness.endDueCalls(TargetCallResult.Outcome.DONE));
+    harness.apply(harness.report("b", 2, OwnershipLeaderHarness.port("a"), TargetPhase.READY));
+    if (leaderChanges) {
+      harness.electLeader();
+    }
+    harness.advance(OwnershipLeaderHarness.LEASE_MILLIS - 200);
+    harness.apply(harness.report("b", 2, OwnershipLeaderHarness.port("a"), TargetPhase.READY));
+    harness.apply(harness.tick());
+    assertThat(harness.owner(0)).isEmpty();
+    harness.advance(1_000);
+    harness.apply(harness.report("b", 2, OwnershipLeaderHarness.port("a"), TargetPhase.READY));
+    harness.apply(harness.tick());
+    assertThat(harness.owner(0)).isEqualTo("b");
+  }
+
   private static OwnershipLeaderHarness harnessWithLostOwner() {
     OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
     harness.register("lost");
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -26,6 +26,7 @@
 /** Simulates targets that report to a leader and hold the keys that it grants, with its log. */
 final class OwnershipSimulation {
   private static final ServiceName LEDGER = ServiceName.of("ledger");
+  private static final ServiceName UNKNOWN = ServiceName.of("unknown");
   private static final long STEP_MILLIS = 10;
   private static final int REPORT_INTERVAL_MILLIS = 870;
   private static final int SLOTS = 2;
@@ -59,6 +60,7 @@
     private long sequence;
     private long awaitedSequence;
     private boolean running = true;
+    private boolean replaced;
     private TargetPhase phase = TargetPhase.READY;
     private long holdsUntilMillis;
     private long nextReportMillis;
@@ -92,15 +94,7 @@
       if (nowMillis < holdsUntilMillis) {
         held.forEach((r, f) -> heldRanges.add(new HeldRange(r, Fence.of(f))));
       }
-      TargetRecord self =
-          new TargetRecord(
-              id,
-              incarnationMillis,
-              LEDGER,
-              new Address("10.0.0.1", port),
-              AvailabilityZone.of("z"),
-              SLOTS,
-              phase);
+      TargetRecord self = recordAt(port, id, incarnationMillis, LEDGER, phase);
       return new HeartbeatReport(self, ++sequence, 0, heldRanges, List.copyOf(released));
     }
 
@@ -178,8 +172,24 @@
   }
 
   void add() {
+    addAt(1_001 + nextTargetNumber);
+  }
+
+  private void addAt(int port) {
     TargetId id = TargetId.of("t" + nextTargetNumber++);
-    targets.put(id, new SimulatedTarget(id, 1_000 + nextTargetNumber));
+    targets.put(id, new SimulatedTarget(id, port));
+  }
+
+  private static TargetRecord recordAt(
+      int port, TargetId id, long incarnationMillis, ServiceName service, TargetPhase phase) {
+    return new TargetRecord(
+        id,
+        incarnationMillis,
+        service,
+        new Address("10.0.0.1", port),
+        AvailabilityZone.of("z"),
+        SLOTS,
+        phase);
   }
 
   void setLoad(IntToDoubleFunction loadByKey) {
@@ -510,10 +520,32 @@
       chosen.nextReportMillis = nowMillis + random.nextInt(5_000);
     } else if (fault == 4 && targets.size() < 14) {
       add();
+    } else if (fault == 5) {
+      reportOfUnknownService(chosen);
+    } else if (fault == 6 && !chosen.replaced && targets.size() < 24) {
+      replace(chosen);
     }
   }
 
+  /** Delivers a report that names the address, or also the identifier, of a target. */
+  private void reportOfUnknownService(SimulatedTarget target) {
+    TargetId id = random.nextBoolean() ? target.id : TargetId.of("other-" + nowMillis);
+    TargetRecord other = recordAt(target.port, id, nowMillis, UNKNOWN, TargetPhase.READY);
+    HeartbeatReport report = new HeartbeatReport(other, 1, 0, List.of(), List.of());
+    leader.report(nanos(), report).commands().forEach(this::propose);
+  }
+
+  /** Starts another target at the address of a target, which runs on until after its lease. */
+  private void replace(SimulatedTarget target) {
+    target.replaced = true;
+    addAt(target.port);
+    schedule(nowMillis + 4_000, () -> target.running = false);
+  }
+
   private void restart(SimulatedTarget target) {
+    if (target.replaced) {
+      return;
+    }
     target.running = true;
     target.incarnationMillis = nowMillis;
     target.sequence = 0;
