--- a/src/test/java/io/coltsfootwheel/bench/HttpResponseReader.java
+++ b/src/test/java/io/coltsfootwheel/bench/HttpResponseReader.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /** Reads HTTP/1.1 responses from a blocking connection without retries or reconnects. */
-final class HttpResponseReader {
+public final class HttpResponseReader {
   /**
    * Complete response.
    *
@@ -17,7 +17,7 @@
    * @param headers headers by name in lower case
    * @param body body
    */
-  record Response(int status, Map<String, String> headers, String body) {
+  public record Response(int status, Map<String, String> headers, String body) {
     boolean closesConnection() {
       return "close".equalsIgnoreCase(headers.get("connection"));
     }
@@ -25,12 +25,13 @@
 
   private final InputStream input;
 
-  HttpResponseReader(InputStream input) {
+  /** Reads from the input of a connection. */
+  public HttpResponseReader(InputStream input) {
     this.input = input;
   }
 
   /** Reads one response; fails with an {@link EOFException} when the connection ends before it. */
-  Response read() throws IOException {
+  public Response read() throws IOException {
     String[] statusLine = readLine().split(" ");
     Map<String, String> headers = new HashMap<>();
     for (String line = readLine(); !line.isEmpty(); line = readLine()) {
--- a/src/test/java/io/coltsfootwheel/bench/ProcessGroup.java
+++ b/src/test/java/io/coltsfootwheel/bench/ProcessGroup.java
@@ -12,22 +12,35 @@
  * Starts processes with one log file each, and signals and ends only these processes, by process
  * id.
  */
-final class ProcessGroup implements AutoCloseable {
+public final class ProcessGroup implements AutoCloseable {
   private final Path logFolder;
   private final Map<String, Process> processes = new ConcurrentHashMap<>();
 
-  ProcessGroup(Path logFolder) {
+  /**
+   * Creates an empty group.
+   *
+   * @param logFolder folder of the log files
+   */
+  public ProcessGroup(Path logFolder) {
     this.logFolder = logFolder;
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll, "kill-processes"));
   }
 
   /** Starts a process and appends its standard output and standard error to {@code NAME.log}. */
   Process start(String name, Map<String, String> environment, List<String> command) {
-    ProcessBuilder builder =
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(name).toFile()));
+    ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().putAll(environment);
+    return start(name, builder);
+  }
+
+  /**
+   * Starts a process as its builder says, and appends its standard output and standard error to
+   * {@code NAME.log}.
+   */
+  public Process start(String name, ProcessBuilder builder) {
+    builder
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(name).toFile()));
     try {
       Process process = builder.start();
       processes.put(name, process);
@@ -37,7 +50,8 @@
     }
   }
 
-  Path logFile(String name) {
+  /** Returns the log file of a process. */
+  public Path logFile(String name) {
     return logFolder.resolve(name + ".log");
   }
 
@@ -46,7 +60,7 @@
   }
 
   /** Sends a signal such as {@code KILL}, {@code STOP}, {@code CONT} or {@code TERM}. */
-  void signal(String name, String signal) throws IOException, InterruptedException {
+  public void signal(String name, String signal) throws IOException, InterruptedException {
     String pid = Long.toString(processes.get(name).pid());
     int exitStatus = new ProcessBuilder("kill", "-" + signal, pid).inheritIO().start().waitFor();
     if (exitStatus != 0) {
@@ -55,7 +69,7 @@
   }
 
   /** Waits until a process exits or a time has passed; returns whether it has exited. */
-  boolean exits(String name, int timeoutMillis) throws InterruptedException {
+  public boolean exits(String name, int timeoutMillis) throws InterruptedException {
     return processes.get(name).waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
--- /dev/null
+++ b/src/test/java/io/coltsfootwheel/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the deployment of the deploy file as real processes and judges what callers saw of it. */
+package io.coltsfootwheel.deployment;
