Try taken ports again, and end the process on any failed start

Cause: PlatformMain ended the process for two kinds of exceptions only. A taken control or metrics port is another kind: it ended the main thread, and the other threads kept the process, never ready and deaf to SIGTERM.

Change: ListenerBinder binds every listener of the platform's processes (clients, links, readiness, control): a port in use is tried again for 10 s, with one line at the first failure; a request to stop ends the wait with status 0. Any Throwable of the start or stop, a missing role and a missing or unreadable settings file end the process with status 1 and one line, process.failed (ProcessEnd). The metrics listener is no reason to keep a router down: operators lose a graph, clients would lose an entry. MetricsListener tries in the background, with a line when it fails and when it is bound.

--- a/src/main/java/io/coltsfootwheel/link/LinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkTransport.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.link;
 
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.Map;
@@ -27,14 +28,26 @@
     return new TcpLinkTransport(settings);
   }
 
+  /**
+   * Starts to listen; tries once to bind the address.
+   *
+   * @param listener receives frames and connection events
+   * @return the bound address
+   * @throws io.coltsfootwheel.model.ColtsfootwheelException when the address cannot be bound
+   */
+  default Address start(LinkListener listener) {
+    return start(listener, ListenerBinder.withoutRetry());
+  }
+
   /**
    * Starts to listen.
    *
    * @param listener receives frames and connection events
+   * @param binder binds the address
    * @return the bound address
    * @throws io.coltsfootwheel.model.ColtsfootwheelException when the address cannot be bound
    */
-  Address start(LinkListener listener);
+  Address start(LinkListener listener, ListenerBinder binder);
 
   /**
    * Queues a frame without waiting. Control connections are kept open to all peers; a data
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -1,8 +1,7 @@
 package io.coltsfootwheel.link;
 
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
-import io.coltsfootwheel.model.ColtsfootwheelException;
-import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.InstanceId;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
@@ -71,26 +70,20 @@
   }
 
   @Override
-  public synchronized Address start(LinkListener newListener) {
+  public synchronized Address start(LinkListener newListener, ListenerBinder binder) {
     listener = newListener;
     Handshake.warmUp(settings);
-    try {
-      server =
-          TcpServer.create()
-              .runOn(eventLoops)
-              .host(settings.host())
-              .port(settings.port())
-              .childOption(ChannelOption.TCP_NODELAY, true)
-              .childOption(ChannelOption.SO_KEEPALIVE, true)
-              .doOnConnection(this::addInboundHandlers)
-              .handle((in, out) -> Mono.never())
-              .bindNow();
-    } catch (RuntimeException e) {
-      throw ColtsfootwheelException.of(
-          ErrorKind.INVALID_SETTINGS,
-          "link address " + settings.host() + ":" + settings.port() + " cannot be bound",
-          e);
-    }
+    TcpServer tcpServer =
+        TcpServer.create()
+            .runOn(eventLoops)
+            .host(settings.host())
+            .port(settings.port())
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .doOnConnection(this::addInboundHandlers)
+            .handle((in, out) -> Mono.never());
+    server =
+        binder.bind("link address " + settings.host() + ":" + settings.port(), tcpServer::bindNow);
     return new Address(settings.host(), server.port());
   }
 
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -9,6 +9,7 @@
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.TargetId;
@@ -125,9 +126,18 @@
             this::decide, ControlEvent.Tick::new, TICK_MILLIS, this::execute, onFailure);
   }
 
-  /** Starts the links and the decision loop, which opens the journal. */
+  /** Starts the links and the decision loop; tries once to bind the address of the links. */
   public void start() {
-    links.start();
+    start(ListenerBinder.withoutRetry());
+  }
+
+  /**
+   * Starts the links and the decision loop, which opens the journal.
+   *
+   * @param binder binds the address of the links
+   */
+  public void start(ListenerBinder binder) {
+    links.start(binder);
     loop.start();
   }
 
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.LoadReport;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
 import io.coltsfootwheel.relay.StopReport;
@@ -64,10 +65,19 @@
             this::logFailedSubscription);
   }
 
-  /** Starts to accept client connections and to subscribe to routing updates. */
+  /** Starts to accept client connections and to subscribe; tries once to bind each address. */
   public void start() {
-    relay.start();
-    links.start();
+    start(ListenerBinder.withoutRetry());
+  }
+
+  /**
+   * Starts to accept client connections and to subscribe to routing updates.
+   *
+   * @param binder binds the addresses of clients and links
+   */
+  public void start(ListenerBinder binder) {
+    relay.start(binder);
+    links.start(binder);
     subscriptionTask.start();
   }
 
--- a/src/main/java/io/coltsfootwheel/node/NodeLinks.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeLinks.java
@@ -8,6 +8,7 @@
 import io.coltsfootwheel.link.LinkListener;
 import io.coltsfootwheel.link.LinkSettings;
 import io.coltsfootwheel.link.LinkTransport;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
@@ -66,8 +67,8 @@
                 cluster.getBytes(StandardCharsets.UTF_8)));
   }
 
-  void start() {
-    transport.start(this);
+  void start(ListenerBinder binder) {
+    transport.start(this, binder);
   }
 
   void peers(Set<InstanceId> members, Map<InstanceId, Address> others) {
--- a/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
@@ -57,16 +58,20 @@
     this.loops = loops;
   }
 
+  /** Starts to listen; tries once to bind the address. */
   void start() {
-    server =
-        Optional.of(
-            HttpServer.create()
-                .runOn(loops, false)
-                .host(address.host())
-                .port(address.port())
-                .channelGroup(connections)
-                .handle(this::handle)
-                .bindNow());
+    start(ListenerBinder.withoutRetry());
+  }
+
+  void start(ListenerBinder binder) {
+    HttpServer httpServer =
+        HttpServer.create()
+            .runOn(loops, false)
+            .host(address.host())
+            .port(address.port())
+            .channelGroup(connections)
+            .handle(this::handle);
+    server = Optional.of(binder.bind("control address " + address, httpServer::bindNow));
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -3,8 +3,8 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.eventlog.StandardStreams;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
-import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNode;
 import io.coltsfootwheel.node.EntryNode;
@@ -14,7 +14,6 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -23,9 +22,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
@@ -40,19 +36,16 @@
   /** Port on which every process serves its metrics. */
   static final int METRICS_PORT = 9464;
 
-  private static final String METRICS_PATH = "/metrics";
   private static final String ARCHIVE_ROLE = "archive";
-  private static final int EXIT_FAILED = 1;
 
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
-  private static final long OUTPUT_TIMEOUT_MILLIS = 150;
-
-  private static final Logger LOGGER = LogManager.getLogger(PlatformMain.class);
 
   private final Path settingsFile;
   private final PlatformSettings settings;
   private final EventLog log;
   private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+  private final ListenerBinder binder;
+  private final MetricsListener metrics;
   private volatile Optional<SettingsWatcher> settingsWatcher = Optional.empty();
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -62,6 +55,11 @@
     this.settingsFile = settingsFile;
     this.settings = settings;
     this.log = new EventLog(STREAMS.directOutput()::println, Map.of("instance", settings.name()));
+    this.binder =
+        new ListenerBinder(
+            ListenerBinder.RETRY_TIMEOUT, SIGNALS::isStopRequested, this::logAddressInUse);
+    this.metrics =
+        new MetricsListener(new Address(settings.ip(), METRICS_PORT), meters, loops, log);
   }
 
   /**
@@ -70,10 +68,10 @@
    * @param arguments the role of the process; for the role {@code archive} also a working folder
    */
   public static void main(String[] arguments) {
-    if (arguments[0].equals(ARCHIVE_ROLE)) {
+    if (arguments.length == 2 && arguments[0].equals(ARCHIVE_ROLE)) {
       buildArchive(Path.of(arguments[1]));
     } else {
-      serve(arguments[0]);
+      serve(arguments);
     }
   }
 
@@ -102,30 +100,29 @@
     thread.start();
   }
 
-  private static void serve(String role) {
-    Path settingsFile = Path.of(System.getenv(PlatformNames.SETTINGS_VARIABLE));
-    PlatformMain process = new PlatformMain(settingsFile, PlatformSettings.read(settingsFile));
-    int status = 0;
+  private static void serve(String[] arguments) {
+    ProcessEnd end = new ProcessEnd(STREAMS, Runtime.getRuntime()::halt);
     try {
-      process.run(role);
-    } catch (ColtsfootwheelException e) {
-      LOGGER.error("process failed: {}", e.getMessage(), e);
-      status = EXIT_FAILED;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      status = EXIT_FAILED;
+      if (arguments.length != 1) {
+        throw JsonFields.invalid("the role of the process is missing");
+      }
+      Path settingsFile = settingsFile();
+      new PlatformMain(settingsFile, PlatformSettings.read(settingsFile)).run(arguments[0]);
+      end.stopped();
+    } catch (Throwable e) {
+      // Other threads would keep the process, and only one that has ended is started again.
+      end.failed("main thread", e);
     }
-    exit(status);
   }
 
-  /** Ends the process, after a limited time for its last log lines. */
-  private static void exit(int status) {
-    try {
-      STREAMS.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-    Runtime.getRuntime().halt(status);
+  private static Path settingsFile() {
+    return Optional.ofNullable(System.getenv(PlatformNames.SETTINGS_VARIABLE))
+        .map(Path::of)
+        .orElseThrow(() -> JsonFields.invalid(PlatformNames.SETTINGS_VARIABLE + " is not set"));
+  }
+
+  private void logAddressInUse(String listener) {
+    log.write(LogEvent.of("listener.in_use").with("listener", listener));
   }
 
   private void run(String role) throws InterruptedException {
@@ -143,11 +140,11 @@
     TargetCallClient targets = new TargetCallClient(loops);
     ControlNode node =
         new ControlNode(settings.control(), targets::call, log, registry, SIGNALS::requestStop);
-    node.start();
+    node.start(binder);
     ControlEndpoint endpoint = new ControlEndpoint(settings.controlAddress(), node, log, loops);
-    endpoint.start();
+    endpoint.start(binder);
     watchSettings(node::setSeeds);
-    serveMetrics();
+    metrics.start();
     SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     stopWatchingSettings();
@@ -161,10 +158,10 @@
   private void runEntry(MeterRegistry registry) throws InterruptedException {
     Relay relay = new Relay(settings.relay(), log, registry);
     EntryNode node = new EntryNode(settings.entry(), relay, log);
-    node.start();
+    node.start(binder);
     serveReadiness(relay);
     watchSettings(node::addSeeds);
-    serveMetrics();
+    metrics.start();
     SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     StopReport report = node.stop(remainingGraceMillis()).block();
@@ -176,6 +173,7 @@
 
   /** Closes readiness and metrics; a socket that is open at the halt stays open for 0.3 s. */
   private void closeServers() {
+    metrics.stopBinding();
     loops.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block();
   }
 
@@ -203,31 +201,17 @@
 
   private void serveReadiness(Relay relay) {
     Address address = settings.readinessAddress();
-    HttpServer.create()
-        .runOn(loops, false)
-        .host(address.host())
-        .port(address.port())
-        .route(
-            routes ->
-                routes.get(
-                    PlatformNames.READINESS_PATH,
-                    (request, response) -> response.status(relay.isReady() ? 200 : 503).send()))
-        .bindNow();
-  }
-
-  private void serveMetrics() {
-    HttpServer.create()
-        .runOn(loops, false)
-        .host(settings.ip())
-        .port(METRICS_PORT)
-        .route(
-            routes ->
-                routes.get(
-                    METRICS_PATH,
-                    (request, response) ->
-                        response
-                            .header(HttpHeaderNames.CONTENT_TYPE, "text/plain")
-                            .sendString(Mono.fromSupplier(meters::scrape))))
-        .bindNow();
+    HttpServer server =
+        HttpServer.create()
+            .runOn(loops, false)
+            .host(address.host())
+            .port(address.port())
+            .route(
+                routes ->
+                    routes.get(
+                        PlatformNames.READINESS_PATH,
+                        (request, response) ->
+                            response.status(relay.isReady() ? 200 : 503).send()));
+    binder.bind("readiness address " + address, server::bindNow);
   }
 }
--- a/src/main/java/io/coltsfootwheel/platform/ProcessSignals.java
+++ b/src/main/java/io/coltsfootwheel/platform/ProcessSignals.java
@@ -41,6 +41,10 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopRequestedNanos);
   }
 
+  boolean isStopRequested() {
+    return stopRequested.getCount() == 0;
+  }
+
   void awaitStop() throws InterruptedException {
     stopRequested.await();
   }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -5,8 +5,7 @@
 import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
-import io.coltsfootwheel.model.ColtsfootwheelException;
-import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ClientLimits;
@@ -100,26 +99,29 @@
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
   }
 
-  /** Binds the client address and accepts connections. */
+  /** Binds the client address at the first try and accepts connections. */
   public void start() {
-    try {
-      DisposableServer server =
-          TcpServer.create()
-              .runOn(loopResources, false)
-              .host(settings.listen().host())
-              .port(settings.listen().port())
-              .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
-              .childOption(ChannelOption.TCP_NODELAY, true)
-              .doOnConnection(this::onConnection)
-              .handle((in, out) -> Mono.never())
-              .bindNow();
-      runOnEventLoop(() -> stop.listenerBound(server.channel()));
-    } catch (RuntimeException e) {
-      throw ColtsfootwheelException.of(
-          ErrorKind.INVALID_SETTINGS,
-          "client address " + settings.listen() + " cannot be bound",
-          e);
-    }
+    start(ListenerBinder.withoutRetry());
+  }
+
+  /**
+   * Binds the client address and accepts connections.
+   *
+   * @param binder binds the client address
+   */
+  public void start(ListenerBinder binder) {
+    TcpServer tcpServer =
+        TcpServer.create()
+            .runOn(loopResources, false)
+            .host(settings.listen().host())
+            .port(settings.listen().port())
+            .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .doOnConnection(this::onConnection)
+            .handle((in, out) -> Mono.never());
+    DisposableServer server =
+        binder.bind("client address " + settings.listen(), tcpServer::bindNow);
+    runOnEventLoop(() -> stop.listenerBound(server.channel()));
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/node/NodeLinksTest.java
+++ b/src/test/java/io/coltsfootwheel/node/NodeLinksTest.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.link.SilentProxy;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
 import java.io.IOException;
@@ -37,8 +38,8 @@
     NodeLinks a = links(addressA, new LinkedBlockingQueue<>());
     NodeLinks b = links(addressB, receivedByB);
     try (SilentProxy proxyToB = new SilentProxy(() -> addressB)) {
-      a.start();
-      b.start();
+      a.start(ListenerBinder.withoutRetry());
+      b.start(ListenerBinder.withoutRetry());
       a.peers(Set.of(), Map.of(B, proxyToB.address()));
       b.peers(Set.of(), Map.of(A, addressA));
       sendUntilReceived(a, b, peerSends, new NodeMessage.Join("before"));
--- a/src/test/java/io/coltsfootwheel/node/StandInLeader.java
+++ b/src/test/java/io/coltsfootwheel/node/StandInLeader.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.routing.Configuration;
@@ -52,7 +53,7 @@
     this.configuration = configuration;
     this.view = view;
     this.links = new NodeLinks("test", address, address.port(), this::receive, lost -> {}, log);
-    links.start();
+    links.start(ListenerBinder.withoutRetry());
     links.peers(Set.of(), Map.of(InstanceId.of(entryAddress.host()), entryAddress));
   }
 
