Read the platform's settings with the typed reader

Cause: a setting of another type or range was replaced by a default without a word: heartbeatIntervalMs = 0 was taken (all leases of 0 ms), a missing internalPortRange was port 0, bounds that are no list were none, a bootstrap or faultTolerance of another type was false and 1.

Change: PlatformSettings names its fields and reads them with JsonValue; PlatformBound names the bounds with their range. Each fault is a ColtsfootwheelException of INVALID_SETTINGS that names the setting, such as "heartbeatIntervalMs: expected an integer from 1 to 3600000, got 0", when the process asks for its settings at its start. Unknown fields and bounds are ignored. A reload reads only the seeds, as before, so that a fault elsewhere in the file does not keep new seeds away.

--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -15,32 +15,69 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Settings file of the platform, converted to the settings of control and entry processes.
  *
- * <p>Unknown fields are ignored, because the platform may add fields at any time.
+ * <p>Unknown fields are ignored, because the platform may add fields at any time. A known field of
+ * another type or range is an error that names it, when the settings that contain it are asked for.
  */
 final class PlatformSettings {
   private static final String CLUSTER_NAME = "coltsfootwheel";
   private static final int ENTRY_PORT_OFFSET = 1;
   private static final int MAX_LOGGED_SEED_LENGTH = 64;
 
-  private final JsonNode root;
-  private final Map<String, Double> bounds = new HashMap<>();
-
-  private PlatformSettings(JsonNode root) {
+  static final FieldSet FIELDS = new FieldSet();
+  static final FieldSet ADDRESS_FIELDS = new FieldSet();
+  static final FieldSet FAULT_FIELDS = new FieldSet();
+
+  private static final int MAX_PORT = 65_535;
+  private static final long DEFAULT_HEARTBEAT_MILLIS = 1_000;
+  private static final long MAX_HEARTBEAT_MILLIS = TimeUnit.HOURS.toMillis(1);
+  private static final int DEFAULT_TOLERATED_LOSSES = 1;
+  private static final int MAX_TOLERATED_LOSSES = 1_000;
+
+  private static final ValueType<Address> ADDRESS =
+      ValueType.parsedText("an address and a port", Address::parse);
+  private static final ValueType<Integer> PORT = ValueType.integer32(1, MAX_PORT);
+
+  private static final RequiredField<String> NAME = FIELDS.required("nodeName", ValueType.text());
+  private static final RequiredField<String> IP =
+      FIELDS.required("ip", ValueType.parsedText("an IP address", PlatformSettings::numericHost));
+  private static final RequiredField<AvailabilityZone> ZONE =
+      FIELDS.required("zone", ValueType.parsedText("the name of a zone", AvailabilityZone::of));
+  private static final RequiredField<String> DATA_FOLDER =
+      FIELDS.required("dataDir", ValueType.text());
+  private static final RequiredField<List<JsonValue>> PORT_RANGE =
+      FIELDS.required("internalPortRange", ValueType.row(2));
+  private static final OptionalField<List<JsonValue>> SEEDS =
+      FIELDS.optional("seeds", ValueType.list());
+  private static final OptionalField<Boolean> BOOTSTRAP =
+      FIELDS.optional("bootstrap", ValueType.flag());
+  private static final OptionalField<Long> HEARTBEAT_MILLIS =
+      FIELDS.optional("heartbeatIntervalMs", ValueType.integer(1, MAX_HEARTBEAT_MILLIS));
+  private static final OptionalField<List<JsonValue>> BOUNDS =
+      FIELDS.optional("bounds", ValueType.list());
+  private static final RequiredField<JsonValue> LISTEN_ADDRESSES =
+      FIELDS.required("listenAddrs", ValueType.object());
+  private static final OptionalField<JsonValue> FAULT_TOLERANCE =
+      FIELDS.optional("faultTolerance", ValueType.object());
+
+  private static final RequiredField<Address> FRONT = ADDRESS_FIELDS.required("front", ADDRESS);
+  private static final RequiredField<Address> READY = ADDRESS_FIELDS.required("ready", ADDRESS);
+  private static final RequiredField<Address> CONTROL = ADDRESS_FIELDS.required("control", ADDRESS);
+  private static final OptionalField<Integer> TOLERATED_LOSSES =
+      FAULT_FIELDS.optional("machines", ValueType.integer32(0, MAX_TOLERATED_LOSSES));
+
+  private final JsonValue root;
+
+  private PlatformSettings(JsonValue root) {
     this.root = root;
-    for (JsonNode bound : root.path("bounds")) {
-      String[] nameAndValue = bound.asText().split("=", 2);
-      if (nameAndValue.length == 2) {
-        putBound(nameAndValue[0].trim(), nameAndValue[1].trim());
-      }
-    }
   }
 
   /**
@@ -52,7 +89,9 @@
    */
   static PlatformSettings read(Path file) {
     try {
-      return new PlatformSettings(new TomlMapper().readTree(Files.readString(file)));
+      return new PlatformSettings(
+          JsonValue.root(
+              new TomlMapper().readTree(Files.readString(file)), ErrorKind.INVALID_SETTINGS));
     } catch (IOException e) {
       throw ColtsfootwheelException.of(
           ErrorKind.INVALID_SETTINGS, "settings file " + file + ": " + e.getMessage(), e);
@@ -60,40 +99,40 @@
   }
 
   String name() {
-    return text("nodeName");
+    return root.read(NAME);
   }
 
   String ip() {
-    return text("ip");
+    return root.read(IP);
   }
 
   Address frontAddress() {
-    return Address.parse(text("listenAddrs", "front"));
+    return root.read(LISTEN_ADDRESSES).read(FRONT);
   }
 
   Address readinessAddress() {
-    return Address.parse(text("listenAddrs", "ready"));
+    return root.read(LISTEN_ADDRESSES).read(READY);
   }
 
   Address controlAddress() {
-    return Address.parse(text("listenAddrs", "control"));
+    return root.read(LISTEN_ADDRESSES).read(CONTROL);
   }
 
   long graceMillis() {
-    return (long) (1_000 * bound("graceS", 6));
+    return millis(bounds(), PlatformBound.GRACE_SECONDS);
   }
 
   /** Returns the valid seeds; the others do not prevent their use. */
   List<InstanceId> seeds() {
     List<InstanceId> seeds = new ArrayList<>();
-    root.path("seeds").forEach(s -> parseSeed(s).ifPresent(seeds::add));
+    seedValues().forEach(seed -> parseSeed(seed).ifPresent(seeds::add));
     return seeds;
   }
 
   /** Returns the beginning of each seed that is not an IP address and a port. */
   List<String> invalidSeeds() {
     List<String> invalid = new ArrayList<>();
-    for (JsonNode seed : root.path("seeds")) {
+    for (JsonNode seed : seedValues()) {
       if (parseSeed(seed).isEmpty()) {
         String text = seed.asText();
         invalid.add(text.substring(0, Math.min(MAX_LOGGED_SEED_LENGTH, text.length())));
@@ -110,17 +149,25 @@
     }
   }
 
+  private List<JsonNode> seedValues() {
+    return root.read(SEEDS).orElse(List.of()).stream().map(JsonValue::node).toList();
+  }
+
   ControlNodeSettings control() {
+    Map<PlatformBound, Double> bounds = bounds();
     return new ControlNodeSettings(
         CLUSTER_NAME,
         new Address(ip(), memberPort()),
         seeds(),
-        root.path("bootstrap").asBoolean(false),
-        root.path("faultTolerance").path("machines").asInt(1),
-        (long) (1_000 * bound("catchUpS", 4)),
+        root.read(BOOTSTRAP).orElse(false),
+        root.read(FAULT_TOLERANCE)
+            .flatMap(tolerance -> tolerance.read(TOLERATED_LOSSES))
+            .orElse(DEFAULT_TOLERATED_LOSSES),
+        millis(bounds, PlatformBound.CATCH_UP_SECONDS),
         OwnershipSettings.of(
-            root.path("heartbeatIntervalMs").asLong(1_000), (long) bound("maxHoldMs", 10_000)),
-        Path.of(text("dataDir")));
+            root.read(HEARTBEAT_MILLIS).orElse(DEFAULT_HEARTBEAT_MILLIS),
+            bounds.get(PlatformBound.MAX_HOLD_MILLIS).longValue()),
+        Path.of(root.read(DATA_FOLDER)));
   }
 
   EntryNodeSettings entry() {
@@ -129,43 +176,53 @@
   }
 
   RelaySettings relay() {
+    Map<PlatformBound, Double> bounds = bounds();
     return new RelaySettings(
         frontAddress(),
-        AvailabilityZone.of(text("zone")),
+        root.read(ZONE),
         PlatformNames.HEADERS,
-        (long) bound("drainMs", 2_000),
-        bound("retryBudgetRatio", 0.1),
-        bound("retryBudgetSlack", 10),
-        (long) (1_000 * bound("budgetWindowS", 10)),
+        bounds.get(PlatformBound.DRAIN_MILLIS).longValue(),
+        bounds.get(PlatformBound.RETRY_BUDGET_RATIO),
+        bounds.get(PlatformBound.RETRY_BUDGET_SLACK),
+        millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
         ip().hashCode() ^ System.nanoTime());
   }
 
   private int memberPort() {
-    return root.path("internalPortRange").path(0).asInt();
-  }
-
-  private double bound(String name, double defaultValue) {
-    return bounds.getOrDefault(name, defaultValue);
+    List<JsonValue> range = root.read(PORT_RANGE);
+    int first = range.get(0).as(PORT);
+    // Entries on the machine of a member use the second port.
+    range.get(1).as(ValueType.integer32(first + ENTRY_PORT_OFFSET, MAX_PORT));
+    return first;
+  }
+
+  /** Returns each bound that the processes use; reads them all, so that a fault ends the start. */
+  private Map<PlatformBound, Double> bounds() {
+    Map<PlatformBound, Double> bounds = new EnumMap<>(PlatformBound.class);
+    for (PlatformBound bound : PlatformBound.values()) {
+      bounds.put(bound, bound.defaultValue());
+    }
+    for (JsonValue value : root.read(BOUNDS).orElse(List.of())) {
+      String text = value.as(ValueType.text());
+      PlatformBound.named(text)
+          .ifPresent(
+              bound ->
+                  bounds.put(
+                      bound,
+                      bound.parse(text).orElseThrow(() -> value.unexpected(bound.expectedText()))));
+    }
+    return bounds;
   }
 
-  private void putBound(String name, String value) {
-    try {
-      bounds.put(name, Double.parseDouble(value));
-    } catch (NumberFormatException e) {
-      // Some bounds are booleans; this process uses none of them.
-      bounds.remove(name);
-    }
+  private static long millis(Map<PlatformBound, Double> bounds, PlatformBound secondsBound) {
+    return (long) (1_000 * bounds.get(secondsBound));
   }
 
-  private String text(String... path) {
-    JsonNode node = root;
-    for (String name : path) {
-      node = node.path(name);
-    }
-    if (!node.isTextual()) {
-      throw ColtsfootwheelException.of(
-          ErrorKind.INVALID_SETTINGS, "setting " + String.join(".", path) + " is missing");
+  private static String numericHost(String text) {
+    Address address = new Address(text, MAX_PORT);
+    if (!address.isNumeric()) {
+      throw ColtsfootwheelException.of(ErrorKind.INVALID_VALUE, "'" + text + "' is no IP address");
     }
-    return node.asText();
+    return address.host();
   }
 }
