Refuse a service in a list of the tool that is no text

Change: an element that is not in quotes is a fault of the file, like the other types there.

Shown: the three new cases of ListsFileReaderTest were read without a fault before; they pass now.

--- a/src/main/java/io/coltsfootwheel/tool/ListsFileReader.java
+++ b/src/main/java/io/coltsfootwheel/tool/ListsFileReader.java
@@ -162,14 +162,20 @@
       addFault(file, setting, describe(node) + " is not an array with at least one service");
       return services;
     }
-    for (JsonNode element : node) {
-      name(file, setting, element.asText(), ServiceName::of)
-          .filter(service -> !services.add(service))
-          .ifPresent(service -> addFault(file, setting, "'" + service + "' is repeated"));
-    }
+    node.forEach(element -> addService(file, setting, element, services));
     return services;
   }
 
+  private void addService(Path file, String setting, JsonNode element, Set<ServiceName> services) {
+    if (!element.isTextual()) {
+      addFault(file, setting, element + " is not the name of a service in quotes");
+      return;
+    }
+    name(file, setting, element.asText(), ServiceName::of)
+        .filter(service -> !services.add(service))
+        .ifPresent(service -> addFault(file, setting, "'" + service + "' is repeated"));
+  }
+
   private <T> Optional<T> name(Path file, String setting, String text, Function<String, T> parse) {
     try {
       return Optional.of(parse.apply(text));
--- a/src/test/java/io/coltsfootwheel/tool/ListsFileReaderTest.java
+++ b/src/test/java/io/coltsfootwheel/tool/ListsFileReaderTest.java
@@ -52,6 +52,9 @@
         "burst = 20||standard.burst|a missing value",
         "concurrency = 8|concurrency = 0|standard.concurrency|not an integer from 1",
         "[\"ledger\"]|[]|standard.services|at least one service",
+        "[\"ledger\"]|[\"ledger\", 5]|standard.services|5 is not the name of a service in quotes",
+        "[\"ledger\"]|[\"ledger\", true]|standard.services|true is not the name of a service in quotes",
+        "[\"ledger\"]|[2026-01-01]|standard.services|is not the name of a service in quotes",
         "[\"ledger\"]|[\"ledger\", \"ledger\"]|standard.services|is repeated",
         "[allowances.standard]|[plans]|allowances.toml: plans|is also in",
       })
