--- a/src/main/java/io/coltsfootwheel/platform/PlatformBound.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformBound.java
@@ -51,6 +51,6 @@
   }
 
   String expectedText() {
-    return wireName + "= and a number from " + min + " to " + max;
+    return wireName + "= and a number from " + ValueType.plain(min) + " to " + ValueType.plain(max);
   }
 }
--- a/src/main/java/io/coltsfootwheel/platform/ValueType.java
+++ b/src/main/java/io/coltsfootwheel/platform/ValueType.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.coltsfootwheel.model.ColtsfootwheelException;
+import java.math.BigDecimal;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -70,7 +71,7 @@
   /** Returns the type of integers and fractions, both bounds included. */
   static ValueType<Double> number(double min, double max) {
     return of(
-        "a number " + range(Double.toString(min), Double.toString(max), max == Double.MAX_VALUE),
+        "a number " + range(plain(min), plain(max), max == Double.MAX_VALUE),
         node -> node.isNumber() && node.doubleValue() >= min && node.doubleValue() <= max,
         JsonNode::doubleValue);
   }
@@ -113,6 +114,11 @@
     }
   }
 
+  /** Returns a number without an exponent or trailing zeros, as an operator would write it. */
+  static String plain(double value) {
+    return BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
+  }
+
   private static String range(String min, String max, boolean unbounded) {
     return unbounded ? "of at least " + min : "from " + min + " to " + max;
   }
--- a/src/test/java/io/coltsfootwheel/platform/ConfigurationFieldsTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationFieldsTest.java
@@ -146,7 +146,7 @@
         "\"service\":\"huvo11a\",\"maxA|\"service\":\"a b\",\"maxA|resources[0].spec.service",
         "\"service\":\"huvo11a\",\"maxA|\"maxA|resources[0].spec: expected either service or split",
         "\"split\":|\"service\":\"huvo11a\",\"split\":|resources[1].spec: expected either service",
-        "\"weight\":90|\"weight\":-1|resources[1].spec.split[0].weight",
+        "\"weight\":90|\"weight\":-1|resources[1].spec.split[0].weight: expected a number from 0 to 1000000000, got",
         "\"weight\":90|\"weight\":1e999|resources[1].spec.split[0].weight",
         "\"weight\":90|\"weight\":1000000001|resources[1].spec.split[0].weight",
         "{\"service\":\"huvo11a\",\"weight\":90}|\"huvo11a\"|resources[1].spec.split[0]: expected",
