A late leave of an earlier incarnation ends no other one

Cause: instances.leave carries born, as all that a target says of itself, but the endpoint did not read the body, and the leader gave the registered incarnation the phase LEFT, whichever it was.

Change: the announcement names its incarnation (keyspace.TargetLeave, decoded by platform.LeaveJson) and has no effect on another one. A body without a readable born concerns the registered incarnation, as before.

--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -160,12 +160,14 @@
   /**
    * Processes the announcement of a target that it leaves.
    *
-   * @param target the target
-   * @return the command to propose, or empty when the target is unknown or has left already
+   * @param leave the announcement
+   * @return the command to propose, or empty when the target is unknown, has left already or runs
+   *     in another incarnation
    */
-  public Optional<FleetCommand> leave(TargetId target) {
+  public Optional<FleetCommand> leave(TargetLeave leave) {
     return state
-        .target(target)
+        .target(leave.target())
+        .filter(leave::concerns)
         .filter(t -> t.phase() != TargetPhase.LEFT)
         .map(t -> new FleetCommand.RegisterTarget(t.withPhase(TargetPhase.LEFT)));
   }
--- a/src/main/java/io/coltsfootwheel/node/ControlEvent.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlEvent.java
@@ -4,8 +4,8 @@
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
+import io.coltsfootwheel.keyspace.TargetLeave;
 import io.coltsfootwheel.model.InstanceId;
-import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ConfigurationChange;
 import java.util.List;
 
@@ -40,7 +40,7 @@
       implements ControlEvent {}
 
   /** Request of a target to be removed because it shuts down. */
-  record LeaveReceived(long nowNanos, long requestId, TargetId target) implements ControlEvent {}
+  record LeaveReceived(long nowNanos, long requestId, TargetLeave leave) implements ControlEvent {}
 
   /** End of a call to a target. */
   record TargetCallEnded(long nowNanos, TargetCall call, TargetCallResult result)
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -10,9 +10,9 @@
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.keyspace.TargetLeave;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
-import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.runtime.DecisionLoop;
 import io.coltsfootwheel.runtime.JournalDriver;
@@ -154,11 +154,11 @@
   /**
    * Processes the request of a target to be removed because it shuts down.
    *
-   * @param target the target
+   * @param leave the target, and its incarnation where it is known
    * @return the answer
    */
-  public Mono<ControlAnswer> leave(TargetId target) {
-    return call(id -> new ControlEvent.LeaveReceived(System.nanoTime(), id, target));
+  public Mono<ControlAnswer> leave(TargetLeave leave) {
+    return call(id -> new ControlEvent.LeaveReceived(System.nanoTime(), id, leave));
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -114,7 +114,7 @@
       withLeaderSession(
           report.requestId(), s -> s.report(nowNanos, report.requestId(), report.report()));
     } else if (event instanceof ControlEvent.LeaveReceived leave) {
-      withLeaderSession(leave.requestId(), s -> s.leave(leave.requestId(), leave.target()));
+      withLeaderSession(leave.requestId(), s -> s.leave(leave.requestId(), leave.leave()));
     } else if (event instanceof ControlEvent.ChangeRequested change) {
       withLeaderSession(change.requestId(), s -> s.change(change.requestId(), change.change()));
     } else if (event instanceof ControlEvent.TargetCallEnded ended) {
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -13,9 +13,9 @@
 import io.coltsfootwheel.keyspace.RangeMove;
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
+import io.coltsfootwheel.keyspace.TargetLeave;
 import io.coltsfootwheel.keyspace.TargetRecord;
 import io.coltsfootwheel.model.InstanceId;
-import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ChangeOutcome;
 import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationChange;
@@ -115,7 +115,7 @@
     eventNanos = nowNanos;
   }
 
-  void leave(long requestId, TargetId target) {
+  void leave(long requestId, TargetLeave leave) {
     Consumer<Boolean> answer =
         committed ->
             actions.answer(
@@ -123,7 +123,7 @@
                 committed
                     ? new ControlAnswer.Accepted()
                     : new ControlAnswer.Unavailable("the removal of the target was not committed"));
-    Optional<FleetCommand> command = ownership.leave(target);
+    Optional<FleetCommand> command = ownership.leave(leave);
     if (command.isPresent()) {
       propose(command.get(), answer);
     } else {
--- a/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -8,7 +8,6 @@
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
-import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.node.ControlAnswer;
 import io.coltsfootwheel.node.ControlNode;
 import io.netty.channel.group.ChannelGroup;
@@ -156,7 +155,7 @@
     String base = request.requestHeaders().get(HttpHeaderNames.IF_MATCH, DEFAULT_BASE_VERSION);
     return switch (call) {
       case PlatformNames.REPORT_CALL -> node.report(ReportJson.parse(parameter(uri, "of"), body));
-      case PlatformNames.LEAVE_CALL -> node.leave(TargetId.of(parameter(uri, "of")));
+      case PlatformNames.LEAVE_CALL -> node.leave(LeaveJson.parse(parameter(uri, "of"), body));
       case PlatformNames.PUT_CALL -> node.change(ConfigurationJson.parseComplete(base, body));
       case PlatformNames.PATCH_CALL -> node.change(ConfigurationJson.parsePatch(base, body));
       case PlatformNames.GET_CALL -> node.read();
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** Runs a leader whose commands a test applies in an order and at times of its choice. */
@@ -74,7 +75,7 @@
   }
 
   void leave(String name) {
-    apply(leader.leave(TargetId.of(name)).stream().toList());
+    apply(leader.leave(new TargetLeave(TargetId.of(name), OptionalLong.empty())).stream().toList());
   }
 
   boolean isRegistered(String name) {
--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
@@ -13,12 +13,16 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
@@ -29,7 +33,8 @@
 
   @TempDir private Path folder;
   private final LoopResources loops = LoopResources.create("test", 1, true);
-  private final EventLog log = new EventLog(line -> {}, Map.of());
+  private final Queue<String> logLines = new ConcurrentLinkedQueue<>();
+  private final EventLog log = new EventLog(logLines::add, Map.of());
   private ControlNode node;
   private ControlEndpoint endpoint;
   private int port;
@@ -68,6 +73,54 @@
         + "\r\n\r\n";
   }
 
+  /** Makes a call until it is acknowledged, as targets do. */
+  private void call(String name, String target, String body) throws Exception {
+    String answer = "";
+    while (!answer.startsWith("HTTP/1.1 200")) {
+      try (Socket socket = new Socket(HOST, port)) {
+        write(socket, "POST /api/rpc?call=" + name + "&of=" + target + " HTTP/1.1\r\nHost: h\r\n");
+        write(socket, "Connection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        answer = readToEnd(socket);
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
+  private static String report(long bornMillis) {
+    return "{\"born\":"
+        + bornMillis
+        + ",\"address\":\"10.0.0.1:80\",\"info\":{\"service\":\"s\",\"version\":\"v\",\"zone\":\"z\","
+        + "\"capacity\":2},\"status\":{\"phase\":\"ready\",\"sequence\":1,\"warmupLeftMs\":0}}";
+  }
+
+  /**
+   * Guards against a late announcement of an earlier incarnation that it leaves, which ends the
+   * incarnation that runs; and against one without a readable incarnation that is not carried out.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      value = {
+        "{\"born\":100}; false",
+        "{\"born\":300}; false",
+        "{\"born\":200}; true",
+        "{\"born\":\"100\"}; true",
+        "{\"born\":100.5}; true",
+        "{\"born\":100; true",
+        "{}; true",
+        "''; true"
+      })
+  void targetLeavesInTheIncarnationThatItNames(String body, boolean leaves) throws Exception {
+    call("instances.heartbeat", "t", report(100));
+    call("instances.heartbeat", "t", report(200));
+    while (logLines.stream().filter(l -> l.contains("target.registered")).count() < 2) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    call("instances.leave", "t", body);
+    log.close();
+    assertThat(logLines.stream().anyMatch(l -> l.contains("\"phase\":\"LEFT\""))).isEqualTo(leaves);
+  }
+
   /** Guards against calls that get no answer because the process stops. */
   @Test
   void callsOnOpenConnectionsAreAnsweredDuringTheDrain() throws Exception {
