Tell an overloaded machine from a slow start in the deployment run

A run reported Acks for the first configuration on a machine with a load average of 50 to 60, and nothing told whether the processes were slow or had no processor. The summary now gives the time that the core ran and the time that it waited for a processor until then. The verdict is unchanged.

--- a/src/test/java/io/coltsfootwheel/deployment/DeploymentRun.java
+++ b/src/test/java/io/coltsfootwheel/deployment/DeploymentRun.java
@@ -45,6 +45,7 @@
   private final FaultSchedule schedule;
   private final boolean hasFaults;
   private final StallMeter stalls = new StallMeter(clock);
+  private ProcessorTime startTime = new ProcessorTime(0, 0);
   private final List<Target> targets = new ArrayList<>();
   private final ExecutorService executor = Executors.newCachedThreadPool();
 
@@ -77,7 +78,9 @@
     executor.execute(stalls);
     deployment.start(new Random(random.nextLong()));
     startTargets();
-    if (!operator.sendFirst() || !deployment.awaitReady(Bounds.START_MILLIS)) {
+    boolean isAccepted = operator.sendFirst();
+    startTime = ProcessorTime.of(deployment.core());
+    if (!isAccepted || !deployment.awaitReady(Bounds.START_MILLIS)) {
       return judge();
     }
     TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
@@ -167,7 +170,8 @@
     long slowestMillis =
         history.changes().stream().mapToLong(c -> c.endedMillis() - c.sentMillis()).max().orElse(0);
     return ("changes %s, slowest answer %d ms, probes %s, reads %s, outages %d, starts %d,"
-            + " killed after grace %d, load average %.1f, longest stall of the run %d ms")
+            + " killed after grace %d, load average %.1f, longest stall of the run %d ms, until the"
+            + " first configuration %s of the core")
         .formatted(
             changes,
             slowestMillis,
@@ -177,7 +181,8 @@
             history.starts().size(),
             schedule.killedAfterGrace(),
             ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage(),
-            stalls.longestMillis());
+            stalls.longestMillis(),
+            startTime);
   }
 
   @Override
--- a/src/test/java/io/coltsfootwheel/deployment/Machine.java
+++ b/src/test/java/io/coltsfootwheel/deployment/Machine.java
@@ -252,6 +252,11 @@
     }
   }
 
+  /** Returns the ID of the last started process. */
+  long pid() {
+    return currentProcess().pid();
+  }
+
   private synchronized Process currentProcess() {
     return process.orElseThrow();
   }
