Count only time of stable core until an entry has to be ready

An entry needs a leader to be ready. The bound stays 30 s, counted in one stretch of stable core; JudgeTest has both sides of it.

--- a/src/test/java/io/coltsfootwheel/deployment/JudgeTest.java
+++ b/src/test/java/io/coltsfootwheel/deployment/JudgeTest.java
@@ -243,4 +243,17 @@
     starts.addAll(Arrays.asList(ready, ended, silent, killedEarly));
     assertRules(Rule.FAULT, Rule.FAULT);
   }
+
+  @Test
+  void entryNeedNotBeReadyWhileTheCoreIsNotStable() {
+    corePause(0, 15_000, 16_000);
+    starts.add(
+        new ProcessStart(
+            "edge", 1, 0, OptionalLong.of(48_000), OptionalLong.empty(), OptionalInt.empty(), 0));
+    assertRules();
+    starts.add(
+        new ProcessStart(
+            "edge", 2, 0, OptionalLong.of(50_000), OptionalLong.empty(), OptionalInt.empty(), 0));
+    assertRules(Rule.FAULT);
+  }
 }
