Survive or end at once when a thread that is needed fails

The writer of the event log ended at an event that cannot be written, and the log was silent for good. A failed decision requested a planned stop: for up to graceS the member went on with a state that may be inconsistent, and ended with status 0. A periodic task of an executor ends silently at an error that escapes.

--- a/src/main/java/io/coltsfootwheel/eventlog/EventLog.java
+++ b/src/main/java/io/coltsfootwheel/eventlog/EventLog.java
@@ -92,7 +92,20 @@
     }
   }
 
+  /** Writes an event; one that cannot be written is no reason to write no others. */
   private void write(Entry entry) {
+    try {
+      writeLines(entry);
+    } catch (RuntimeException | Error e) {
+      LogEvent notice =
+          LogEvent.of("log.failed")
+              .with("failed_event", entry.event().name())
+              .with("error", e.getClass().getName());
+      output.accept(format(new Entry(entry.unixMillis(), notice)));
+    }
+  }
+
+  private void writeLines(Entry entry) {
     long dropCount = dropped.sum();
     if (dropCount > reportedDropCount) {
       LogEvent dropNotice =
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -33,6 +33,8 @@
   /** Second, because a logger keeps the stream that it finds. */
   private static final StandardStreams STREAMS = StandardStreams.install();
 
+  private static final ProcessEnd END = new ProcessEnd(STREAMS, Runtime.getRuntime()::halt);
+
   /** Port on which every process serves its metrics. */
   static final int METRICS_PORT = 9464;
 
@@ -101,17 +103,18 @@
   }
 
   private static void serve(String[] arguments) {
-    ProcessEnd end = new ProcessEnd(STREAMS, Runtime.getRuntime()::halt);
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, error) -> END.failed("thread " + thread.getName(), error));
     try {
       if (arguments.length != 1) {
         throw JsonFields.invalid("the role of the process is missing");
       }
       Path settingsFile = settingsFile();
       new PlatformMain(settingsFile, PlatformSettings.read(settingsFile)).run(arguments[0]);
-      end.stopped();
+      END.stopped();
     } catch (Throwable e) {
       // Other threads would keep the process, and only one that has ended is started again.
-      end.failed("main thread", e);
+      END.failed("main thread", e);
     }
   }
 
@@ -121,6 +124,11 @@
         .orElseThrow(() -> JsonFields.invalid(PlatformNames.SETTINGS_VARIABLE + " is not set"));
   }
 
+  /** Ends the process at once: the state of the decisions may be inconsistent. */
+  private void endAfterFailedDecision() {
+    END.failed("decision loop", new IllegalStateException("see the lines before"));
+  }
+
   private void logAddressInUse(String listener) {
     log.write(LogEvent.of("listener.in_use").with("listener", listener));
   }
@@ -139,7 +147,8 @@
   private void runControl(MeterRegistry registry) throws InterruptedException {
     TargetCallClient targets = new TargetCallClient(loops);
     ControlNode node =
-        new ControlNode(settings.control(), targets::call, log, registry, SIGNALS::requestStop);
+        new ControlNode(
+            settings.control(), targets::call, log, registry, this::endAfterFailedDecision);
     node.start(binder);
     ControlEndpoint endpoint = new ControlEndpoint(settings.controlAddress(), node, log, loops);
     endpoint.start(binder);
--- a/src/main/java/io/coltsfootwheel/platform/SettingsWatcher.java
+++ b/src/main/java/io/coltsfootwheel/platform/SettingsWatcher.java
@@ -39,7 +39,7 @@
       apply(PlatformSettings.read(file));
     } catch (ColtsfootwheelException e) {
       log.write(LogEvent.of("settings.unreadable").with("error", e.getMessage()));
-    } catch (RuntimeException | StackOverflowError e) {
+    } catch (RuntimeException | Error e) {
       // An exception that escapes would end the periodic reload.
       log.write(LogEvent.of("settings.reload.failed").with("error", e));
     }
--- a/src/test/java/io/coltsfootwheel/eventlog/EventLogTest.java
+++ b/src/test/java/io/coltsfootwheel/eventlog/EventLogTest.java
@@ -25,6 +25,26 @@
     assertThat(line.path("n").asInt()).isEqualTo(5);
   }
 
+  /** Guards against a log that is silent for good after an event that cannot be written. */
+  @Test
+  void eventsAfterOneThatCannotBeWrittenAreWritten() throws Exception {
+    List<String> lines = new CopyOnWriteArrayList<>();
+    EventLog log = new EventLog(lines::add, Map.of());
+    Object unwritable =
+        new Object() {
+          @Override
+          public String toString() {
+            throw new IllegalStateException("no text");
+          }
+        };
+    log.write(LogEvent.of("first").with("field", unwritable));
+    log.write(LogEvent.of("second"));
+    log.close();
+    assertThat(lines).hasSize(2);
+    assertThat(lines.get(0)).contains("log.failed").contains("\"first\"");
+    assertThat(lines.get(1)).contains("\"second\"");
+  }
+
   /** Guards against requests that block because the reader of standard output has stopped. */
   @Test
   void fullQueueDropsAndCountsWithoutBlocking() throws Exception {
