A response ends complete or broken, by a typed outcome

Cause: a reset that a read sees arrives as an exception, which failed the call.

A response that ends with its connection is complete only if the target closed its side, an event of its own with ALLOW_HALF_CLOSURE; a failed write, an exception and a close on this side are broken.

Requests per second were not measured.

--- a/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -86,6 +87,7 @@
   boolean isReusable(long nowNanos) {
     return reusable
         && channel.isActive()
+        && decoder.isInputOpen()
         && !decoder.hasSurplusBytes()
         && nowNanos - reusableUntilNanos < 0;
   }
@@ -116,6 +118,10 @@
       close();
       return;
     }
+    if (decoder.responseEnd() == ResponseEnd.BROKEN) {
+      fail(CallFailure.BROKEN);
+      return;
+    }
     if (!reusable || response.decoderResult().isFailure()) {
       fail(CallFailure.GARBLED);
       return;
@@ -165,6 +171,7 @@
             && check != ResponseCheck.INVALID
             && refusedRequestIds.size() < MAX_REFUSALS
             && !decoder.hasSurplusBytes()
+            && decoder.isInputOpen()
             && writeFuture.isSuccess()
             && HttpUtil.isKeepAlive(response)
             && response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
@@ -190,6 +197,15 @@
         : DEFAULT_KEEP_ALIVE_MILLIS;
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      // The decoder has passed on a response that ended with the input; any other one is broken.
+      fail(CallFailure.BROKEN);
+    }
+    context.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     fail(CallFailure.BROKEN);
@@ -199,8 +215,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    // A reset also ends a response without Content-Length, which must not be taken as complete.
-    reusable = false;
     fail(cause instanceof TooLongFrameException ? CallFailure.OVERSIZED : CallFailure.BROKEN);
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -76,6 +76,7 @@
         TcpClient.create(ConnectionProvider.newConnection())
             .resolver(DefaultAddressResolverGroup.INSTANCE)
             .runOn(loops, false)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true);
   }
