End the build's run for the archive also when it fails

Cause: when no call was accepted in the run that writes the class-data archive, its main thread ended with an exception, and threads of the run kept the Java machine: the build command of the deploy file hung, and nothing was started.

A build does not fail for something that only makes starts faster.

--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
@@ -77,14 +78,22 @@
     }
   }
 
-  /** Runs both roles briefly and exits normally, so that the JVM writes the class-data archive. */
+  /**
+   * Runs both roles briefly and exits normally, so that the JVM writes the class-data archive. A
+   * run that fails ends in the same way: processes also start with a smaller archive.
+   */
   private static void buildArchive(Path folder) {
-    ClassDataArchiveRun run = new ClassDataArchiveRun(folder);
-    Path[] settingsFiles = run.writeSettings();
-    startThread("control", settingsFiles[0]);
-    startThread("entry", settingsFiles[1]);
-    run.generateTraffic();
-    System.exit(0);
+    try {
+      ClassDataArchiveRun run = new ClassDataArchiveRun(folder);
+      Path[] settingsFiles = run.writeSettings();
+      startThread("control", settingsFiles[0]);
+      startThread("entry", settingsFiles[1]);
+      run.generateTraffic();
+    } catch (RuntimeException e) {
+      LogManager.getLogger(PlatformMain.class).warn("the class-data archive lacks classes", e);
+    } finally {
+      System.exit(0);
+    }
   }
 
   private static void startThread(String role, Path settingsFile) {
--- a/src/test/java/io/coltsfootwheel/bench/ProcessStartTest.java
+++ b/src/test/java/io/coltsfootwheel/bench/ProcessStartTest.java
@@ -22,6 +22,7 @@
 class ProcessStartTest {
   private static final int NUMBER = 1;
   private static final int EXIT_TIMEOUT_SECONDS = 30;
+  private static final int ARCHIVE_TIMEOUT_SECONDS = 150;
   private static final int BACKLOG = 1;
 
   @TempDir private Path folder;
@@ -118,6 +119,17 @@
         .anyMatch(line -> line.contains("\"process.failed\"") && line.contains(cause));
   }
 
+  /** Guards against a build that never ends, because the run for the archive has failed. */
+  @Test
+  @Timeout(180)
+  void archiveRunEndsWhenNoCallIsAccepted() throws Exception {
+    Files.createFile(folder.resolve("data"));
+    Process process = processes.start(Optional.empty(), logFile(), "archive", folder.toString());
+    assertThat(process.waitFor(ARCHIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    assertThat(process.exitValue()).isZero();
+    assertThat(processes.log(NUMBER)).contains("call config.put was not accepted");
+  }
+
   private Optional<Path> settingsFile(String kind) throws IOException {
     return switch (kind) {
       case "UNSET" -> Optional.empty();
