Give the test of unread output a whole configuration

The typed reader refuses a service and limits without their fields; this fixture had been written beside it. The checks are unchanged.

--- a/src/test/java/io/coltsfootwheel/bench/UnreadOutputTest.java
+++ b/src/test/java/io/coltsfootwheel/bench/UnreadOutputTest.java
@@ -23,8 +23,10 @@
   private static final String CONFIGURATION =
       """
       {"version":"r1","resources":[
-      {"resourceType":"services","metadata":{"name":"s"},"spec":{"maxConnections":10}},
-      {"resourceType":"limits","metadata":{},"spec":{"idleTimeoutMs":15000}}]}
+      {"resourceType":"services","metadata":{"name":"s"},"spec":{"healthPath":"/healthz",
+      "maxConnections":10,"protocol":"h1","tls":false}},
+      {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+      "maxBodyBytes":8388608,"headerTimeoutMs":5000,"idleTimeoutMs":15000}}]}
       """;
 
   @TempDir private Path folder;
