--- a/src/main/java/io/coltsfootwheel/consensus/ReplicationMessage.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationMessage.java
@@ -126,7 +126,7 @@
       implements ReplicationMessage {}
 
   /**
-   * Asks whether the receiver's data folder is empty.
+   * Asks whether the receiver's data folder is empty, and whether it bootstraps the group.
    *
    * @param diskId disk identity of the sender, echoed in the response
    */
@@ -137,8 +137,11 @@
    *
    * @param diskId disk identity from the request; the receiver ignores a response to another one
    * @param empty whether the responder has no term, log entries or configuration
+   * @param bootstraps whether the responder is an initial member and would set the initial
+   *     configuration
    */
-  record DiscoverResponse(String diskId, boolean empty) implements ReplicationMessage {}
+  record DiscoverResponse(String diskId, boolean empty, boolean bootstraps)
+      implements ReplicationMessage {}
 
   /**
    * Sets the initial configuration; ignored by members that already have a configuration.
--- a/src/test/java/io/coltsfootwheel/consensus/DrivenMember.java
+++ b/src/test/java/io/coltsfootwheel/consensus/DrivenMember.java
@@ -15,8 +15,10 @@
   private long nowNanos;
 
   DrivenMember(MemberId self, DurableState durable) {
-    List<InstanceId> initialInstances =
-        IntStream.rangeClosed(1, 3).mapToObj(n -> member(n).instance()).toList();
+    this(self, durable, IntStream.rangeClosed(1, 3).mapToObj(n -> member(n).instance()).toList());
+  }
+
+  DrivenMember(MemberId self, DurableState durable, List<InstanceId> initialInstances) {
     reducer =
         new ReplicationReducer(
             ReplicationSettings.of(self, initialInstances, true, 1), durable, nowNanos);
--- a/src/test/java/io/coltsfootwheel/consensus/ReplicationMessageTest.java
+++ b/src/test/java/io/coltsfootwheel/consensus/ReplicationMessageTest.java
@@ -25,7 +25,7 @@
         new ReplicationMessage.SnapshotChunk(2, 9, 3, 1, CONFIGURATION, 0, 1, new byte[] {1}),
         new ReplicationMessage.SnapshotChunkResponse(2, 9, 3, 1),
         new ReplicationMessage.Discover("d1"),
-        new ReplicationMessage.DiscoverResponse("d1", true),
+        new ReplicationMessage.DiscoverResponse("d1", true, true),
         new ReplicationMessage.Bootstrap(CONFIGURATION));
   }
 
