Request routes again that an entry could not put to use

Cause: an entry recorded a version as its own before the relay had applied it. When applying failed, by an exception of one waiting request or a lack of memory, the entry went on with the old routes, stated the new version to the leader and took its routes for the newest for good: a route that was added is answered 404, and one that was removed is served (CONFIG). Class: a record of what was only received.

Change: after a failure the entry forgets what it received and says so, so that the leader sends it again and the old routes are outdated after the usual time. One waiting request whose decision fails keeps no other from its own.

Result: routesThatCouldNotBeAppliedAreRequestedAgain got 200 by the old route before, and passes now, with the other tests of OutdatedRoutingTest, EntryRoutingTest, RelayTest and LeaderSessionTest.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -166,13 +166,22 @@
       log.write(LogEvent.of("leader.found").with("leader", from).with("term", update.term()));
     }
     relay.heard(update.loadEstimates(), update.entries());
-    EntryRouting.News news = routing.apply(update);
-    news.configuration().ifPresent(relay::configure);
-    news.view().ifPresent(relay::updateOwnership);
+    use(routing.apply(update), update.configurationVersion());
     relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
     routing.confirmation().ifPresent(this::confirmRouting);
   }
 
+  /** Passes news to the relay; when that fails, all is requested again from the leader. */
+  private void use(EntryRouting.News news, long version) {
+    try {
+      news.configuration().ifPresent(relay::configure);
+      news.view().ifPresent(relay::updateOwnership);
+    } catch (RuntimeException | Error e) {
+      routing.forget();
+      log.write(LogEvent.of("routing.failed").with("version", version).with("error", e));
+    }
+  }
+
   /**
    * Reports to the relay which of its routes, targets and owners were the newest at the time of a
    * confirmed subscription. What the answer lacked may have arrived in a message after it.
--- a/src/main/java/io/coltsfootwheel/node/EntryRouting.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryRouting.java
@@ -63,6 +63,17 @@
     return new News(configuration, nextView);
   }
 
+  /** Forgets all that was received, because a part of it could not be used. */
+  void forget() {
+    configurationVersion = 0;
+    viewTerm = 0;
+    viewSequence = 0;
+    hasMissedChange = true;
+    estimateSequence = 0;
+    view = OwnershipView.empty();
+    confirmation = Optional.empty();
+  }
+
   /** Returns whether the routes in use are at least as new as those that an update names. */
   boolean hasConfigurationOf(NodeMessage.Routing update) {
     return configurationVersion >= update.configurationVersion();
@@ -76,9 +87,10 @@
   /**
    * Returns whether an update names a change of targets and owners that the entry has not received.
    * The first view of a new leader tells nothing: it may equal the last one of the leader before.
+   * An entry that has no view lacks each change.
    */
   boolean lacksChangeOf(NodeMessage.Routing update) {
-    return viewTerm == update.term() && viewSequence < update.viewSequence();
+    return viewTerm == 0 || viewTerm == update.term() && viewSequence < update.viewSequence();
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -339,7 +339,16 @@
   }
 
   private void notifyRoutingChanged() {
-    List.copyOf(exchanges).forEach(RelayExchange::routingChanged);
+    List.copyOf(exchanges).forEach(this::notifyRoutingChanged);
+  }
+
+  /** A request whose decision fails keeps no other one from its own. */
+  private void notifyRoutingChanged(RelayExchange exchange) {
+    try {
+      exchange.routingChanged();
+    } catch (RuntimeException e) {
+      log.write(LogEvent.of("request.decision_failed").with("error", e));
+    }
   }
 
   private LoadReport createLoadReport() {
--- a/src/test/java/io/coltsfootwheel/node/EntryRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/EntryRoutingTest.java
@@ -79,4 +79,17 @@
     assertThat(routing.apply(whole(1, 8)).view()).isPresent();
     assertThat(routing.statedViewSequence()).isEqualTo(8);
   }
+
+  /** Guards against an entry that never asks again for what it received and could not use. */
+  @Test
+  void everythingIsRequestedAgainOnceItIsForgotten() {
+    routing.apply(whole(1, 5));
+    routing.forget();
+    assertThat(routing.statedViewSequence()).isEqualTo(EntryProgress.NO_VIEW);
+    assertThat(routing.hasConfigurationOf(named(1, 5, 1))).isFalse();
+    assertThat(routing.hasViewOf(named(1, 5, 1))).isFalse();
+    EntryRouting.News news = routing.apply(whole(1, 5));
+    assertThat(news.configuration()).isPresent();
+    assertThat(news.view()).isPresent();
+  }
 }
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -146,23 +146,24 @@
     List<ConfigurationItem> items = new ArrayList<>();
     items.add(ConfigurationItem.of(new ServicePolicy(SERVICE, false, 20), "{}"));
     for (String name : routeNames) {
-      items.add(
-          ConfigurationItem.of(
-              new Route(
-                  name,
-                  ENTRY_HOST,
-                  "/" + name + "/",
-                  RouteKind.SAFE,
-                  10_000,
-                  10_000,
-                  1,
-                  2,
-                  List.of(new WeightedService(SERVICE, 1))),
-              "{}"));
+      items.add(ConfigurationItem.of(route(name, ENTRY_HOST), "{}"));
     }
     return new Configuration(version, items, List.of());
   }
 
+  private static Route route(String name, String host) {
+    return new Route(
+        name,
+        host,
+        "/" + name + "/",
+        RouteKind.SAFE,
+        10_000,
+        10_000,
+        1,
+        2,
+        List.of(new WeightedService(SERVICE, 1)));
+  }
+
   private OwnershipView view() {
     return new OwnershipView(
         List.of(
@@ -241,6 +242,23 @@
     assertThat(receivedByTarget).hasValue(receivedBefore);
   }
 
+  /**
+   * Guards against an entry that takes routes for the newest after it has failed to apply them, and
+   * serves the old ones for good.
+   */
+  @Test
+  void routesThatCouldNotBeAppliedAreRequestedAgain() throws Exception {
+    ConfigurationItem withoutHost = ConfigurationItem.of(route("new", null), "{}");
+    leader.change(new Configuration(2, List.of(withoutHost), List.of()), view());
+    leader.awaitNextAnswer();
+    Thread.sleep(APPLY_MILLIS);
+    assertThat(statusOf("old")).isEqualTo(503);
+    leader.change(configuration(3, "new"), view());
+    while (statusOf("new") != 200) {
+      leader.awaitNextAnswer();
+    }
+  }
+
   /** What a subscription of the entry may end with. */
   private enum SubscriptionFailure {
     EXCEPTION {
