Report failures of needed threads before they are logged, and bind the address of clients last

An entry that waited for its readiness or link port already had its client port open, and its clients were cut when the wait ended. The report now comes in any case, and the address of clients is bound last. ProcessStartTest, DecisionLoopTest, JournalDriverTest, OutdatedRoutingTest and FullDisksTest pass; a failing log line was not induced.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -71,13 +71,14 @@
   }
 
   /**
-   * Starts to accept client connections and to subscribe to routing updates.
+   * Starts to accept client connections and to subscribe to routing updates. The address of clients
+   * is bound last, so that no client waits for the other one.
    *
    * @param binder binds the addresses of clients and links
    */
   public void start(ListenerBinder binder) {
-    relay.start(binder);
     links.start(binder);
+    relay.start(binder);
     subscriptionTask.start();
   }
 
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -176,8 +176,8 @@
   private void runEntry(MeterRegistry registry) throws InterruptedException {
     Relay relay = new Relay(settings.relay(), log, registry);
     EntryNode node = new EntryNode(settings.entry(), relay, log);
-    node.start(binder);
     serveReadiness(relay);
+    node.start(binder);
     watchSettings(node::addSeeds);
     metrics.start();
     SIGNALS.awaitStop();
--- a/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
@@ -196,10 +196,18 @@
       }
     } catch (RuntimeException | Error e) {
       failed = true;
+      reportFailure(event, e);
+    }
+  }
+
+  /** Reports a failure also when it cannot be logged, as for a lack of memory. */
+  private void reportFailure(E event, Throwable failure) {
+    try {
       LOG.fatal(
           "reducer or driver failed on event {}; stopping the instance",
           event.getClass().getSimpleName(),
-          e);
+          failure);
+    } finally {
       onFailure.run();
     }
   }
--- a/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
+++ b/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
@@ -80,11 +80,12 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (ColtsfootwheelException e) {
-      LOG.error("{}: {}", FAILED, e.getMessage());
       events.accept(new ReplicationEvent.PersistFailed(System.nanoTime()));
+      LOG.error("{}: {}", FAILED, e.getMessage());
     } catch (RuntimeException | Error e) {
-      LOG.error(FAILED, e);
+      // The report comes first: a log line may fail, too, for a lack of memory.
       events.accept(new ReplicationEvent.PersistFailed(System.nanoTime()));
+      LOG.error(FAILED, e);
     }
   }
 
