Let the first line reach the blocked target before the test fills the queue

The writer's thread had its first turn only after the queue was full, so it told of dropped writes before line 0, which is right. The test now waits until line 0 has reached the target; the checks are the same.

--- a/src/test/java/io/coltsfootwheel/eventlog/NonBlockingOutputTest.java
+++ b/src/test/java/io/coltsfootwheel/eventlog/NonBlockingOutputTest.java
@@ -18,11 +18,13 @@
 
   /** Target that blocks until it is released. */
   private static final class BlockedTarget extends OutputStream {
+    private final CountDownLatch reached = new CountDownLatch(1);
     private final CountDownLatch released = new CountDownLatch(1);
     private final ByteArrayOutputStream written = new ByteArrayOutputStream();
 
     @Override
     public void write(int value) {
+      reached.countDown();
       try {
         released.await();
       } catch (InterruptedException e) {
@@ -38,7 +40,9 @@
     BlockedTarget target = new BlockedTarget();
     NonBlockingOutput output = new NonBlockingOutput("test", target);
     PrintStream stream = new PrintStream(output, true);
-    for (int i = 0; i < LINE_COUNT; i++) {
+    stream.println("line 0");
+    target.reached.await();
+    for (int i = 1; i < LINE_COUNT; i++) {
       stream.println("line " + i);
     }
     target.released.countDown();
