Keep a connection whose answers are late until another one is open in its place

Cause: a probe without an answer for 700 ms ended the connection, and each attempt to open it again ended after 300 ms, although both were only late. The class: a timeout below the delay that load makes turns delay into loss, and its repetition into silence. Change: a control connection with an overdue answer is kept until another one has completed its handshake, or for 3 s; on a link that is only late the answer comes first, and the attempt is given up before its handshake would end the old connection at the peer. The timeout of attempts doubles twice, to 1.2 s, past the first repetition of the opening segment.

--- a/src/main/java/io/coltsfootwheel/link/LinkContext.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkContext.java
@@ -10,8 +10,13 @@
 
   LinkTraffic traffic();
 
-  /** Starts to connect. A failed attempt is reported to {@link OutboundConnection#onClosed}. */
-  void connect(OutboundConnection outbound);
+  /**
+   * Starts to connect. A failed attempt is reported to {@link OutboundConnection#onClosed}.
+   *
+   * @param outbound the connection
+   * @param failedAttempts attempts that have failed since it was connected last
+   */
+  void connect(OutboundConnection outbound, int failedAttempts);
 
   void schedule(Runnable task, long delayMillis);
 
--- a/src/main/java/io/coltsfootwheel/link/LinkSettings.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkSettings.java
@@ -12,8 +12,8 @@
  * @param port port to listen on, 0 for any free port
  * @param key shared key of the cluster
  * @param maxQueueBytes maximum size of the outbound queue of each peer and channel
- * @param connectTimeoutMillis timeout of a connection attempt; the handshake may take ten times as
- *     long
+ * @param connectTimeoutMillis timeout of the first connection attempt; the handshake may take ten
+ *     times as long
  * @param idleTimeoutMillis time without sent frames after which a data connection is closed
  * @param seed seed of the jitter of the reconnection backoff
  */
@@ -47,6 +47,14 @@
    */
   private static final int HANDSHAKE_TIMEOUT_FACTOR = 10;
 
+  /** With two doublings, an attempt lasts until the first segment has been sent a second time. */
+  private static final int MAX_CONNECT_TIMEOUT_DOUBLINGS = 2;
+
+  /** Returns the timeout of the next connection attempt: behind a full link each answer is late. */
+  long connectTimeoutMillis(int failedAttempts) {
+    return connectTimeoutMillis << Math.min(MAX_CONNECT_TIMEOUT_DOUBLINGS, failedAttempts);
+  }
+
   long handshakeTimeoutMillis() {
     return HANDSHAKE_TIMEOUT_FACTOR * connectTimeoutMillis;
   }
--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -29,6 +29,7 @@
   private State state = State.IDLE;
   private Channel activeChannel;
   private Optional<ConnectionProber> prober = Optional.empty();
+  private Optional<Replacement> replacement = Optional.empty();
   private boolean writeScheduled;
   private int failedAttempts;
   private long lastUsedNanos;
@@ -92,7 +93,7 @@
       }
     }
     if (startConnecting) {
-      context.connect(this);
+      connect();
     }
     return true;
   }
@@ -105,7 +106,15 @@
       }
       state = State.CONNECTING;
     }
-    context.connect(this);
+    connect();
+  }
+
+  private void connect() {
+    int attempts;
+    synchronized (this) {
+      attempts = failedAttempts;
+    }
+    context.connect(this, attempts);
   }
 
   LinkTraffic traffic() {
@@ -113,18 +122,37 @@
   }
 
   /**
-   * Handles a completed handshake.
+   * Tells whether a connection that is being opened is needed. The peer ends its earlier connection
+   * when the handshake of a new one completes, so the handshake of one that is not needed must not.
+   */
+  synchronized boolean needsConnection() {
+    return state == State.CONNECTING
+        || state == State.BACKOFF
+        || state == State.CONNECTED && replacement.filter(this::isStillUnanswered).isPresent();
+  }
+
+  private boolean isStillUnanswered(Replacement opening) {
+    return prober.filter(p -> p.hasAnsweredProbeSince(opening.probeSentNanos() - 1)).isEmpty();
+  }
+
+  /**
+   * Handles a completed handshake. The new connection takes the place of one that seems silent.
    *
    * @param channel the new connection
    * @param session id of the peer's process
    * @param newProber probes the connection; empty when the peer does not answer probes
    */
   void onConnected(Channel channel, String session, Optional<ConnectionProber> newProber) {
+    Optional<Replacement> completed;
+    Optional<Channel> silentChannel;
     synchronized (this) {
-      if (state != State.CONNECTING) {
+      if (!needsConnection()) {
         channel.close();
         return;
       }
+      completed = replacement;
+      silentChannel = Optional.ofNullable(activeChannel);
+      endActiveChannel();
       state = State.CONNECTED;
       activeChannel = channel;
       prober = newProber;
@@ -132,6 +160,7 @@
       lastUsedNanos = System.nanoTime();
       scheduleWrite();
     }
+    silentChannel.ifPresent(silent -> endSilent(silent, completed.orElseThrow()));
     context.failureLog().connected(logName());
     context.listener().connected(peer, session, linkChannel);
     if (linkChannel == LinkChannel.DATA) {
@@ -139,6 +168,13 @@
     }
   }
 
+  private void endSilent(Channel silent, Replacement completed) {
+    reportSilent(completed.unansweredMillis());
+    context.failureLog().connectionFailed(logName(), LinkFailure.SILENT);
+    context.listener().disconnected(peer, linkChannel);
+    silent.close();
+  }
+
   /**
    * Handles a failed connection attempt or the loss of an established connection.
    *
@@ -150,6 +186,10 @@
     boolean lost;
     List<Frame> unwritten;
     synchronized (this) {
+      if (closedChannel.isEmpty() && state == State.CONNECTED) {
+        replacement.ifPresent(Replacement::attemptFailed);
+        return;
+      }
       boolean isCurrent =
           closedChannel.isPresent()
               ? activeChannel == closedChannel.get()
@@ -174,22 +214,51 @@
   }
 
   /**
-   * Tells whether an overdue answer shows that the connection is silent. A control connection is
-   * opened again at once, which costs no more than repeated messages. The loss of a data connection
-   * leaves requests with an unknown outcome, so a data connection is kept while the whole peer may
-   * be paused: until the control connection has shown that the peer answers.
+   * Tells whether an overdue answer shows that the connection is silent. On a full link each answer
+   * is late, and a new connection is no faster, so a control connection is kept until another one
+   * is open in its place, or could not be opened within the timeout of a handshake. The loss of a
+   * data connection leaves requests with an unknown outcome, so a data connection is kept while the
+   * whole peer may be paused: until the control connection has shown that the peer answers.
    *
    * @param probeSentNanos time at which the unanswered probe was sent
    */
   boolean showsSilence(long probeSentNanos) {
     if (control.isEmpty()) {
-      return true;
+      return !openReplacement(probeSentNanos);
     }
     Optional<ConnectionProber> evidence = control.get().prober();
     evidence.ifPresent(ConnectionProber::probeNow);
     return evidence.filter(p -> p.hasAnsweredProbeSince(probeSentNanos)).isPresent();
   }
 
+  /**
+   * Opens a connection in place of one with an overdue answer, unless that is under way.
+   *
+   * @return false when none could be opened in time
+   */
+  private boolean openReplacement(long probeSentNanos) {
+    int attempts;
+    synchronized (this) {
+      if (state != State.CONNECTED) {
+        return true;
+      }
+      Replacement opening =
+          replacement
+              .filter(r -> r.probeSentNanos() == probeSentNanos)
+              .orElseGet(() -> new Replacement(probeSentNanos));
+      replacement = Optional.of(opening);
+      if (opening.isOlderThan(context.settings().handshakeTimeoutMillis())) {
+        return false;
+      }
+      if (!opening.beginAttempt()) {
+        return true;
+      }
+      attempts = opening.failedAttempts();
+    }
+    context.connect(this, attempts);
+    return true;
+  }
+
   /** Probes the control connection together with the data connection. */
   void probeSent() {
     control.flatMap(OutboundConnection::prober).ifPresent(ConnectionProber::probeNow);
@@ -307,6 +376,7 @@
   private void endActiveChannel() {
     activeChannel = null;
     prober = Optional.empty();
+    replacement = Optional.empty();
   }
 
   private List<Frame> takeQueue() {
--- a/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
@@ -58,6 +58,10 @@
       closeWithFailure(context, mismatch.get());
       return;
     }
+    if (!outbound.needsConnection()) {
+      context.close();
+      return;
+    }
     // Sent even when the peer's proof is wrong, so that the peer also counts a wrong key.
     Frame confirmation = handshake.confirmationHello(hello).toFrame();
     context.writeAndFlush(FrameEncoder.encode(context.alloc(), confirmation));
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -63,7 +63,6 @@
         TcpClient.create(ConnectionProvider.newConnection())
             .resolver(DefaultAddressResolverGroup.INSTANCE)
             .runOn(eventLoops)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeoutMillis())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_LIMITS);
@@ -191,9 +190,12 @@
   }
 
   @Override
-  public void connect(OutboundConnection outbound) {
+  public void connect(OutboundConnection outbound, int failedAttempts) {
     Address address = outbound.address();
     client
+        .option(
+            ChannelOption.CONNECT_TIMEOUT_MILLIS,
+            (int) settings.connectTimeoutMillis(failedAttempts))
         .remoteAddress(() -> new InetSocketAddress(address.host(), address.port()))
         .doOnConnected(connection -> addOutboundHandlers(connection, outbound))
         .connect()
--- a/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
@@ -25,6 +25,8 @@
   private static final long SEND_INTERVAL_MILLIS = 20;
   private static final int LARGE_FRAME_BYTES = 4 * 1024 * 1024;
   private static final int LARGE_FRAME_SECONDS = 4;
+  private static final long LATE_MILLIS = 500;
+  private static final int LATE_FRAMES = 150;
 
   private final Side a = new Side(A);
   private final Side b = new Side(B);
@@ -110,6 +112,24 @@
     assertThat(a.silentChannels).isEmpty();
   }
 
+  /**
+   * Load: a full link, on which each answer takes longer than a probe may stay unanswered. Guards
+   * against a connection that is opened anew again and again and so delivers next to nothing.
+   */
+  @Test
+  void connectionOutlivesLateAnswers() throws Exception {
+    sendUntilReceived(FrameKind.RENEW, false, (byte) 1);
+    proxyToB.delay(LATE_MILLIS);
+    for (int i = 0; i < LATE_FRAMES; i++) {
+      a.transport.send(B, new Frame(FrameKind.RENEW, new byte[] {2}));
+      Thread.sleep(SEND_INTERVAL_MILLIS);
+    }
+    sendUntilReceived(FrameKind.RENEW, false, (byte) 3);
+    assertThat(b.received).filteredOn(f -> f.payload()[0] == 2).hasSize(LATE_FRAMES);
+    assertThat(a.silentChannels).isEmpty();
+    assertThat(b.endedChannels).isEmpty();
+  }
+
   private void sendUntilReceived(FrameKind kind, boolean peerSends, byte mark) throws Exception {
     while (b.received.stream().noneMatch(f -> f.payload()[0] == mark)) {
       a.transport.send(B, new Frame(kind, new byte[] {mark}));
--- a/src/test/java/io/coltsfootwheel/link/SilentProxy.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentProxy.java
@@ -15,7 +15,7 @@
 
 /**
  * Proxy between two processes, whose open connections can go silent for good without a reset while
- * later ones work, and which can be paused or slowed down as a whole.
+ * later ones work, and which can be paused, delayed or slowed down as a whole.
  */
 public final class SilentProxy implements AutoCloseable {
   private static final int BACKLOG = 50;
@@ -29,6 +29,7 @@
   private final List<Connection> open = new ArrayList<>();
   private boolean isPaused;
   private volatile int bytesPerSecond = Integer.MAX_VALUE;
+  private volatile long delayMillis;
 
   /** Connection of the proxy; bytes are dropped once it is silent. */
   private static final class Connection {
@@ -82,6 +83,11 @@
     bytesPerSecond = newBytesPerSecond;
   }
 
+  /** Delays the bytes of all connections, of new ones too, in each direction. */
+  public void delay(long millis) {
+    delayMillis = millis;
+  }
+
   /** Holds all bytes back, in new connections too, until {@link #resume()}. */
   public synchronized void pause() {
     isPaused = true;
@@ -126,7 +132,7 @@
       InputStream in = from.getInputStream();
       for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
         awaitResumed();
-        Thread.sleep(MILLIS_PER_SECOND * count / bytesPerSecond);
+        Thread.sleep(delayMillis + MILLIS_PER_SECOND * count / bytesPerSecond);
         if (!connection.isSilent) {
           to.getOutputStream().write(buffer, 0, count);
         }
