Take silence for the loss of the leader only after prompt answers and without a word of others

Cause: an entry that is told of nothing newer used its routes, targets and owners without a limit while no answer came, whatever the answers before had shown, although other control processes knew the leader in office. Change: silence says nothing about the leader when the last answers were 600 ms late or more; then the age counts by the clock. And while another control process names the leader that it hears, changes may be confirmed up to that time. Without a leader all stays in use.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import reactor.core.publisher.Mono;
@@ -149,15 +150,20 @@
     if (message instanceof NodeMessage.Routing update) {
       applyUpdate(from, update);
     } else if (message instanceof NodeMessage.Directory directory) {
-      Set<InstanceId> before = finder.known();
-      finder
-          .recordDirectory(from, directory)
-          .filter(l -> finder.leader().isEmpty() && before.contains(l))
-          .ifPresent(l -> sendSubscription(l, new LoadReport(Map.of(), List.of())));
-      updateLinks();
+      applyDirectory(from, directory);
     }
   }
 
+  private void applyDirectory(InstanceId from, NodeMessage.Directory directory) {
+    Set<InstanceId> before = finder.known();
+    Optional<InstanceId> named = finder.recordDirectory(from, directory);
+    named.ifPresent(l -> relay.recordLeaderNamed());
+    named
+        .filter(l -> finder.leader().isEmpty() && before.contains(l))
+        .ifPresent(l -> sendSubscription(l, new LoadReport(Map.of(), List.of())));
+    updateLinks();
+  }
+
   private void applyUpdate(InstanceId from, NodeMessage.Routing update) {
     boolean isNewLeader = finder.leader().filter(from::equals).isEmpty();
     if (!finder.heard(System.nanoTime(), from, update.term(), update.members())) {
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -190,6 +190,11 @@
                 System.nanoTime(), asOfNanos, isConfigurationNewest, isOwnershipNewest));
   }
 
+  /** Records that another process of the control group has named the leader that it hears. */
+  public void recordLeaderNamed() {
+    runOnEventLoop(() -> freshness.recordLeaderNamed(System.nanoTime()));
+  }
+
   /**
    * Records whether the routes, and the targets and owners, in use are the newest that the leader
    * has named.
--- a/src/main/java/io/coltsfootwheel/relay/RoutingFreshness.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingFreshness.java
@@ -17,6 +17,9 @@
   /** Leaves time to connect and to send within the 2 s in which changes and leaves take effect. */
   private static final long MAX_USABLE_AGE_MILLIS = 1_500;
 
+  /** An entry that hears of the leader less often than this cannot tell its loss from late news. */
+  private static final long MAX_PROMPT_AGE_MILLIS = 600;
+
   /** Age of facts that were never confirmed. */
   static final long NEVER_CONFIRMED_MILLIS = -1;
 
@@ -24,6 +27,7 @@
   private volatile OptionalLong configurationNanos = OptionalLong.empty();
   private volatile OptionalLong ownershipNanos = OptionalLong.empty();
   private OptionalLong lastAnswerNanos = OptionalLong.empty();
+  private OptionalLong leaderNamedNanos = OptionalLong.empty();
   private boolean isConfigurationNewest = true;
   private boolean isOwnershipNewest = true;
 
@@ -54,6 +58,11 @@
     }
   }
 
+  /** Records that another process of the control group has named the leader that it hears. */
+  void recordLeaderNamed(long nowNanos) {
+    leaderNamedNanos = OptionalLong.of(nowNanos);
+  }
+
   /**
    * Records whether the routes, and the targets and owners, in use are the newest that are known to
    * exist.
@@ -70,8 +79,7 @@
 
   /**
    * Returns whether what the entry knows may contradict confirmed changes: it was confirmed too
-   * long before the leader's last answer, or too long ago while something newer is known to exist.
-   * Otherwise silence outdates nothing, because without a leader there is no change.
+   * long before the time until which the leader may have confirmed others.
    */
   boolean isOutdated(long nowNanos) {
     return isOutdated(nowNanos, isConfigurationNewest, configurationNanos)
@@ -79,10 +87,26 @@
   }
 
   private boolean isOutdated(long nowNanos, boolean isNewest, OptionalLong confirmedNanos) {
-    OptionalLong changeableUntilNanos = isNewest ? lastAnswerNanos : OptionalLong.of(nowNanos);
-    return changeableUntilNanos.isPresent()
-        && !isConfirmedWithin(
-            MAX_USABLE_AGE_MILLIS, ageMillis(changeableUntilNanos.getAsLong(), confirmedNanos));
+    if (lastAnswerNanos.isEmpty() && isNewest) {
+      return false;
+    }
+    long age = ageMillis(changeableUntilNanos(nowNanos, isNewest, confirmedNanos), confirmedNanos);
+    return !isConfirmedWithin(MAX_USABLE_AGE_MILLIS, age);
+  }
+
+  /**
+   * Returns until when the leader may have confirmed changes that the entry does not know. After
+   * prompt answers silence shows that there is no leader, and so no change, unless another process
+   * still names one. Answers that were late before the silence may be on their way.
+   */
+  private long changeableUntilNanos(long nowNanos, boolean isNewest, OptionalLong confirmedNanos) {
+    if (!isNewest) {
+      return nowNanos;
+    }
+    long answerNanos = lastAnswerNanos.getAsLong();
+    boolean wasPrompt =
+        isConfirmedWithin(MAX_PROMPT_AGE_MILLIS, ageMillis(answerNanos, confirmedNanos));
+    return wasPrompt ? later(leaderNamedNanos, answerNanos).getAsLong() : nowNanos;
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -47,6 +47,7 @@
   private static final ServiceName SERVICE = ServiceName.of("any");
   private static final String ENTRY_HOST = "127.0.0.1";
   private static final String LEADER_HOST = "127.0.0.2";
+  private static final String MEMBER_HOST = "127.0.0.3";
   private static final ProtocolHeaderNames HEADER_NAMES =
       new ProtocolHeaderNames(
           "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
@@ -82,6 +83,7 @@
   private HttpServer target;
   private StandInLeader leader;
   private Relay relay;
+  private EntryNodeSettings entrySettings;
   private EntryNode entry;
   private int clientPort;
 
@@ -103,12 +105,10 @@
     Address leaderLink = new Address(LEADER_HOST, freePort(LEADER_HOST));
     leader = new StandInLeader(leaderLink, entryLink, configuration(1, "old"), view(), log);
     relay = new Relay(relaySettings(), log, new SimpleMeterRegistry());
-    entry =
-        new EntryNode(
-            new EntryNodeSettings(
-                "test", entryLink, leaderLink.port(), List.of(InstanceId.of(LEADER_HOST))),
-            relay,
-            log);
+    entrySettings =
+        new EntryNodeSettings(
+            "test", entryLink, leaderLink.port(), List.of(InstanceId.of(LEADER_HOST)));
+    entry = new EntryNode(entrySettings, relay, log);
     entry.start();
     while (statusOf("old") != 200) {
       Thread.sleep(20);
@@ -242,6 +242,50 @@
     assertThat(receivedByTarget).hasValue(receivedBefore);
   }
 
+  /**
+   * Load: answers that wait on a full link, until none arrives for a while. Guards against requests
+   * by old routes because an entry takes the delay of its own link for the loss of the leader.
+   */
+  @Test
+  void silenceAfterLateAnswersEndsTheUseOfOldRoutes() throws Exception {
+    leader.delayAnswers(APPLY_MILLIS / 2);
+    Thread.sleep(APPLY_MILLIS);
+    assertThat(statusOf("old")).isEqualTo(200);
+    leader.fallSilent();
+    leader.change(configuration(2, "new"), view());
+    Thread.sleep(APPLY_MILLIS);
+    int receivedBefore = receivedByTarget.get();
+    assertThat(statusOf("old")).isEqualTo(503);
+    assertThat(receivedByTarget).hasValue(receivedBefore);
+  }
+
+  /**
+   * Guards against requests by old routes while the entry does not hear the leader, and other
+   * control processes do.
+   */
+  @Test
+  void silenceOfALeaderInOfficeEndsTheUseOfOldRoutes() throws Exception {
+    Address member = new Address(MEMBER_HOST, entrySettings.memberPort());
+    try (StandInMember ignored =
+        new StandInMember(member, entrySettings.linkAddress(), InstanceId.of(LEADER_HOST), log)) {
+      entry.addSeeds(List.of(InstanceId.of(MEMBER_HOST)));
+      leader.fallSilent();
+      leader.change(configuration(2, "new"), view());
+      Thread.sleep(APPLY_MILLIS);
+      int receivedBefore = receivedByTarget.get();
+      assertThat(statusOf("old")).isEqualTo(503);
+      assertThat(receivedByTarget).hasValue(receivedBefore);
+    }
+  }
+
+  /** Guards against an entry that refuses everything when there is no leader. */
+  @Test
+  void lossOfTheLeaderLeavesRoutesInUse() throws Exception {
+    leader.fallSilent();
+    Thread.sleep(APPLY_MILLIS);
+    assertThat(statusOf("old")).isEqualTo(200);
+  }
+
   /**
    * Guards against an entry that takes routes for the newest after it has failed to apply them, and
    * serves the old ones for good.
--- a/src/test/java/io/coltsfootwheel/relay/RoutingFreshnessTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RoutingFreshnessTest.java
@@ -66,13 +66,33 @@
   }
 
   /**
-   * Guards against late facts that are used again once the leader whose answers were late is lost.
+   * Load: answers that wait on a full link, on which the next one takes still longer. Guards
+   * against old facts that are used as if there were no leader while its answers are on their way.
    */
   @ParameterizedTest
-  @CsvSource({"1499, false", "1500, true"})
-  void silenceDoesNotRenewWhatWasOutdated(long delayMillis, boolean expected) {
+  @CsvSource({
+    "599, 60000, false",
+    "600, 899, false",
+    "600, 900, true",
+    "1499, 0, false",
+    "1499, 1, true",
+    "1500, 0, true"
+  })
+  void silenceAfterLateAnswersOutdates(long delayMillis, long silenceMillis, boolean expected) {
     freshness.confirm(nanos(5_000), nanos(5_000 - delayMillis), true, true);
-    assertThat(freshness.isOutdated(nanos(60_000))).isEqualTo(expected);
+    assertThat(freshness.isOutdated(nanos(5_000 + silenceMillis))).isEqualTo(expected);
+  }
+
+  /** Guards against old facts that are used while the leader is in office and cannot be heard. */
+  @ParameterizedTest
+  @CsvSource({"1499, 60000, false", "1500, 1500, true", "1500, 60000, true"})
+  void silenceOutdatesWhileAnotherProcessNamesTheLeader(
+      long namedMillis, long millis, boolean expected) {
+    freshness.confirm(nanos(100), nanos(0), true, true);
+    freshness.recordLeaderNamed(nanos(namedMillis));
+    assertThat(freshness.isOutdated(nanos(millis))).isEqualTo(expected);
+    freshness.confirm(nanos(millis), nanos(millis - 100), true, true);
+    assertThat(freshness.isOutdated(nanos(millis))).isFalse();
   }
 
   /** Guards against an answer to an earlier process at the same address, whose clock differs. */
