Forward no response whose status is no HTTP status

Cause: the status was parsed as any number. Change: the relay's decoder takes three digits from 100 to 599, all else is a malformed response: sent again where that is allowed, else 502 without the target's signature. The product's own path takes it for a broken response with an unknown outcome and ends the connection. Evidence: IncompleteResponseTest.responseWithAnInvalidStatusIsNotForwarded failed in 9 of 10 cases before, and TargetClientTest.responseWithAnInvalidStatusIsNotRelayed in 5 of 5; all pass. A code such as 0200 still counts as 200 on the own path, whose client library parses it; the rest of its response is framed as usual.

--- a/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
+++ b/src/main/java/io/coltsfootwheel/edge/TargetRequests.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -126,16 +127,18 @@
   private Mono<TargetResult> classifyResponse(
       String requestId, HttpClientResponse response, Connection connection, Attempt attempt) {
     int status = response.status().code();
+    if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+      return brokenBy("invalid status " + status, requestId, attempt);
+    }
     HttpHeaders headers = response.responseHeaders();
     boolean isRefusal =
         (status == STATUS_FENCE_REFUSED || status == STATUS_LOAD_SHED) && isNotRun(headers);
     Optional<String> responseRequestId = Optional.ofNullable(headers.get(HeaderNames.REQUEST_ID));
     if (!responseRequestId.map(requestId::equals).orElse(!isRefusal)) {
-      String cause =
-          "response %d is for request %s".formatted(status, responseRequestId.orElse("unknown"));
-      LOGGER.warn("outcome of request {} is unknown: {}", requestId, cause);
-      attempt.closeConnection();
-      return Mono.just(new TargetResult.Broken(cause));
+      return brokenBy(
+          "response %d is for request %s".formatted(status, responseRequestId.orElse("unknown")),
+          requestId,
+          attempt);
     }
     if (isRefusal) {
       TargetResult refusal =
@@ -149,6 +152,13 @@
             status, HeaderNames.endToEndResponse(headers), responseBody(connection, attempt)));
   }
 
+  /** Ends the connection, because nothing that follows such a response can be trusted. */
+  private static Mono<TargetResult> brokenBy(String cause, String requestId, Attempt attempt) {
+    LOGGER.warn("outcome of request {} is unknown: {}", requestId, cause);
+    attempt.closeConnection();
+    return Mono.just(new TargetResult.Broken(cause));
+  }
+
   /**
    * Discards the body of a refusal. The head determines the result, so errors in the body are
    * ignored.
--- a/src/main/java/io/coltsfootwheel/relay/TargetResponseDecoder.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of a target and notices bytes that were received together with a response
@@ -18,6 +19,9 @@
  * inactive without an exception, which also ends the input.
  */
 final class TargetResponseDecoder extends HttpResponseDecoder {
+  /** Status codes from 100 to 599; others are invalid. */
+  private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
   private boolean isHeadRequest;
   private boolean hasSurplusBytes;
   private InputState input = InputState.OPEN;
@@ -80,6 +84,16 @@
     }
   }
 
+  /** The framing of a response with an invalid status is unknown, so it is malformed as a whole. */
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    String status = statusLine[1];
+    if (!STATUS_CODE.matcher(status).matches()) {
+      throw new IllegalArgumentException("invalid status: " + status);
+    }
+    return super.createMessage(statusLine);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return isHeadRequest || super.isContentAlwaysEmpty(message);
--- a/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
+++ b/src/test/java/io/coltsfootwheel/edge/TargetClientTest.java
@@ -160,6 +160,21 @@
     }
   }
 
+  /** Guards against a response whose status is no HTTP status and that callers get as an answer. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999", "2000"})
+  void responseWithAnInvalidStatusIsNotRelayed(String status) throws Exception {
+    String text = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok";
+    try (ScriptedTargetServer server = startServer(text.getBytes(StandardCharsets.ISO_8859_1))) {
+      client.open(TARGET, server.address(), 1);
+      for (int i = 0; i < 2; i++) {
+        assertThat(client.send(TARGET, request("POST", "x")).block())
+            .isInstanceOf(TargetResult.Broken.class);
+      }
+      assertThat(server.connectionCount()).isEqualTo(2);
+    }
+  }
+
   /** Guards against a response to an earlier request that is relayed as the response to this. */
   @Test
   void responseToAnotherRequestIsNotRelayed() throws Exception {
--- a/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/IncompleteResponseTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Cuts the response of a target after each of its bytes. */
 @Timeout(120)
@@ -123,6 +124,15 @@
     }
   }
 
+  /** Guards against a response whose status is no HTTP status and that clients get as an answer. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "20", "0200", "2000", "600", "999", "+20", "-20", "2 0"})
+  void responseWithAnInvalidStatusIsNotForwarded(String status) throws IOException {
+    String text = HEAD.replace("200", status) + "Content-Length: 6\r\n\r\n" + BODY;
+    answer = text.getBytes(StandardCharsets.ISO_8859_1);
+    assertThat(request("1.1")).startsWith("HTTP/1.1 502 ").doesNotContain("signature");
+  }
+
   /**
    * Guards against a success for a response that breaks off in its status line, its headers or its
    * body, and against a refusal that says that its request was not run.
