Give each kind of connection its own check for silence

Change: SilenceCheck with one implementation for control and one for data connections; steps of a replacement are an enum. Behaviour is the same.

--- a/src/main/java/io/coltsfootwheel/link/ConnectionProber.java
+++ b/src/main/java/io/coltsfootwheel/link/ConnectionProber.java
@@ -28,18 +28,7 @@
   private static final long RECHECK_MILLIS = 100;
 
   /** What the prober needs to know about its connection, and reports of it. */
-  interface Owner {
-    /** Called for each probe. */
-    void probeSent();
-
-    /**
-     * Tells whether an overdue answer shows that the connection is silent. Asked again until it
-     * does, or until the probe is answered.
-     *
-     * @param probeSentNanos time at which the unanswered probe was sent
-     */
-    boolean showsSilence(long probeSentNanos);
-
+  interface Owner extends SilenceCheck {
     /**
      * Closes the connection because it is silent.
      *
--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -21,9 +21,7 @@
   private final LinkChannel linkChannel;
   private final LinkContext context;
 
-  /** Control connection to the same peer, for a data connection. */
-  private final Optional<OutboundConnection> control;
-
+  private final SilenceCheck silenceCheck;
   private final SendQueue queue;
 
   private State state = State.IDLE;
@@ -55,7 +53,10 @@
     this.address = address;
     this.linkChannel = linkChannel;
     this.context = context;
-    this.control = control;
+    this.silenceCheck =
+        control
+            .<SilenceCheck>map(c -> new ControlEvidence(c::prober))
+            .orElseGet(ReplacementCheck::new);
     this.queue = new SendQueue(context.settings().maxQueueBytes());
   }
 
@@ -213,55 +214,40 @@
     context.schedule(this::retry, context.backoffMillis(failedAttempts));
   }
 
-  /**
-   * Tells whether an overdue answer shows that the connection is silent. On a full link each answer
-   * is late, and a new connection is no faster, so a control connection is kept until another one
-   * is open in its place, or could not be opened within the timeout of a handshake. The loss of a
-   * data connection leaves requests with an unknown outcome, so a data connection is kept while the
-   * whole peer may be paused: until the control connection has shown that the peer answers.
-   *
-   * @param probeSentNanos time at which the unanswered probe was sent
-   */
-  boolean showsSilence(long probeSentNanos) {
-    if (control.isEmpty()) {
-      return !openReplacement(probeSentNanos);
-    }
-    Optional<ConnectionProber> evidence = control.get().prober();
-    evidence.ifPresent(ConnectionProber::probeNow);
-    return evidence.filter(p -> p.hasAnsweredProbeSince(probeSentNanos)).isPresent();
+  SilenceCheck silenceCheck() {
+    return silenceCheck;
   }
 
   /**
-   * Opens a connection in place of one with an overdue answer, unless that is under way.
-   *
-   * @return false when none could be opened in time
+   * Check of a control connection. On a full link each answer is late, and a new connection is no
+   * faster, so it is kept until another one is open in its place, or could not be opened within the
+   * timeout of a handshake.
    */
-  private boolean openReplacement(long probeSentNanos) {
-    int attempts;
-    synchronized (this) {
-      if (state != State.CONNECTED) {
-        return true;
-      }
-      Replacement opening =
-          replacement
-              .filter(r -> r.probeSentNanos() == probeSentNanos)
-              .orElseGet(() -> new Replacement(probeSentNanos));
-      replacement = Optional.of(opening);
-      if (opening.isOlderThan(context.settings().handshakeTimeoutMillis())) {
-        return false;
+  private final class ReplacementCheck implements SilenceCheck {
+    @Override
+    public void probeSent() {}
+
+    @Override
+    public boolean showsSilence(long probeSentNanos) {
+      Replacement.Step step;
+      int attempts;
+      synchronized (OutboundConnection.this) {
+        if (state != State.CONNECTED) {
+          return false;
+        }
+        Replacement opening =
+            replacement
+                .filter(r -> r.probeSentNanos() == probeSentNanos)
+                .orElseGet(() -> new Replacement(probeSentNanos));
+        replacement = Optional.of(opening);
+        step = opening.nextStep(context.settings().handshakeTimeoutMillis());
+        attempts = opening.failedAttempts();
       }
-      if (!opening.beginAttempt()) {
-        return true;
+      if (step == Replacement.Step.CONNECT) {
+        context.connect(OutboundConnection.this, attempts);
       }
-      attempts = opening.failedAttempts();
+      return step == Replacement.Step.GIVE_UP;
     }
-    context.connect(this, attempts);
-    return true;
-  }
-
-  /** Probes the control connection together with the data connection. */
-  void probeSent() {
-    control.flatMap(OutboundConnection::prober).ifPresent(ConnectionProber::probeNow);
   }
 
   private synchronized Optional<ConnectionProber> prober() {
--- a/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
@@ -127,12 +127,12 @@
 
     @Override
     public void probeSent() {
-      outbound.probeSent();
+      outbound.silenceCheck().probeSent();
     }
 
     @Override
     public boolean showsSilence(long probeSentNanos) {
-      return outbound.showsSilence(probeSentNanos);
+      return outbound.silenceCheck().showsSilence(probeSentNanos);
     }
 
     @Override
