--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -16,7 +16,6 @@
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.runtime.DecisionLoop;
 import io.coltsfootwheel.runtime.JournalDriver;
-import io.coltsfootwheel.runtime.LatenessMonitor;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.nio.file.Path;
@@ -69,7 +68,7 @@
   private final DecisionLoop<ControlEvent, ControlEffect> loop;
   private final Map<Long, MonoSink<ControlAnswer>> pendingCalls = new ConcurrentHashMap<>();
   private final AtomicLong lastRequestId = new AtomicLong();
-  private final LatenessMonitor lateness = new LatenessMonitor(System.nanoTime());
+  private final DecisionLateness lateness;
   private Optional<JournalDriver> journal = Optional.empty();
   private Optional<ControlReducer> reducer = Optional.empty();
   private List<InstanceId> seeds;
@@ -112,6 +111,7 @@
     this.seeds = settings.seeds();
     this.targetCaller = targetCaller;
     this.log = log;
+    this.lateness = new DecisionLateness(log);
     this.persistTime = meters.timer("coltsfootwheel.journal.persist");
     this.links =
         new NodeLinks(
@@ -217,9 +217,7 @@
   }
 
   private List<ControlEffect> decide(ControlEvent event) {
-    lateness
-        .record(System.nanoTime(), event.nowNanos())
-        .ifPresent(millis -> log.write(LogEvent.of("decisions.late").with("late_ms", millis)));
+    lateness.record(event.nowNanos());
     if (event instanceof ControlEvent.SeedsChanged changed) {
       seeds = changed.seeds();
     }
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -7,7 +7,6 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.relay.Relay;
 import io.coltsfootwheel.relay.StopReport;
-import io.coltsfootwheel.runtime.LatenessMonitor;
 import io.coltsfootwheel.runtime.RepeatedTask;
 import java.time.Duration;
 import java.util.List;
@@ -32,7 +31,7 @@
   private final NodeLinks links;
   private final LeaderFinder finder;
   private final ScheduledExecutorService executor;
-  private final LatenessMonitor lateness = new LatenessMonitor(System.nanoTime());
+  private final DecisionLateness lateness;
   private final RepeatedTask subscriptionTask;
   private Set<InstanceId> linkedMembers = Set.of();
   private final EntryRouting routing = new EntryRouting();
@@ -49,6 +48,7 @@
     this.relay = relay;
     this.executor = relay.executor();
     this.log = log;
+    this.lateness = new DecisionLateness(log);
     this.finder = new LeaderFinder(settings.seeds());
     this.links =
         new NodeLinks(
@@ -144,9 +144,7 @@
   }
 
   private void receive(long arrivedNanos, InstanceId from, NodeMessage message) {
-    lateness
-        .record(System.nanoTime(), arrivedNanos)
-        .ifPresent(millis -> log.write(LogEvent.of("decisions.late").with("late_ms", millis)));
+    lateness.record(arrivedNanos);
     if (message instanceof NodeMessage.Routing update) {
       applyUpdate(from, update);
     } else if (message instanceof NodeMessage.Directory directory) {
