--- a/src/main/java/io/coltsfootwheel/daemon/Main.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Main.java
@@ -24,7 +24,6 @@
   /** First of the static fields, because a logger keeps the stream that it finds. */
   private static final StandardStreams STREAMS = StandardStreams.install();
 
-  private static final long OUTPUT_TIMEOUT_MILLIS = 150;
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_USAGE = 2;
 
@@ -37,7 +36,7 @@
    */
   public static void main(String[] args) {
     int status = run(args);
-    awaitOutput();
+    STREAMS.awaitLastLines();
     System.exit(status);
   }
 
@@ -83,7 +82,7 @@
     }
     Mono.defer(() -> Mono.delay(daemon.refreshHealth())).repeat().subscribe();
     daemon.awaitFailure();
-    awaitOutput();
+    STREAMS.awaitLastLines();
     Runtime.getRuntime().halt(EXIT_FAILED);
     return EXIT_FAILED;
   }
@@ -91,19 +90,10 @@
   private static void shutDown(Daemon daemon) {
     daemon.shutDown();
     LogManager.shutdown();
-    awaitOutput();
+    STREAMS.awaitLastLines();
     Runtime.getRuntime().halt(0);
   }
 
-  /** Gives the last log lines a limited time to leave the process. */
-  private static void awaitOutput() {
-    try {
-      STREAMS.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private static Path configFile(String[] args) throws ParseException {
     Options options =
         new Options()
--- a/src/main/java/io/coltsfootwheel/eventlog/StandardStreams.java
+++ b/src/main/java/io/coltsfootwheel/eventlog/StandardStreams.java
@@ -9,6 +9,8 @@
  * <p>Usage: {@code StandardStreams streams = StandardStreams.install()}, before any logger exists.
  */
 public final class StandardStreams {
+  private static final long LAST_LINES_TIMEOUT_MILLIS = 150;
+
   private final PrintStream directOutput;
   private final NonBlockingOutput output;
   private final NonBlockingOutput error;
@@ -51,4 +53,13 @@
     output.awaitWritten(timeoutMillis);
     error.awaitWritten(timeoutMillis);
   }
+
+  /** Gives the last lines a limited time to leave the process; an interrupt ends the wait. */
+  public void awaitLastLines() {
+    try {
+      awaitWritten(LAST_LINES_TIMEOUT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/src/main/java/io/coltsfootwheel/platform/ProcessEnd.java
+++ b/src/main/java/io/coltsfootwheel/platform/ProcessEnd.java
@@ -17,7 +17,6 @@
 final class ProcessEnd {
   private static final int EXIT_STOPPED = 0;
   private static final int EXIT_FAILED = 1;
-  private static final long OUTPUT_TIMEOUT_MILLIS = 150;
   private static final Logger LOGGER = LogManager.getLogger(ProcessEnd.class);
 
   private final StandardStreams streams;
@@ -64,9 +63,7 @@
 
   private void exit(int status) {
     try {
-      streams.awaitWritten(OUTPUT_TIMEOUT_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      streams.awaitLastLines();
     } finally {
       exit.accept(status);
     }
