Let an attempt replace only the connection whose probe it was started for

What would be seen: on a link whose answers all take about a second, a connection that answers each probe late is still replaced now and then, and what was sent on it is lost: an attempt that was started for an answered probe completes while the next probe is overdue. Cause: the attempt was not tied to its probe. Change: ConnectionAttempt names the replacement that it belongs to; failed attempts and lost connections are handled apart.

--- a/src/main/java/io/coltsfootwheel/link/LinkContext.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkContext.java
@@ -10,13 +10,8 @@
 
   LinkTraffic traffic();
 
-  /**
-   * Starts to connect. A failed attempt is reported to {@link OutboundConnection#onClosed}.
-   *
-   * @param outbound the connection
-   * @param failedAttempts attempts that have failed since it was connected last
-   */
-  void connect(OutboundConnection outbound, int failedAttempts);
+  /** Starts an attempt, which is told how it ends. */
+  void connect(ConnectionAttempt attempt);
 
   void schedule(Runnable task, long delayMillis);
 
--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -111,11 +111,11 @@
   }
 
   private void connect() {
-    int attempts;
+    ConnectionAttempt attempt;
     synchronized (this) {
-      attempts = failedAttempts;
+      attempt = new ConnectionAttempt(this, Optional.empty(), failedAttempts);
     }
-    context.connect(this, attempts);
+    context.connect(attempt);
   }
 
   LinkTraffic traffic() {
@@ -123,31 +123,41 @@
   }
 
   /**
-   * Tells whether a connection that is being opened is needed. The peer ends its earlier connection
-   * when the handshake of a new one completes, so the handshake of one that is not needed must not.
+   * Tells whether the connection that an attempt opens is needed. The peer ends its earlier
+   * connection when the handshake of a new one completes, so the handshake of one that is not
+   * needed must not complete.
    */
-  synchronized boolean needsConnection() {
+  synchronized boolean needs(ConnectionAttempt attempt) {
     return state == State.CONNECTING
         || state == State.BACKOFF
-        || state == State.CONNECTED && replacement.filter(this::isStillUnanswered).isPresent();
+        || state == State.CONNECTED && isReplacing(attempt);
   }
 
-  private boolean isStillUnanswered(Replacement opening) {
-    return prober.filter(p -> p.hasAnsweredProbeSince(opening.probeSentNanos() - 1)).isEmpty();
+  private boolean isReplacing(ConnectionAttempt attempt) {
+    return replacement.isPresent()
+        && attempt.replacement().equals(replacement)
+        && prober
+            .filter(p -> p.hasAnsweredProbeSince(replacement.get().probeSentNanos() - 1))
+            .isEmpty();
   }
 
   /**
    * Handles a completed handshake. The new connection takes the place of one that seems silent.
    *
+   * @param attempt the attempt
    * @param channel the new connection
    * @param session id of the peer's process
    * @param newProber probes the connection; empty when the peer does not answer probes
    */
-  void onConnected(Channel channel, String session, Optional<ConnectionProber> newProber) {
+  void onConnected(
+      ConnectionAttempt attempt,
+      Channel channel,
+      String session,
+      Optional<ConnectionProber> newProber) {
     Optional<Replacement> completed;
     Optional<Channel> silentChannel;
     synchronized (this) {
-      if (!needsConnection()) {
+      if (!needs(attempt)) {
         channel.close();
         return;
       }
@@ -176,41 +186,53 @@
     silent.close();
   }
 
+  /** Handles an attempt that ended before its handshake was complete. */
+  void onAttemptFailed(ConnectionAttempt attempt, LinkFailure failure) {
+    boolean lost;
+    List<Frame> unwritten;
+    synchronized (this) {
+      attempt.replacement().ifPresent(Replacement::attemptFailed);
+      if (attempt.replacement().isPresent() || state != State.CONNECTING) {
+        return;
+      }
+      lost = !queue.isEmpty();
+      unwritten = takeQueue();
+      beginBackoff();
+    }
+    context.failureLog().connectionFailed(logName(), failure);
+    reportLoss(lost, unwritten);
+    scheduleRetry();
+  }
+
   /**
-   * Handles a failed connection attempt or the loss of an established connection.
+   * Handles the loss of an established connection.
    *
-   * @param closedChannel the closed channel if its handshake was complete, empty for a failed
-   *     attempt
+   * @param closedChannel the connection
    * @param failure the reason, if known
    */
-  void onClosed(Optional<Channel> closedChannel, Optional<LinkFailure> failure) {
-    boolean lost;
+  void onClosed(Channel closedChannel, Optional<LinkFailure> failure) {
     List<Frame> unwritten;
     synchronized (this) {
-      if (closedChannel.isEmpty() && state == State.CONNECTED) {
-        replacement.ifPresent(Replacement::attemptFailed);
+      if (activeChannel != closedChannel || state == State.CLOSED) {
         return;
       }
-      boolean isCurrent =
-          closedChannel.isPresent()
-              ? activeChannel == closedChannel.get()
-              : state == State.CONNECTING;
-      if (!isCurrent || state == State.CLOSED) {
-        return;
-      }
-      lost = state == State.CONNECTED || !queue.isEmpty();
       endActiveChannel();
       unwritten = takeQueue();
-      state = State.BACKOFF;
-      failedAttempts++;
-    }
-    LinkFailure cause = failure.orElse(LinkFailure.CONNECT_FAILED);
-    if (failure.isPresent() || !lost) {
-      context.failureLog().connectionFailed(logName(), cause);
-    } else {
-      context.failureLog().connectionLost(logName());
+      beginBackoff();
     }
-    reportLoss(lost, unwritten);
+    failure.ifPresentOrElse(
+        cause -> context.failureLog().connectionFailed(logName(), cause),
+        () -> context.failureLog().connectionLost(logName()));
+    reportLoss(true, unwritten);
+    scheduleRetry();
+  }
+
+  private void beginBackoff() {
+    state = State.BACKOFF;
+    failedAttempts++;
+  }
+
+  private void scheduleRetry() {
     context.schedule(this::retry, context.backoffMillis(failedAttempts));
   }
 
@@ -230,7 +252,7 @@
     @Override
     public boolean showsSilence(long probeSentNanos) {
       Replacement.Step step;
-      int attempts;
+      ConnectionAttempt attempt;
       synchronized (OutboundConnection.this) {
         if (state != State.CONNECTED) {
           return false;
@@ -241,10 +263,11 @@
                 .orElseGet(() -> new Replacement(probeSentNanos));
         replacement = Optional.of(opening);
         step = opening.nextStep(context.settings().handshakeTimeoutMillis());
-        attempts = opening.failedAttempts();
+        attempt =
+            new ConnectionAttempt(OutboundConnection.this, replacement, opening.failedAttempts());
       }
       if (step == Replacement.Step.CONNECT) {
-        context.connect(OutboundConnection.this, attempts);
+        context.connect(attempt);
       }
       return step == Replacement.Step.GIVE_UP;
     }
--- a/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundHandler.java
@@ -10,6 +10,7 @@
 /** Opening side of a connection: completes the handshake, then reports writability and closing. */
 final class OutboundHandler extends SimpleChannelInboundHandler<Frame> {
   private final LinkSettings settings;
+  private final ConnectionAttempt attempt;
   private final OutboundConnection outbound;
   private final Handshake handshake;
 
@@ -17,9 +18,10 @@
   private boolean handshakeComplete;
   private Optional<LinkFailure> failure = Optional.empty();
 
-  OutboundHandler(LinkSettings settings, OutboundConnection outbound) {
+  OutboundHandler(LinkSettings settings, ConnectionAttempt attempt) {
     this.settings = settings;
-    this.outbound = outbound;
+    this.attempt = attempt;
+    this.outbound = attempt.connection();
     this.handshake = new Handshake(settings);
   }
 
@@ -58,7 +60,7 @@
       closeWithFailure(context, mismatch.get());
       return;
     }
-    if (!outbound.needsConnection()) {
+    if (!attempt.isNeeded()) {
       context.close();
       return;
     }
@@ -72,7 +74,7 @@
     } else {
       handshakeComplete = true;
       prober = hello.answersProbes() ? Optional.of(newProber(context)) : Optional.empty();
-      outbound.onConnected(context.channel(), hello.session(), prober);
+      attempt.succeeded(context.channel(), hello.session(), prober);
     }
   }
 
@@ -92,8 +94,11 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     prober.ifPresent(ConnectionProber::stop);
-    outbound.onClosed(
-        handshakeComplete ? Optional.of(context.channel()) : Optional.empty(), failure);
+    if (handshakeComplete) {
+      outbound.onClosed(context.channel(), failure);
+    } else {
+      attempt.failed(failure.orElse(LinkFailure.CONNECT_FAILED));
+    }
     context.fireChannelInactive();
   }
 
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -13,7 +13,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -190,18 +189,16 @@
   }
 
   @Override
-  public void connect(OutboundConnection outbound, int failedAttempts) {
-    Address address = outbound.address();
+  public void connect(ConnectionAttempt attempt) {
+    Address address = attempt.connection().address();
     client
         .option(
             ChannelOption.CONNECT_TIMEOUT_MILLIS,
-            (int) settings.connectTimeoutMillis(failedAttempts))
+            (int) settings.connectTimeoutMillis(attempt.failedAttempts()))
         .remoteAddress(() -> new InetSocketAddress(address.host(), address.port()))
-        .doOnConnected(connection -> addOutboundHandlers(connection, outbound))
+        .doOnConnected(connection -> addOutboundHandlers(connection, attempt))
         .connect()
-        .subscribe(
-            connection -> {},
-            error -> outbound.onClosed(Optional.empty(), Optional.of(LinkFailure.CONNECT_FAILED)));
+        .subscribe(connection -> {}, error -> attempt.failed(LinkFailure.CONNECT_FAILED));
   }
 
   @Override
@@ -219,9 +216,9 @@
     return ceiling / 2 + jitter.nextInt((int) ceiling / 2 + 1);
   }
 
-  private void addOutboundHandlers(Connection connection, OutboundConnection outbound) {
+  private void addOutboundHandlers(Connection connection, ConnectionAttempt attempt) {
     connection.addHandlerLast(new FrameDecoder(MAX_HANDSHAKE_FRAME_BYTES));
-    connection.addHandlerLast(new OutboundHandler(settings, outbound));
+    connection.addHandlerLast(new OutboundHandler(settings, attempt));
     connection.channel().config().setAutoRead(true);
   }
 
--- a/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentConnectionTest.java
@@ -130,6 +130,16 @@
     assertThat(b.endedChannels).isEmpty();
   }
 
+  /** Guards against a silent connection that is kept because its replacement is late too. */
+  @Test
+  void silentConnectionIsReplacedOnALateLink() throws Exception {
+    sendUntilReceived(FrameKind.RENEW, false, (byte) 1);
+    proxyToB.delay(LATE_MILLIS);
+    proxyToB.silence();
+    sendUntilReceived(FrameKind.RENEW, false, (byte) 2);
+    assertThat(a.silentChannels).containsOnly(LinkChannel.CONTROL);
+  }
+
   private void sendUntilReceived(FrameKind kind, boolean peerSends, byte mark) throws Exception {
     while (b.received.stream().noneMatch(f -> f.payload()[0] == mark)) {
       a.transport.send(B, new Frame(kind, new byte[] {mark}));
--- a/src/test/java/io/coltsfootwheel/link/SilentProxy.java
+++ b/src/test/java/io/coltsfootwheel/link/SilentProxy.java
@@ -8,9 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -26,6 +29,10 @@
   private final ServerSocket server;
   private final Supplier<Address> target;
   private final ExecutorService threads = Executors.newCachedThreadPool();
+
+  /** Writes delayed bytes, in the order in which they were read. */
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
   private final List<Connection> open = new ArrayList<>();
   private boolean isPaused;
   private volatile int bytesPerSecond = Integer.MAX_VALUE;
@@ -83,7 +90,11 @@
     bytesPerSecond = newBytesPerSecond;
   }
 
-  /** Delays the bytes of all connections, of new ones too, in each direction. */
+  /**
+   * Delays the bytes of all connections, of new ones too, in each direction.
+   *
+   * @param millis the delay, in milliseconds
+   */
   public void delay(long millis) {
     delayMillis = millis;
   }
@@ -132,9 +143,12 @@
       InputStream in = from.getInputStream();
       for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
         awaitResumed();
-        Thread.sleep(delayMillis + MILLIS_PER_SECOND * count / bytesPerSecond);
-        if (!connection.isSilent) {
-          to.getOutputStream().write(buffer, 0, count);
+        Thread.sleep(MILLIS_PER_SECOND * count / bytesPerSecond);
+        byte[] bytes = Arrays.copyOf(buffer, count);
+        if (delayMillis == 0) {
+          write(connection, to, bytes);
+        } else {
+          timer.schedule(() -> write(connection, to, bytes), delayMillis, TimeUnit.MILLISECONDS);
         }
       }
     } catch (IOException | InterruptedException e) {
@@ -145,6 +159,13 @@
     }
   }
 
+  private static Void write(Connection connection, Socket to, byte[] bytes) throws IOException {
+    if (!connection.isSilent) {
+      to.getOutputStream().write(bytes);
+    }
+    return null;
+  }
+
   private synchronized void awaitResumed() throws IOException {
     while (isPaused) {
       try {
@@ -170,5 +191,6 @@
     server.close();
     open.forEach(SilentProxy::close);
     threads.shutdownNow();
+    timer.shutdownNow();
   }
 }
