Write the frames of a replaced connection from one event loop only

What would be seen: frames to a peer out of order, when a connection is replaced while a write is scheduled: the task of the old connection's event loop and one of the new connection's write at the same time. Cause: since a connection can take the place of a live one, whose write task may be under way. Change: a task passes on to the event loop of the channel that it writes to, and takes a batch only for that channel. No test of its own.

--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -305,27 +305,42 @@
     }
   }
 
-  /** Writes queued frames while the channel is writable; runs on the event loop of the channel. */
+  /** Writes queued frames while the channel is writable. */
   void writeQueuedFrames() {
-    Channel channel = null;
-    List<Frame> batch = nextBatch();
-    while (!batch.isEmpty()) {
-      synchronized (this) {
-        channel = activeChannel;
-      }
-      if (channel == null) {
-        return;
-      }
-      FrameEncoder.write(channel, batch);
-      prober().ifPresent(ConnectionProber::framesWritten);
-      channel.flush();
-      batch = nextBatch();
+    Optional<Channel> channel = currentChannel();
+    while (channel.isPresent() && writeBatch(channel.get())) {
+      channel = currentChannel();
     }
   }
 
-  private synchronized List<Frame> nextBatch() {
+  /**
+   * Writes one batch on the event loop of the channel. A task of the connection before is passed on
+   * to that loop, so that two tasks never write at once.
+   *
+   * @return whether this task has to go on
+   */
+  private boolean writeBatch(Channel channel) {
+    if (!channel.eventLoop().inEventLoop()) {
+      channel.eventLoop().execute(this::writeQueuedFrames);
+      return false;
+    }
+    List<Frame> batch = nextBatch(channel);
+    if (batch.isEmpty()) {
+      return !currentChannel().equals(Optional.of(channel));
+    }
+    FrameEncoder.write(channel, batch);
+    prober().ifPresent(ConnectionProber::framesWritten);
+    channel.flush();
+    return true;
+  }
+
+  private synchronized Optional<Channel> currentChannel() {
+    return Optional.ofNullable(activeChannel);
+  }
+
+  private synchronized List<Frame> nextBatch(Channel channel) {
     writeScheduled = false;
-    if (activeChannel == null || !activeChannel.isWritable()) {
+    if (activeChannel != channel || !channel.isWritable()) {
       return List.of();
     }
     List<Frame> batch = queue.takeBatch(BATCH_BYTES);
