--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -187,6 +187,12 @@
     return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
   }
 
+  private void assertOldRouteIsRefused() throws IOException, InterruptedException {
+    int receivedBefore = receivedByTarget.get();
+    assertThat(statusOf("old")).isEqualTo(503);
+    assertThat(receivedByTarget).hasValue(receivedBefore);
+  }
+
   /** Lets the leader confirm a change that does not reach the entry, and waits for its bound. */
   private void changeUnnoticed(Fault fault, Configuration configuration, OwnershipView view)
       throws InterruptedException {
@@ -220,9 +226,7 @@
   @Test
   void targetThatHasLeftReceivesNothing() throws Exception {
     changeUnnoticed(Fault.LATE_MESSAGES, configuration(1, "old"), OwnershipView.empty());
-    int receivedBefore = receivedByTarget.get();
-    assertThat(statusOf("old")).isEqualTo(503);
-    assertThat(receivedByTarget).hasValue(receivedBefore);
+    assertOldRouteIsRefused();
   }
 
   /**
@@ -237,9 +241,7 @@
     leader.awaitNextAnswer();
     leader.fallSilent();
     Thread.sleep(APPLY_MILLIS);
-    int receivedBefore = receivedByTarget.get();
-    assertThat(statusOf("old")).isEqualTo(503);
-    assertThat(receivedByTarget).hasValue(receivedBefore);
+    assertOldRouteIsRefused();
   }
 
   /**
@@ -254,9 +256,7 @@
     leader.fallSilent();
     leader.change(configuration(2, "new"), view());
     Thread.sleep(APPLY_MILLIS);
-    int receivedBefore = receivedByTarget.get();
-    assertThat(statusOf("old")).isEqualTo(503);
-    assertThat(receivedByTarget).hasValue(receivedBefore);
+    assertOldRouteIsRefused();
   }
 
   /**
@@ -272,9 +272,7 @@
       leader.fallSilent();
       leader.change(configuration(2, "new"), view());
       Thread.sleep(APPLY_MILLIS);
-      int receivedBefore = receivedByTarget.get();
-      assertThat(statusOf("old")).isEqualTo(503);
-      assertThat(receivedByTarget).hasValue(receivedBefore);
+      assertOldRouteIsRefused();
     }
   }
 
