Add package for load control and the interfaces of its first parts

Cause: decisions under load are divided between relay, dispatch and keyspace, and several parts are about to change the same records. No behaviour changes. Result: not measured; no decision reads the new components yet.

--- a/src/main/java/io/coltsfootwheel/dispatch/AdmissionLimiter.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/AdmissionLimiter.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.dispatch;
 
+import io.coltsfootwheel.loadcontrol.TokenBucket;
 import io.coltsfootwheel.model.Allowance;
 import io.coltsfootwheel.model.CustomerId;
 import io.coltsfootwheel.model.ErrorKind;
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipView.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipView.java
@@ -117,6 +117,9 @@
    * @param slots requests that it executes at the same time
    * @param phase phase that it reported last
    * @param incarnationMillis start of its process, in milliseconds since the epoch
+   * @param evacuated whether its availability zone is being evacuated
+   * @param warmup whether it is warming up; {@link WarmupState#UNKNOWN} when the leader is of an
+   *     earlier version
    */
   public record Target(
       TargetId id,
@@ -125,7 +128,36 @@
       AvailabilityZone zone,
       int slots,
       TargetPhase phase,
-      long incarnationMillis) {}
+      long incarnationMillis,
+      boolean evacuated,
+      WarmupState warmup) {
+    /** Replaces a missing warm-up state. */
+    public Target {
+      warmup = warmup == null ? WarmupState.UNKNOWN : warmup;
+    }
+
+    /**
+     * Creates a target that is neither evacuated nor known to warm up.
+     *
+     * @param id name of the target
+     * @param service service that it offers
+     * @param address address of its HTTP server
+     * @param zone availability zone that it runs in
+     * @param slots requests that it executes at the same time
+     * @param phase phase that it reported last
+     * @param incarnationMillis start of its process, in milliseconds since the epoch
+     */
+    public Target(
+        TargetId id,
+        ServiceName service,
+        Address address,
+        AvailabilityZone zone,
+        int slots,
+        TargetPhase phase,
+        long incarnationMillis) {
+      this(id, service, address, zone, slots, phase, incarnationMillis, false, WarmupState.UNKNOWN);
+    }
+  }
 
   /**
    * Range, with the properties that entries need.
--- a/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
@@ -24,7 +24,8 @@
           "X-Coltsfootwheel-Expect-Instance",
           "X-Coltsfootwheel-Response-Signature",
           "X-Coltsfootwheel-Not-Executed",
-          "Server-Leaving");
+          "Server-Leaving",
+          "X-Coltsfootwheel-Backend-Load");
 
   private PlatformNames() {}
 }
--- a/src/main/java/io/coltsfootwheel/relay/ProtocolHeaderNames.java
+++ b/src/main/java/io/coltsfootwheel/relay/ProtocolHeaderNames.java
@@ -10,6 +10,7 @@
  * @param signature present on every response that a target's program creates
  * @param notExecuted present if the target states that it did not execute the request
  * @param leaving with the value 1 in all responses of a target that is leaving
+ * @param load load that the target reports of itself
  */
 public record ProtocolHeaderNames(
     String requestId,
@@ -18,4 +19,5 @@
     String expectedTarget,
     String signature,
     String notExecuted,
-    String leaving) {}
+    String leaving,
+    String load) {}
--- a/src/test/java/io/coltsfootwheel/ArchitectureTest.java
+++ b/src/test/java/io/coltsfootwheel/ArchitectureTest.java
@@ -31,7 +31,8 @@
 
   @ParameterizedTest
   @CsvSource({
-    "model, 'consensus control dispatch journal link edge settings daemon tool'",
+    "loadcontrol, 'consensus control dispatch journal link edge settings daemon tool routing keyspace relay node eventlog runtime'",
+    "model, 'loadcontrol consensus control dispatch journal link edge settings daemon tool'",
     "consensus, 'control dispatch journal link edge settings daemon tool'",
     "control, 'consensus dispatch journal link edge settings daemon tool'",
     "dispatch, 'consensus journal link edge settings daemon tool'",
@@ -136,7 +137,8 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"model", "consensus", "control", "dispatch", "routing", "keyspace"})
+  @ValueSource(
+      strings = {"model", "consensus", "control", "dispatch", "routing", "keyspace", "loadcontrol"})
   void decisionPackagesUseNoClockThreadSocketOrFile(String name) {
     noClasses()
         .that()
@@ -158,7 +160,7 @@
   @Test
   void decisionPackagesUseNoUnseededRandom() {
     String[] decisionPackages =
-        Stream.of("model", "consensus", "control", "dispatch", "routing", "keyspace")
+        Stream.of("model", "consensus", "control", "dispatch", "routing", "keyspace", "loadcontrol")
             .map(name -> ROOT + name + "..")
             .toArray(String[]::new);
     noClasses()
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -50,7 +50,7 @@
   private static final String MEMBER_HOST = "127.0.0.3";
   private static final ProtocolHeaderNames HEADER_NAMES =
       new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving", "load");
 
   /** Time after its confirmation within which a change is in force; the drain time is the same. */
   private static final long APPLY_MILLIS = 2_000;
--- a/src/test/java/io/coltsfootwheel/node/RunningFleet.java
+++ b/src/test/java/io/coltsfootwheel/node/RunningFleet.java
@@ -48,7 +48,7 @@
   private static final AvailabilityZone ZONE = AvailabilityZone.of("z");
   private static final ProtocolHeaderNames HEADER_NAMES =
       new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving", "load");
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(3);
   private static final int MAX_REDIRECTS = 2;
--- a/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
@@ -30,7 +30,7 @@
   static final ServiceName UNKEYED = ServiceName.of("any");
   static final ProtocolHeaderNames HEADER_NAMES =
       new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving", "load");
 
   static final String HOST = "127.0.0.1";
   static final long DRAIN_MILLIS = 2_000;
--- a/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayStopTest.java
@@ -79,7 +79,7 @@
         new Address("127.0.0.1", port),
         AvailabilityZone.of("z"),
         new ProtocolHeaderNames(
-            "id", "deadline", "key", "expected", "signature", "rejected", "leaving"),
+            "id", "deadline", "key", "expected", "signature", "rejected", "leaving", "load"),
         2_000,
         1,
         100,
--- a/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
@@ -22,7 +22,7 @@
 class TargetConnectionsTest {
   private static final ProtocolHeaderNames HEADER_NAMES =
       new ProtocolHeaderNames(
-          "id", "deadline", "key", "expected", "signature", "rejected", "leaving");
+          "id", "deadline", "key", "expected", "signature", "rejected", "leaving", "load");
 
   /** What happens to a target while a connection to it opens. */
   private enum Change {
