--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import reactor.netty.http.server.HttpServer;
@@ -39,6 +40,8 @@
   /** Port on which every process serves its metrics. */
   static final int METRICS_PORT = 9464;
 
+  private static final long METRICS_DELAY_MILLIS = 3_000;
+
   private static final String ARCHIVE_ROLE = "archive";
 
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
@@ -162,7 +165,7 @@
     ControlEndpoint endpoint = new ControlEndpoint(settings.controlAddress(), node, log, loops);
     endpoint.start(binder);
     watchSettings(node::setSeeds);
-    metrics.start();
+    startMetricsLater();
     SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     stopWatchingSettings();
@@ -176,10 +179,10 @@
   private void runEntry(MeterRegistry registry) throws InterruptedException {
     Relay relay = new Relay(settings.relay(), log, registry);
     EntryNode node = new EntryNode(settings.entry(), relay, log);
-    serveReadiness(relay);
     node.start(binder);
+    serveReadiness(relay);
     watchSettings(node::addSeeds);
-    metrics.start();
+    startMetricsLater();
     SIGNALS.awaitStop();
     log.write(LogEvent.of("process.stopping"));
     StopReport report = node.stop(remainingGraceMillis()).block();
@@ -195,6 +198,11 @@
     loops.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block();
   }
 
+  /** Leaves the processor to the first requests of a process that starts on a small machine. */
+  private void startMetricsLater() {
+    scheduler.schedule(metrics::start, METRICS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private void reload() {
     log.write(LogEvent.of("settings.signal"));
     settingsWatcher.ifPresent(SettingsWatcher::reload);
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -81,7 +81,7 @@
       return;
     }
     if (!context.routing().isComplete()) {
-      refuse("no routing information yet", DEFAULT_RETRY_AFTER_MILLIS);
+      awaitFirstRouting();
       return;
     }
     if (context.freshness().isOutdated(System.nanoTime())) {
@@ -103,12 +103,14 @@
       respond(HttpResponseStatus.BAD_REQUEST, "the request has no valid key", RetryAfter.NONE);
       return;
     }
+    awaitsRouting = false;
+    routingWaitEndNanos = 0;
     long timeoutMillis =
         Math.min(
             request.deadlineMillis().orElse(route.get().timeoutMillis()),
             route.get().timeoutMillis());
     deadlineNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    context.schedule(this::onDeadline, timeoutMillis);
+    context.schedule(this::onDeadline, Math.max(0, remainingMillis()));
     clientWaitedMillis =
         context
             .deadlineTracker()
@@ -142,8 +144,26 @@
 
   /** Decides again on a request that waits for a change of routes, targets or ownership. */
   void routingChanged() {
-    if (awaitsRouting && !completed) {
+    if (!awaitsRouting || completed) {
+      return;
+    }
+    if (service.isPresent()) {
       decide();
+    } else {
+      start();
+    }
+  }
+
+  private void awaitFirstRouting() {
+    long nowNanos = System.nanoTime();
+    if (routingWaitEndNanos == 0) {
+      long maxWaitMillis = StartupWait.maxWaitMillis(request.deadlineMillis());
+      routingWaitEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
+      context.schedule(this::routingChanged, maxWaitMillis + 1);
+    }
+    awaitsRouting = nowNanos - routingWaitEndNanos < 0;
+    if (!awaitsRouting) {
+      refuse("no routing information yet", DEFAULT_RETRY_AFTER_MILLIS);
     }
   }
 
