Bound the wait of StartupWaitTest when the request is not held

Cause: without the wait under test, its loop never ended. Change: the loop also ends with the response.

--- a/src/test/java/io/coltsfootwheel/relay/StartupWaitTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/StartupWaitTest.java
@@ -32,7 +32,7 @@
             new ScriptedTarget("t", RelayFixture.UNKEYED, ScriptedTarget.Step.ANSWER)) {
       CompletableFuture<HttpResponse<String>> response =
           fixture.send(RelayFixture.UNKEYED, "early");
-      while (fixture.relay().stopReport().block().busyConnections() == 0) {
+      while (fixture.relay().stopReport().block().busyConnections() == 0 && !response.isDone()) {
         Thread.sleep(5);
       }
       assertThat(response).isNotDone();
