Process pipelined requests of a client concurrently

Cause: the relay handled the requests of a connection one after the other, so the wait of a request contained the times of all before it; a connection with more than 16 requests waiting was closed; a half-received request behind a complete one was not noticed, and a 413 was written before the responses of earlier requests. Change: RequestPipeline (loadcontrol) decides which requests of a connection run, within bounds for the connection and the process; PipelinedResponses keeps finished responses until their turn; InputGate stops decoding, then reading, beyond the bounds. ClientHandler is split; parsing is ClientRequestParser, half-received heads are seen by ClientRequestDecoder. Rejections (400, 413, 431) are answered in order.

--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -19,34 +18,35 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.util.ArrayDeque;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-
-/** Handles a client connection: relays one request at a time and writes the responses in order. */
-final class ClientHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-  /**
-   * Requests that a client may queue behind the one in progress; one more closes the connection.
-   */
-  private static final int MAX_PIPELINED_REQUESTS = 16;
-
-  private static final int MAX_KEY = 65_535;
-
+import java.util.function.Consumer;
+
+/**
+ * Handles a client connection: passes requests to {@link PipelinedResponses}, writes the responses,
+ * and decides when the connection is read and when it closes.
+ */
+final class ClientHandler extends SimpleChannelInboundHandler<FullHttpRequest>
+    implements PipelinedResponses.Connection {
   /**
    * Time in which a client whose connection was accepted during a stop may send its first request.
    */
   private static final long FIRST_REQUEST_MILLIS = 200;
 
-  /** Time in which a client may close its connection after the last response of a stop. */
+  /**
+   * Time in which a client may close its connection after the last response if it sent more than
+   * was answered.
+   */
   private static final long LINGER_MILLIS = 500;
 
+  /** Requests behind a response that closes the connection that are read and logged. */
+  private static final int MAX_DISCARDED_REQUESTS = 64;
+
   private final Relay relay;
   private final RequestReadProgress progress;
-  private final ArrayDeque<FullHttpRequest> queuedRequests = new ArrayDeque<>();
+  private final InputGate gate;
+  private final ClientRequestParser parser;
+  private final PipelinedResponses responses;
   private final long connectedNanos = System.nanoTime();
-  private Optional<RelayExchange> currentExchange = Optional.empty();
 
   /** Responses not yet fully written to the socket; closing now would truncate them. */
   private int pendingWrites;
@@ -56,11 +56,16 @@
   /** Whether the last response of this connection was written; later requests are discarded. */
   private boolean lastResponseWritten;
 
+  private int discardedRequests;
+  private boolean inputRejected;
   private ChannelHandlerContext channelContext;
 
-  ClientHandler(Relay relay, RequestReadProgress progress) {
+  ClientHandler(Relay relay, RequestReadProgress progress, InputGate gate) {
     this.relay = relay;
     this.progress = progress;
+    this.gate = gate;
+    this.parser = new ClientRequestParser(relay.headerNames());
+    this.responses = new PipelinedResponses(this, relay.pipelineBudget());
   }
 
   @Override
@@ -81,7 +86,7 @@
    * was received in part. Otherwise it closes after its last response.
    */
   void closeForStop() {
-    if (!isBusy() && !lastResponseWritten && !progress.isPartial() && !awaitsFirstRequest()) {
+    if (!isBusy() && !lastResponseWritten && !hasMoreInput() && !awaitsFirstRequest()) {
       close();
     }
   }
@@ -112,102 +117,92 @@
   }
 
   boolean isBusy() {
-    return currentExchange.isPresent() || pendingWrites > 0;
+    return hasUnansweredRequests() || pendingWrites > 0;
+  }
+
+  boolean hasUnansweredRequests() {
+    return !responses.isEmpty();
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     hasReadRequest = true;
-    if (lastResponseWritten) {
-      relay.recordDiscarded(request.headers());
-    } else if (queuedRequests.size() > MAX_PIPELINED_REQUESTS) {
-      channelContext.close();
+    if (lastResponseWritten || responses.isClosing()) {
+      discard(request);
+    } else if (request.decoderResult().isFailure()) {
+      reject(ClientRequestParser.statusOfMalformed(request.decoderResult().cause()));
     } else {
-      queuedRequests.add(request.retain());
+      boolean closes = !HttpUtil.isKeepAlive(request);
+      responses.add(parser.parse(request.retain(), System.nanoTime()), closes);
+      suspendReadingWhenFull();
     }
   }
 
-  /**
-   * Starts the first request only now, because its response must not close the connection while
-   * later requests of the same read are still to be decoded.
-   */
-  @Override
-  public void channelReadComplete(ChannelHandlerContext context) {
-    processNext();
-    context.fireChannelReadComplete();
-  }
-
-  private void processNext() {
-    if (currentExchange.isEmpty() && !queuedRequests.isEmpty()) {
-      process(queuedRequests.poll());
+  private void discard(FullHttpRequest request) {
+    relay.recordDiscarded(request.headers());
+    discardedRequests++;
+    if (discardedRequests >= MAX_DISCARDED_REQUESTS) {
+      gate.stop();
     }
   }
 
-  private void process(FullHttpRequest request) {
-    if (request.decoderResult().isFailure()) {
-      request.release();
-      rejectMalformed(request.decoderResult().cause());
-    } else {
-      startExchange(request);
+  /** Answers a request that is not forwarded when its turn comes, and reads nothing behind it. */
+  void reject(HttpResponseStatus status) {
+    inputRejected = true;
+    gate.stop();
+    if (!lastResponseWritten && !responses.isClosing()) {
+      responses.addRejection(status);
     }
   }
 
-  private void startExchange(FullHttpRequest request) {
-    boolean keepAlive = HttpUtil.isKeepAlive(request);
-    ProtocolHeaderNames headerNames = relay.headerNames();
-    HttpHeaders headers = request.headers();
-    RelayRequest relayRequest =
-        new RelayRequest(
-            headers.get(headerNames.requestId(), ""),
-            request.method(),
-            request.uri(),
-            headers.get(HttpHeaderNames.HOST, ""),
-            headers,
-            request.content(),
-            parseKey(headers.get(headerNames.key())),
-            parseNonNegative(headers.get(headerNames.deadlineMillis())),
-            System.nanoTime());
-    RelayExchange exchange =
-        relay.createExchange(relayRequest, response -> respond(response, keepAlive));
-    currentExchange = Optional.of(exchange);
-    exchange.start();
+  private void suspendReadingWhenFull() {
+    if (responses.isFull()) {
+      gate.suspend();
+    }
   }
 
-  private static OptionalInt parseKey(String text) {
-    OptionalLong value = parseNonNegative(text);
-    return value.isPresent() && value.getAsLong() <= MAX_KEY
-        ? OptionalInt.of((int) value.getAsLong())
-        : OptionalInt.empty();
+  /**
+   * Starts requests only now, because a response must not close the connection while later requests
+   * of the same read are still to be decoded.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    proceed();
+    context.fireChannelReadComplete();
   }
 
-  private static OptionalLong parseNonNegative(String text) {
-    if (text == null) {
-      return OptionalLong.empty();
+  @Override
+  public void proceed() {
+    // Writes that fail because the connection closes must not start the requests behind them.
+    if (!channelContext.channel().isActive()) {
+      return;
     }
-    try {
-      long value = Long.parseLong(text.trim());
-      return value < 0 ? OptionalLong.empty() : OptionalLong.of(value);
-    } catch (NumberFormatException e) {
-      return OptionalLong.empty();
+    responses.advance();
+    while (!responses.isFull() && gate.resume()) {
+      responses.advance();
     }
+    suspendReadingWhenFull();
   }
 
-  private void respond(RelayResponse response, boolean keepAlive) {
-    currentExchange = Optional.empty();
-    boolean closesForStop = relay.stopState().closesConnections() && !hasMoreInput();
-    write(response, !keepAlive || closesForStop);
-    if (!keepAlive) {
-      releaseQueuedRequests();
-    } else {
-      processNext();
-    }
+  @Override
+  public RelayExchange createExchange(RelayRequest request, Consumer<RelayResponse> responder) {
+    return relay.createExchange(request, responder);
   }
 
-  private boolean hasMoreInput() {
-    return !queuedRequests.isEmpty() || progress.isPartial();
+  @Override
+  public boolean isIdempotent(RelayRequest request) {
+    return relay.isIdempotent(request);
+  }
+
+  @Override
+  public boolean isWritable() {
+    return true;
   }
 
-  private void write(RelayResponse response, boolean last) {
+  /** Writes the response to the first unanswered request; closes the connection after the last. */
+  @Override
+  public void write(RelayResponse response, boolean closes) {
+    boolean last = closes || relay.stopState().closesConnections() && !hasMoreInput();
     FullHttpResponse httpResponse =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -215,25 +210,38 @@
             response.body(),
             response.headers(),
             EmptyHttpHeaders.INSTANCE);
-    httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().readableBytes());
+    int bodyBytes = response.body().readableBytes();
+    httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
     if (last) {
       httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       lastResponseWritten = true;
     }
     pendingWrites++;
+    responses.changeUnwrittenBytes(bodyBytes);
     ChannelFuture writeFuture = channelContext.writeAndFlush(httpResponse);
-    writeFuture.addListener(future -> pendingWrites--);
+    writeFuture.addListener(
+        future -> {
+          pendingWrites--;
+          responses.changeUnwrittenBytes(-bodyBytes);
+          proceed();
+        });
     if (last) {
       writeFuture.addListener(future -> closeAfterLastResponse());
     }
   }
 
+  private boolean hasMoreInput() {
+    return hasUnansweredRequests() || progress.isPartial() || gate.hasHeldBytes();
+  }
+
   /**
-   * During a stop, ends only the sending side and leaves the close to the client: a socket that is
-   * closed with unread bytes is reset, and a reset can destroy a response on its way.
+   * Ends only the sending side, and leaves the close to the client, during a stop and when the
+   * client sent more than was answered: a socket that is closed with unread bytes is reset, and a
+   * reset can destroy a response on its way.
    */
   private void closeAfterLastResponse() {
-    if (relay.stopState().closesConnections()
+    boolean mayHaveUnreadBytes = inputRejected || discardedRequests > 0 || hasMoreInput();
+    if ((mayHaveUnreadBytes || relay.stopState().closesConnections())
         && channelContext.channel() instanceof DuplexChannel channel
         && channel.isActive()) {
       channel.shutdownOutput();
@@ -243,19 +251,6 @@
     }
   }
 
-  private void rejectMalformed(Throwable cause) {
-    HttpResponseStatus status =
-        cause instanceof TooLongFrameException
-            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : HttpResponseStatus.BAD_REQUEST;
-    write(new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER), true);
-  }
-
-  private void releaseQueuedRequests() {
-    queuedRequests.forEach(FullHttpRequest::release);
-    queuedRequests.clear();
-  }
-
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
     if (event instanceof IdleStateEvent) {
@@ -266,10 +261,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    Optional<RelayExchange> abortedExchange = currentExchange;
-    currentExchange = Optional.empty();
-    releaseQueuedRequests();
-    abortedExchange.ifPresent(RelayExchange::clientDisconnected);
+    responses.cancelAll();
     relay.clientDisconnected(this);
     context.fireChannelInactive();
   }
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
@@ -0,0 +1,161 @@
+package io.coltsfootwheel.relay;
+
+import io.coltsfootwheel.loadcontrol.PipelineBudget;
+import io.coltsfootwheel.loadcontrol.RequestPipeline;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Ordered responses of one client connection: starts the exchanges of its requests as {@link
+ * RequestPipeline} allows, and keeps each finished response until those before it are written.
+ */
+final class PipelinedResponses {
+  /** Memory of the objects that hold a response, beside its body. */
+  private static final int RESPONSE_OVERHEAD_BYTES = 512;
+
+  private final Connection connection;
+  private final RequestPipeline<Item> pipeline;
+  private boolean advancing;
+
+  /** What the connection does for its requests. */
+  interface Connection {
+    /** Creates an exchange without starting it. */
+    RelayExchange createExchange(RelayRequest request, Consumer<RelayResponse> responder);
+
+    /** Returns whether a request that has not started may be executed more than once. */
+    boolean isIdempotent(RelayRequest request);
+
+    /** Returns whether the client has taken enough of the responses written so far. */
+    boolean isWritable();
+
+    /**
+     * Writes the next response.
+     *
+     * @param response the response; its reference passes to the connection
+     * @param closes whether it closes the connection in any case
+     */
+    void write(RelayResponse response, boolean closes);
+
+    /** Called when a response became known; calls {@link #advance} when that is possible. */
+    void proceed();
+  }
+
+  /** A request, its exchange once it is started, and its response once it is known. */
+  private static final class Item {
+    private final Optional<RelayRequest> request;
+    private final boolean closes;
+    private Optional<RelayExchange> exchange = Optional.empty();
+    private Optional<RelayResponse> response = Optional.empty();
+
+    Item(Optional<RelayRequest> request, boolean closes) {
+      this.request = request;
+      this.closes = closes;
+    }
+  }
+
+  PipelinedResponses(Connection connection, PipelineBudget budget) {
+    this.connection = connection;
+    this.pipeline = new RequestPipeline<>(budget, this::isIdempotent);
+  }
+
+  private boolean isIdempotent(Item item) {
+    return item.exchange
+        .map(RelayExchange::isIdempotent)
+        .orElseGet(() -> item.request.map(connection::isIdempotent).orElse(true));
+  }
+
+  /** Adds a request; nothing may be added behind one whose response closes the connection. */
+  void add(RelayRequest request, boolean closes) {
+    pipeline.add(new Item(Optional.of(request), closes), closes, request.body().readableBytes());
+  }
+
+  /** Adds the response to a request that is not forwarded and closes the connection. */
+  void addRejection(HttpResponseStatus status) {
+    RequestPipeline.Entry<Item> entry = pipeline.add(new Item(Optional.empty(), true), true, 0);
+    finish(entry, new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER));
+  }
+
+  private void finish(RequestPipeline.Entry<Item> entry, RelayResponse response) {
+    entry.item().response = Optional.of(response);
+    pipeline.finish(entry, response.body().readableBytes() + RESPONSE_OVERHEAD_BYTES);
+  }
+
+  /** Writes the responses whose turn has come, and starts the requests that may start. */
+  void advance() {
+    if (advancing) {
+      return;
+    }
+    advancing = true;
+    try {
+      boolean changed = true;
+      while (changed) {
+        changed = writeNext() || startNext();
+      }
+    } finally {
+      advancing = false;
+    }
+  }
+
+  private boolean writeNext() {
+    if (!connection.isWritable()) {
+      return false;
+    }
+    Optional<Item> answered = pipeline.takeAnswered();
+    answered.ifPresent(item -> connection.write(item.response.orElseThrow(), item.closes));
+    return answered.isPresent();
+  }
+
+  private boolean startNext() {
+    Optional<RequestPipeline.Entry<Item>> started = pipeline.startNext();
+    started.ifPresent(this::start);
+    return started.isPresent();
+  }
+
+  private void start(RequestPipeline.Entry<Item> entry) {
+    RelayExchange exchange =
+        connection.createExchange(
+            entry.item().request.orElseThrow(),
+            response -> {
+              finish(entry, response);
+              connection.proceed();
+            });
+    entry.item().exchange = Optional.of(exchange);
+    exchange.start();
+  }
+
+  /** Cancels all exchanges and drops all responses because the connection has ended. */
+  void cancelAll() {
+    for (Item item : pipeline.removeAll()) {
+      if (item.response.isPresent()) {
+        item.response.get().body().release();
+      } else if (item.exchange.isPresent()) {
+        item.exchange.get().clientDisconnected();
+      } else {
+        item.request.ifPresent(request -> request.body().release());
+      }
+    }
+  }
+
+  /** Returns whether all requests are answered. */
+  boolean isEmpty() {
+    return pipeline.isEmpty();
+  }
+
+  /** Returns whether nothing may be added any more. */
+  boolean isClosing() {
+    return pipeline.isClosing();
+  }
+
+  /** Returns whether no further requests should be read for now. */
+  boolean isFull() {
+    return pipeline.isFull();
+  }
+
+  /** Counts bytes that were passed to the connection and are not written to its socket. */
+  void changeUnwrittenBytes(long change) {
+    pipeline.changeUnwrittenBytes(change);
+  }
+}
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ClientLimits;
@@ -15,7 +16,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -45,6 +46,15 @@
 public final class Relay implements RelayContext, AutoCloseable {
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
+  /**
+   * Requests in progress behind another one of their connection: a third of the 3,075 descriptors
+   * of the smallest entry, because each can need a connection to a target.
+   */
+  private static final int MAX_PIPELINED_REQUESTS = 1_024;
+
+  /** An eighth of the direct memory that the deploy file grants. */
+  private static final long MAX_WAITING_RESPONSE_BYTES = 4L * 1024 * 1024;
+
   private static final int LISTEN_BACKLOG = 1_024;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -66,6 +76,8 @@
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
   private final BufferedBodyBudget bodyBudget =
       new BufferedBodyBudget(BufferedBodyBudget.MAX_BODY_BYTES);
+  private final PipelineBudget pipelineBudget =
+      new PipelineBudget(MAX_PIPELINED_REQUESTS, MAX_WAITING_RESPONSE_BYTES);
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
@@ -97,6 +109,7 @@
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
+    this.metrics.registerPipeline(pipelineBudget);
   }
 
   /** Binds the client address at the first try and accepts connections. */
@@ -283,13 +296,17 @@
   private void onConnection(Connection connection) {
     ClientLimits limits = routing.routes().limits().applicable();
     int maxBodyBytes = (int) limits.maxBodyBytes();
-    RequestReadProgress progress = new RequestReadProgress();
-    connection.addHandlerLast("received-bytes", progress.bytesHandler());
-    connection.addHandlerLast(
-        new HttpServerCodec(
+    ClientRequestDecoder decoder =
+        new ClientRequestDecoder(
             new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.maxHeaderBytes())));
+                .setMaxHeaderSize(limits.maxHeaderBytes()));
+    RequestReadProgress progress = new RequestReadProgress(decoder);
+    InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent());
+    ClientHandler client = new ClientHandler(this, progress, gate);
+    connection.addHandlerLast(gate);
+    connection.addHandlerLast(decoder);
+    connection.addHandlerLast(new HttpResponseEncoder());
     connection.addHandlerLast("received-messages", progress.messageHandler());
     connection.addHandlerLast(
         new BufferedBodyLimiter(
@@ -301,14 +318,17 @@
     connection.addHandlerLast(
         new RequestAggregator(
             maxBodyBytes,
-            () ->
-                log.write(
-                    LogEvent.of("request.rejected")
-                        .with("reason", "body too large")
-                        .with("max_bytes", maxBodyBytes))));
+            () -> !client.hasUnansweredRequests(),
+            status -> {
+              log.write(
+                  LogEvent.of("request.rejected")
+                      .with("reason", status.reasonPhrase())
+                      .with("max_bytes", maxBodyBytes));
+              client.reject(status);
+            }));
     connection.addHandlerLast(
         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
-    connection.addHandlerLast(new ClientHandler(this, progress));
+    connection.addHandlerLast(client);
     connection.channel().config().setAutoRead(true);
   }
 
@@ -330,7 +350,21 @@
                 .with("detail", "503 the entry is stopping and the body is incomplete"));
   }
 
+  PipelineBudget pipelineBudget() {
+    return pipelineBudget;
+  }
+
+  /** Returns whether a request may be executed more than once; one without a route is not sent. */
+  boolean isIdempotent(RelayRequest request) {
+    return routing
+        .routes()
+        .find(request.host(), request.uri())
+        .map(route -> route.kind().isIdempotent())
+        .orElse(true);
+  }
+
   void recordDiscarded(HttpHeaders headers) {
+    metrics.countDiscarded();
     log.write(
         LogEvent.of("request.discarded")
             .with("request", headers.get(settings.headerNames().requestId(), ""))
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -38,6 +38,7 @@
 
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
   private static final String STOPPING = "the entry is stopping";
+  private static final String DEADLINE_PASSED = "deadline passed before the request could be sent";
   private static final String OUTDATED = "changes of routes and targets arrive too late";
 
   private final RelayContext context;
@@ -108,7 +109,11 @@
             request.deadlineMillis().orElse(route.get().timeoutMillis()),
             route.get().timeoutMillis());
     deadlineNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    context.schedule(this::onDeadline, timeoutMillis);
+    if (remainingMillis() <= 0) {
+      refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
+    context.schedule(this::onDeadline, remainingMillis());
     clientWaitedMillis =
         context
             .deadlineTracker()
@@ -128,8 +133,7 @@
     }
     completed = true;
     context.removeExchange(this);
-    boolean idempotent = route.map(r -> r.kind().isIdempotent()).orElse(true);
-    if (call.isPresent() && idempotent) {
+    if (call.isPresent() && isIdempotent()) {
       call.get().cancel();
       target.ifPresent(TargetStats::recordCancellation);
       call = Optional.empty();
@@ -140,6 +144,13 @@
     log("client_left", "");
   }
 
+  /**
+   * Returns whether the request may be executed more than once; one without a route is not sent.
+   */
+  boolean isIdempotent() {
+    return route.map(r -> r.kind().isIdempotent()).orElse(true);
+  }
+
   /** Decides again on a request that waits for a change of routes, targets or ownership. */
   void routingChanged() {
     if (awaitsRouting && !completed) {
@@ -366,7 +377,7 @@
     } else if (!completed && mayHaveExecuted) {
       respond(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline passed", RetryAfter.NONE);
     } else if (!completed) {
-      refuse("deadline passed before the request could be sent", DEFAULT_RETRY_AFTER_MILLIS);
+      refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -1,12 +1,14 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.TimeGauge;
 import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.BaseUnits;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -26,6 +28,7 @@
 
   private final MeterRegistry meters;
   private final Counter retries;
+  private final Counter discarded;
   private final Map<String, Timer> timerByOutcome = new HashMap<>();
 
   RelayMetrics(
@@ -36,6 +39,7 @@
       EventLog log) {
     this.meters = meters;
     this.retries = meters.counter("coltsfootwheel.retries");
+    this.discarded = meters.counter("coltsfootwheel.requests.discarded");
     Gauge.builder("coltsfootwheel.configuration.version", routing, r -> r.routes().version())
         .register(meters);
     registerAge("coltsfootwheel.routes.age", freshness, RoutingFreshness::configurationAgeMillis);
@@ -48,6 +52,15 @@
     FunctionCounter.builder("coltsfootwheel.log.dropped", log, EventLog::dropped).register(meters);
   }
 
+  /** Registers the gauges of pipelined requests. */
+  void registerPipeline(PipelineBudget budget) {
+    Gauge.builder("coltsfootwheel.pipeline.requests", budget, PipelineBudget::inProgress)
+        .register(meters);
+    Gauge.builder("coltsfootwheel.pipeline.waiting", budget, PipelineBudget::waitingBytes)
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
+  }
+
   private void registerAge(
       String name, RoutingFreshness freshness, ToLongBiFunction<RoutingFreshness, Long> ageMillis) {
     TimeGauge.builder(
@@ -69,6 +82,10 @@
     retries.increment();
   }
 
+  void countDiscarded() {
+    discarded.increment();
+  }
+
   private Timer timer(String outcome) {
     return Timer.builder("coltsfootwheel.request")
         .tag("outcome", outcome)
--- a/src/main/java/io/coltsfootwheel/relay/RelayRequest.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayRequest.java
@@ -23,7 +23,7 @@
  * @param body complete body; the exchange owns one reference
  * @param key key, if the client sent a valid one
  * @param deadlineMillis time for which the client will wait, if it stated one
- * @param receivedNanos monotonic time at which the relay began to process the complete request
+ * @param receivedNanos monotonic time at which the relay had read the complete request
  */
 record RelayRequest(
     String id,
--- a/src/main/java/io/coltsfootwheel/relay/RequestAggregator.java
+++ b/src/main/java/io/coltsfootwheel/relay/RequestAggregator.java
@@ -1,38 +1,55 @@
 package io.coltsfootwheel.relay;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
- * Aggregates the body of a client's request. A request that is too large gets status 413 and ends
- * its connection, because the rest of its body may have no end.
+ * Aggregates the body of a client's request. A request that is rejected for its size, or for an
+ * expectation that is not supported, ends its connection, because the rest of its body may have no
+ * end.
  */
 final class RequestAggregator extends HttpObjectAggregator {
-  private final Runnable onTooLarge;
+  private final BooleanSupplier mayContinue;
+  private final Consumer<HttpResponseStatus> onRejected;
 
-  RequestAggregator(int maxBodyBytes, Runnable onTooLarge) {
+  /**
+   * Creates an aggregator.
+   *
+   * @param maxBodyBytes largest body
+   * @param mayContinue whether status 100 may be written now, which is not so while an earlier
+   *     request of the connection is unanswered
+   * @param onRejected writes the status of a rejected request when its turn comes
+   */
+  RequestAggregator(
+      int maxBodyBytes, BooleanSupplier mayContinue, Consumer<HttpResponseStatus> onRejected) {
     super(maxBodyBytes);
-    this.onTooLarge = onTooLarge;
+    this.mayContinue = mayContinue;
+    this.onRejected = onRejected;
+  }
+
+  @Override
+  protected Object newContinueResponse(
+      HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
+    HttpResponse response =
+        (HttpResponse) super.newContinueResponse(start, maxContentLength, pipeline);
+    if (response == null || response.status().equals(HttpResponseStatus.CONTINUE)) {
+      return mayContinue.getAsBoolean() ? response : null;
+    }
+    if (!response.status().equals(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)) {
+      onRejected.accept(response.status());
+    }
+    // Without a response the aggregator handles a body that is too large as an oversized message.
+    return null;
   }
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    onTooLarge.run();
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-            Unpooled.EMPTY_BUFFER);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    onRejected.accept(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
   }
 }
