Bound the memory of unwritten responses and complete bodies

Cause: a client that read nothing was never disconnected while a response waited for it, its responses had no bound, and complete bodies were not counted: only incomplete ones had a budget. Change: write-buffer water marks for clients, beyond which nothing is decoded and no further response is written; a client that takes no byte for the idle timeout is disconnected. BufferedBodyBudget counts complete bodies; a request beyond 16 MiB is refused with 503 and Retry-After before it is forwarded, and then the client that holds the most without taking any for 5 s is disconnected. Complete and incomplete bodies together stay below 28 MiB. Metrics of both. Result: BufferedBodyBudgetTest (4), SlowReaderTest (5), PipeliningTest (18), RequestPipelineTest (11), RelayStopTest (9), RelayTest (42), EndlessBytesTest (55), ArchitectureTest, ResponseEndTest, IncompleteResponseTest, TargetConnectionsTest and TargetNoticeRelayTest pass.

--- a/src/main/java/io/coltsfootwheel/relay/BufferedBodyBudget.java
+++ b/src/main/java/io/coltsfootwheel/relay/BufferedBodyBudget.java
@@ -5,37 +5,72 @@
 import java.util.Map;
 
 /**
- * Limits the memory that incomplete message bodies use in this process; confined to the relay's
- * event loop.
+ * Limits the memory that message bodies use in this process; confined to the relay's event loop.
  *
- * <p>When the limit is exceeded, the largest body is aborted: one body without end cannot use up
- * the memory of the others.
+ * <p>When the limit for incomplete bodies is exceeded, the largest of them is aborted: one body
+ * without end cannot use up the memory of the others. Complete bodies are requests that are not
+ * answered and responses that are not written. They are not aborted; instead, requests that would
+ * exceed their limit are refused. Responses may exceed it, and reduce what incomplete bodies may
+ * use.
  */
 final class BufferedBodyBudget {
-  /** Half of the direct memory that the deploy file grants; complete bodies use the other half. */
+  /** Half of the direct memory that the deploy file grants. */
   static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
-  private final long maxBytes;
+  /**
+   * Seven eighths of the direct memory that the deploy file grants; the rest is for reads and for
+   * the connections to control processes.
+   */
+  private static final int MAX_TOTAL_BYTES = 28 * 1024 * 1024;
+
+  private final long maxIncompleteBytes;
+  private final long maxCompleteBytes;
+  private final long maxTotalBytes;
   private final Map<BufferedBodyLimiter, Long> bytesByBody = new IdentityHashMap<>();
-  private long usedBytes;
+  private long incompleteBytes;
+  private long completeBytes;
 
+  /** Creates a budget whose limits for complete and for incomplete bodies are independent. */
   BufferedBodyBudget(long maxBytes) {
-    this.maxBytes = maxBytes;
+    this(maxBytes, maxBytes, 2 * maxBytes);
+  }
+
+  BufferedBodyBudget(long maxIncompleteBytes, long maxCompleteBytes, long maxTotalBytes) {
+    this.maxIncompleteBytes = maxIncompleteBytes;
+    this.maxCompleteBytes = maxCompleteBytes;
+    this.maxTotalBytes = maxTotalBytes;
+  }
+
+  /** Returns the budget of a process with the memory that the deploy file grants. */
+  static BufferedBodyBudget ofProcess() {
+    return new BufferedBodyBudget(MAX_BODY_BYTES, MAX_BODY_BYTES, MAX_TOTAL_BYTES);
+  }
+
+  long incompleteBytes() {
+    return incompleteBytes;
+  }
+
+  long completeBytes() {
+    return completeBytes;
   }
 
-  /** Counts bytes of a body; aborts the largest body while the limit is exceeded. */
+  /** Counts bytes of a body; aborts the largest incomplete body while a limit is exceeded. */
   void add(BufferedBodyLimiter body, long bytes) {
     bytesByBody.merge(body, bytes, Long::sum);
-    usedBytes += bytes;
-    while (usedBytes > maxBytes) {
+    incompleteBytes += bytes;
+    while (isExceeded() && !bytesByBody.isEmpty()) {
       largest().abort();
     }
   }
 
+  private boolean isExceeded() {
+    return incompleteBytes > maxIncompleteBytes || incompleteBytes + completeBytes > maxTotalBytes;
+  }
+
   /** Stops counting a body that is complete, or whose connection is closed. */
   void remove(BufferedBodyLimiter body) {
     Long bytes = bytesByBody.remove(body);
-    usedBytes -= bytes == null ? 0 : bytes;
+    incompleteBytes -= bytes == null ? 0 : bytes;
   }
 
   private BufferedBodyLimiter largest() {
@@ -44,4 +79,27 @@
         .orElseThrow()
         .getKey();
   }
+
+  /**
+   * Counts a complete body if it is within the limit.
+   *
+   * @return false if the body must be refused; it is not counted then
+   */
+  boolean tryAddComplete(long bytes) {
+    if (completeBytes + bytes > maxCompleteBytes) {
+      return false;
+    }
+    completeBytes += bytes;
+    return true;
+  }
+
+  /** Counts a complete body that cannot be refused any more. */
+  void addComplete(long bytes) {
+    completeBytes += bytes;
+  }
+
+  /** Stops counting a complete body. */
+  void removeComplete(long bytes) {
+    completeBytes -= bytes;
+  }
 }
--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -41,11 +41,21 @@
   /** Requests behind a response that closes the connection that are read and logged. */
   private static final int MAX_DISCARDED_REQUESTS = 64;
 
+  private static final long WRITE_CHECK_MILLIS = 500;
+
+  /**
+   * Time without progress after which a client may be disconnected when memory is short. A link of
+   * 2 Mbit/s takes the bytes of the high water mark in about a second.
+   */
+  private static final long STALLED_MILLIS = 5_000;
+
   private final Relay relay;
   private final RequestReadProgress progress;
   private final InputGate gate;
   private final ClientRequestParser parser;
   private final PipelinedResponses responses;
+  private final WriteProgress writeProgress = new WriteProgress(System.nanoTime());
+  private final long idleTimeoutMillis;
   private final long connectedNanos = System.nanoTime();
 
   /** Responses not yet fully written to the socket; closing now would truncate them. */
@@ -56,16 +66,27 @@
   /** Whether the last response of this connection was written; later requests are discarded. */
   private boolean lastResponseWritten;
 
+  private boolean checksWriteProgress;
   private int discardedRequests;
   private boolean inputRejected;
   private ChannelHandlerContext channelContext;
 
-  ClientHandler(Relay relay, RequestReadProgress progress, InputGate gate) {
+  /**
+   * Creates a handler.
+   *
+   * @param relay the relay
+   * @param progress tracks requests received in part
+   * @param gate suspends the input of the connection
+   * @param idleTimeoutMillis time after which a client that takes no response is disconnected, 0
+   *     for none
+   */
+  ClientHandler(Relay relay, RequestReadProgress progress, InputGate gate, long idleTimeoutMillis) {
     this.relay = relay;
     this.progress = progress;
     this.gate = gate;
     this.parser = new ClientRequestParser(relay.headerNames());
-    this.responses = new PipelinedResponses(this, relay.pipelineBudget());
+    this.responses = new PipelinedResponses(this, relay.pipelineBudget(), relay.bodyBudget());
+    this.idleTimeoutMillis = idleTimeoutMillis;
   }
 
   @Override
@@ -107,9 +128,7 @@
     relay.recordIncompleteRefusal(request.headers());
     HttpHeaders headers = new DefaultHttpHeaders();
     RetryAfter.ENTRY_STOPPING.addTo(headers);
-    write(
-        new RelayResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER),
-        true);
+    write(unavailable(headers), true);
   }
 
   void close() {
@@ -132,12 +151,31 @@
     } else if (request.decoderResult().isFailure()) {
       reject(ClientRequestParser.statusOfMalformed(request.decoderResult().cause()));
     } else {
-      boolean closes = !HttpUtil.isKeepAlive(request);
-      responses.add(parser.parse(request.retain(), System.nanoTime()), closes);
+      add(request, !HttpUtil.isKeepAlive(request));
       suspendReadingWhenFull();
     }
   }
 
+  private void add(FullHttpRequest request, boolean closes) {
+    if (relay.bodyBudget().tryAddComplete(request.content().readableBytes())) {
+      responses.add(parser.parse(request.retain(), System.nanoTime()), closes);
+      return;
+    }
+    relay.recordMemoryRefusal(request.headers());
+    HttpHeaders headers = new DefaultHttpHeaders();
+    String idName = relay.headerNames().requestId();
+    if (request.headers().contains(idName)) {
+      headers.set(idName, request.headers().get(idName));
+    }
+    RetryAfter.MEMORY_EXCEEDED.addTo(headers);
+    responses.addResponse(unavailable(headers), closes);
+  }
+
+  private static RelayResponse unavailable(HttpHeaders headers) {
+    return new RelayResponse(
+        HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+  }
+
   private void discard(FullHttpRequest request) {
     relay.recordDiscarded(request.headers());
     discardedRequests++;
@@ -151,16 +189,21 @@
     inputRejected = true;
     gate.stop();
     if (!lastResponseWritten && !responses.isClosing()) {
-      responses.addRejection(status);
+      responses.addResponse(
+          new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER), true);
     }
   }
 
   private void suspendReadingWhenFull() {
-    if (responses.isFull()) {
+    if (isFull()) {
       gate.suspend();
     }
   }
 
+  private boolean isFull() {
+    return responses.isFull() || !isWritable();
+  }
+
   /**
    * Starts requests only now, because a response must not close the connection while later requests
    * of the same read are still to be decoded.
@@ -178,7 +221,7 @@
       return;
     }
     responses.advance();
-    while (!responses.isFull() && gate.resume()) {
+    while (!isFull() && gate.resume()) {
       responses.advance();
     }
     suspendReadingWhenFull();
@@ -194,9 +237,20 @@
     return relay.isIdempotent(request);
   }
 
+  @Override
+  public void drop(RelayRequest request) {
+    relay.releaseBody(request);
+  }
+
   @Override
   public boolean isWritable() {
-    return true;
+    return pendingWrites == 0 || channelContext.channel().isWritable();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    proceed();
+    context.fireChannelWritabilityChanged();
   }
 
   /** Writes the response to the first unanswered request; closes the connection after the last. */
@@ -222,14 +276,54 @@
     writeFuture.addListener(
         future -> {
           pendingWrites--;
+          writeProgress.countCompleted();
           responses.changeUnwrittenBytes(-bodyBytes);
+          relay.bodyBudget().removeComplete(bodyBytes);
           proceed();
         });
+    if (!writeFuture.isDone() && !checksWriteProgress) {
+      writeProgress.begin(System.nanoTime());
+      scheduleWriteCheck();
+    }
     if (last) {
       writeFuture.addListener(future -> closeAfterLastResponse());
     }
   }
 
+  private void scheduleWriteCheck() {
+    checksWriteProgress = true;
+    relay.schedule(this::checkWriteProgress, WRITE_CHECK_MILLIS);
+  }
+
+  private void checkWriteProgress() {
+    checksWriteProgress = false;
+    if (pendingWrites == 0 || !channelContext.channel().isActive()) {
+      return;
+    }
+    writeProgress.update(channelContext.channel(), System.nanoTime());
+    if (idleTimeoutMillis > 0
+        && writeProgress.stalledMillis(System.nanoTime()) >= idleTimeoutMillis) {
+      closeStalled();
+    } else {
+      scheduleWriteCheck();
+    }
+  }
+
+  /** Returns whether the client has not taken bytes of its responses for some seconds. */
+  boolean isStalled() {
+    return pendingWrites > 0 && writeProgress.stalledMillis(System.nanoTime()) >= STALLED_MILLIS;
+  }
+
+  long unwrittenBytes() {
+    return WriteProgress.unwrittenBytes(channelContext.channel());
+  }
+
+  /** Disconnects a client that does not read its responses. */
+  void closeStalled() {
+    relay.recordStalledClient(unwrittenBytes());
+    close();
+  }
+
   private boolean hasMoreInput() {
     return hasUnansweredRequests() || progress.isPartial() || gate.hasHeldBytes();
   }
--- a/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
+++ b/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
@@ -2,9 +2,6 @@
 
 import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.loadcontrol.RequestPipeline;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -18,6 +15,7 @@
 
   private final Connection connection;
   private final RequestPipeline<Item> pipeline;
+  private final BufferedBodyBudget bodyBudget;
   private boolean advancing;
 
   /** What the connection does for its requests. */
@@ -28,13 +26,17 @@
     /** Returns whether a request that has not started may be executed more than once. */
     boolean isIdempotent(RelayRequest request);
 
+    /** Releases a request that is not started. */
+    void drop(RelayRequest request);
+
     /** Returns whether the client has taken enough of the responses written so far. */
     boolean isWritable();
 
     /**
      * Writes the next response.
      *
-     * @param response the response; its reference passes to the connection
+     * @param response the response; its reference passes to the connection, which stops counting
+     *     its body as complete when it is written
      * @param closes whether it closes the connection in any case
      */
     void write(RelayResponse response, boolean closes);
@@ -56,8 +58,9 @@
     }
   }
 
-  PipelinedResponses(Connection connection, PipelineBudget budget) {
+  PipelinedResponses(Connection connection, PipelineBudget budget, BufferedBodyBudget bodyBudget) {
     this.connection = connection;
+    this.bodyBudget = bodyBudget;
     this.pipeline = new RequestPipeline<>(budget, this::isIdempotent);
   }
 
@@ -67,20 +70,24 @@
         .orElseGet(() -> item.request.map(connection::isIdempotent).orElse(true));
   }
 
-  /** Adds a request; nothing may be added behind one whose response closes the connection. */
+  /**
+   * Adds a request whose body is counted as complete; nothing may be added behind one whose
+   * response closes the connection.
+   */
   void add(RelayRequest request, boolean closes) {
     pipeline.add(new Item(Optional.of(request), closes), closes, request.body().readableBytes());
   }
 
-  /** Adds the response to a request that is not forwarded and closes the connection. */
-  void addRejection(HttpResponseStatus status) {
-    RequestPipeline.Entry<Item> entry = pipeline.add(new Item(Optional.empty(), true), true, 0);
-    finish(entry, new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER));
+  /** Adds the response to a request that is not forwarded. */
+  void addResponse(RelayResponse response, boolean closes) {
+    finish(pipeline.add(new Item(Optional.empty(), closes), closes, 0), response);
   }
 
   private void finish(RequestPipeline.Entry<Item> entry, RelayResponse response) {
+    int bodyBytes = response.body().readableBytes();
     entry.item().response = Optional.of(response);
-    pipeline.finish(entry, response.body().readableBytes() + RESPONSE_OVERHEAD_BYTES);
+    bodyBudget.addComplete(bodyBytes);
+    pipeline.finish(entry, bodyBytes + RESPONSE_OVERHEAD_BYTES);
   }
 
   /** Writes the responses whose turn has come, and starts the requests that may start. */
@@ -130,11 +137,12 @@
   void cancelAll() {
     for (Item item : pipeline.removeAll()) {
       if (item.response.isPresent()) {
+        bodyBudget.removeComplete(item.response.get().body().readableBytes());
         item.response.get().body().release();
       } else if (item.exchange.isPresent()) {
         item.exchange.get().clientDisconnected();
       } else {
-        item.request.ifPresent(request -> request.body().release());
+        item.request.ifPresent(connection::drop);
       }
     }
   }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -14,12 +14,14 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -55,6 +57,14 @@
   /** An eighth of the direct memory that the deploy file grants. */
   private static final long MAX_WAITING_RESPONSE_BYTES = 4L * 1024 * 1024;
 
+  /**
+   * Unwritten bytes of a client from which on it is not read and no further response is written,
+   * and those at which that ends. The high mark holds four responses of 60 kB; 64 clients that read
+   * nothing hold as much as {@link BufferedBodyBudget} allows.
+   */
+  private static final WriteBufferWaterMark CLIENT_WATER_MARK =
+      new WriteBufferWaterMark(64 * 1024, 256 * 1024);
+
   private static final int LISTEN_BACKLOG = 1_024;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -74,8 +84,7 @@
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
-  private final BufferedBodyBudget bodyBudget =
-      new BufferedBodyBudget(BufferedBodyBudget.MAX_BODY_BYTES);
+  private final BufferedBodyBudget bodyBudget = BufferedBodyBudget.ofProcess();
   private final PipelineBudget pipelineBudget =
       new PipelineBudget(MAX_PIPELINED_REQUESTS, MAX_WAITING_RESPONSE_BYTES);
   private final TargetConnections connections;
@@ -109,7 +118,7 @@
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
-    this.metrics.registerPipeline(pipelineBudget);
+    this.metrics.registerPipeline(pipelineBudget, bodyBudget);
   }
 
   /** Binds the client address at the first try and accepts connections. */
@@ -130,6 +139,7 @@
             .port(settings.listen().port())
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK)
             .doOnConnection(this::onConnection)
             .handle((in, out) -> Mono.never());
     DisposableServer server =
@@ -303,7 +313,7 @@
                 .setMaxHeaderSize(limits.maxHeaderBytes()));
     RequestReadProgress progress = new RequestReadProgress(decoder);
     InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent());
-    ClientHandler client = new ClientHandler(this, progress, gate);
+    ClientHandler client = new ClientHandler(this, progress, gate, limits.idleTimeoutMillis());
     connection.addHandlerLast(gate);
     connection.addHandlerLast(decoder);
     connection.addHandlerLast(new HttpResponseEncoder());
@@ -354,6 +364,36 @@
     return pipelineBudget;
   }
 
+  BufferedBodyBudget bodyBudget() {
+    return bodyBudget;
+  }
+
+  /**
+   * Records that a request is refused because complete bodies use too much memory, and disconnects
+   * the client that holds most of it without taking any.
+   */
+  void recordMemoryRefusal(HttpHeaders headers) {
+    record(
+        "refused",
+        0,
+        () ->
+            LogEvent.of("request.refused")
+                .with("request", headers.get(settings.headerNames().requestId(), ""))
+                .with("detail", "503 bodies use too much memory"));
+    clients.stream()
+        .filter(ClientHandler::isStalled)
+        .max(Comparator.comparingLong(ClientHandler::unwrittenBytes))
+        .ifPresent(ClientHandler::closeStalled);
+  }
+
+  void recordStalledClient(long unwrittenBytes) {
+    metrics.countStalledClient();
+    log.write(
+        LogEvent.of("client.closed")
+            .with("reason", "the client does not read its responses")
+            .with("unwritten_bytes", unwrittenBytes));
+  }
+
   /** Returns whether a request may be executed more than once; one without a route is not sent. */
   boolean isIdempotent(RelayRequest request) {
     return routing
@@ -485,6 +525,12 @@
     }
   }
 
+  @Override
+  public void releaseBody(RelayRequest request) {
+    bodyBudget.removeComplete(request.body().readableBytes());
+    request.body().release();
+  }
+
   @Override
   public void removeExchange(RelayExchange exchange) {
     exchanges.remove(exchange);
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -41,6 +41,9 @@
   /** Records the outcome of a request; the log event is created only if it is written. */
   void record(String outcome, long durationNanos, Supplier<LogEvent> event);
 
+  /** Releases the body of a request, and stops counting its memory. */
+  void releaseBody(RelayRequest request);
+
   /** Removes a completed exchange. */
   void removeExchange(RelayExchange exchange);
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -139,7 +139,7 @@
       call = Optional.empty();
     }
     if (call.isEmpty()) {
-      request.body().release();
+      context.releaseBody(request);
     }
     log("client_left", "");
   }
@@ -275,7 +275,7 @@
         calledTarget.recordResponse();
       }
       if (completed) {
-        request.body().release();
+        context.releaseBody(request);
         return;
       }
       switch (check) {
@@ -296,7 +296,7 @@
         calledTarget.recordFailure(System.nanoTime());
       }
       if (completed) {
-        request.body().release();
+        context.releaseBody(request);
         return;
       }
       retryFailed(failure);
@@ -389,7 +389,7 @@
     call = Optional.empty();
     target.ifPresent(t -> t.recordFailure(System.nanoTime()));
     if (completed) {
-      request.body().release();
+      context.releaseBody(request);
     } else {
       respond(HttpResponseStatus.GATEWAY_TIMEOUT, "target did not answer in time", RetryAfter.NONE);
     }
@@ -436,7 +436,7 @@
   private void complete(RelayResponse response) {
     completed = true;
     context.removeExchange(this);
-    request.body().release();
+    context.releaseBody(request);
     responder.accept(response);
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongBiFunction;
 
 /** Metrics of an entry; all tags have a small, fixed set of values. */
@@ -29,6 +30,7 @@
   private final MeterRegistry meters;
   private final Counter retries;
   private final Counter discarded;
+  private final Counter stalledClients;
   private final Map<String, Timer> timerByOutcome = new HashMap<>();
 
   RelayMetrics(
@@ -40,6 +42,7 @@
     this.meters = meters;
     this.retries = meters.counter("coltsfootwheel.retries");
     this.discarded = meters.counter("coltsfootwheel.requests.discarded");
+    this.stalledClients = meters.counter("coltsfootwheel.clients.stalled");
     Gauge.builder("coltsfootwheel.configuration.version", routing, r -> r.routes().version())
         .register(meters);
     registerAge("coltsfootwheel.routes.age", freshness, RoutingFreshness::configurationAgeMillis);
@@ -52,8 +55,10 @@
     FunctionCounter.builder("coltsfootwheel.log.dropped", log, EventLog::dropped).register(meters);
   }
 
-  /** Registers the gauges of pipelined requests. */
-  void registerPipeline(PipelineBudget budget) {
+  /** Registers the gauges of pipelined requests and of the memory for bodies. */
+  void registerPipeline(PipelineBudget budget, BufferedBodyBudget bodies) {
+    registerBodies("incomplete", bodies, BufferedBodyBudget::incompleteBytes);
+    registerBodies("complete", bodies, BufferedBodyBudget::completeBytes);
     Gauge.builder("coltsfootwheel.pipeline.requests", budget, PipelineBudget::inProgress)
         .register(meters);
     Gauge.builder("coltsfootwheel.pipeline.waiting", budget, PipelineBudget::waitingBytes)
@@ -61,6 +66,14 @@
         .register(meters);
   }
 
+  private void registerBodies(
+      String state, BufferedBodyBudget bodies, ToDoubleFunction<BufferedBodyBudget> bytes) {
+    Gauge.builder("coltsfootwheel.bodies", bodies, bytes)
+        .tag("state", state)
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
+  }
+
   private void registerAge(
       String name, RoutingFreshness freshness, ToLongBiFunction<RoutingFreshness, Long> ageMillis) {
     TimeGauge.builder(
@@ -86,6 +99,10 @@
     discarded.increment();
   }
 
+  void countStalledClient() {
+    stalledClients.increment();
+  }
+
   private Timer timer(String outcome) {
     return Timer.builder("coltsfootwheel.request")
         .tag("outcome", outcome)
--- a/src/main/java/io/coltsfootwheel/relay/RetryAfter.java
+++ b/src/main/java/io/coltsfootwheel/relay/RetryAfter.java
@@ -15,6 +15,9 @@
   /** A retry uses a new connection, which reaches another entry. */
   static final RetryAfter ENTRY_STOPPING = new RetryAfter(50);
 
+  /** Complete bodies leave the memory within some responses. */
+  static final RetryAfter MEMORY_EXCEEDED = new RetryAfter(300);
+
   void addTo(HttpHeaders headers) {
     if (millis > 0) {
       headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", millis / 1e3));
--- a/src/test/java/io/coltsfootwheel/relay/HoldingTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/HoldingTarget.java
@@ -13,12 +13,15 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * Target on the loopback interface that answers each request with its path. A request whose path
- * contains "hold" is answered only after its path was released.
+ * contains "hold" is answered only after its path was released; only such a request may have a
+ * body.
  */
 final class HoldingTarget implements AutoCloseable {
   private static final Pattern PATH = Pattern.compile("^\\S+ (\\S+) ");
@@ -30,6 +33,7 @@
   private final int bodyBytes;
   private final List<String> received = new CopyOnWriteArrayList<>();
   private final List<String> cancelled = new CopyOnWriteArrayList<>();
+  private volatile boolean reads = true;
   private final Set<String> released = ConcurrentHashMap.newKeySet();
 
   /**
@@ -70,6 +74,11 @@
     released.addAll(List.of(paths));
   }
 
+  /** Lets held requests wait without reading their bodies, or the end of their connections. */
+  void stopReading() {
+    reads = false;
+  }
+
   @Override
   public void close() {
     server.close();
@@ -78,7 +87,7 @@
   private void serve(Socket socket) {
     try (socket) {
       socket.setSoTimeout(POLL_MILLIS);
-      String head = readHead(socket, "");
+      String head = readHead(socket);
       while (!head.isEmpty()) {
         String path = find(PATH, head);
         received.add(path);
@@ -90,7 +99,7 @@
             "HTTP/1.1 200 OK\r\nsignature: s\r\nid: %s\r\nContent-Length: %d\r\n\r\n%s"
                 .formatted(find(ID, head), body.length(), body);
         socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-        head = readHead(socket, "");
+        head = readHead(socket);
       }
     } catch (IOException e) {
       // The relay closed the connection.
@@ -103,9 +112,14 @@
   }
 
   private boolean awaitRelease(Socket socket, String path) throws IOException {
+    byte[] body = new byte[64 * 1024];
     while (!released.contains(path)) {
+      if (!reads) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+        continue;
+      }
       try {
-        if (socket.getInputStream().read() < 0) {
+        if (socket.getInputStream().read(body) < 0) {
           cancelled.add(path);
           return false;
         }
@@ -116,8 +130,8 @@
     return true;
   }
 
-  private static String readHead(Socket socket, String beginning) throws IOException {
-    StringBuilder head = new StringBuilder(beginning);
+  private static String readHead(Socket socket) throws IOException {
+    StringBuilder head = new StringBuilder();
     while (!head.toString().endsWith("\r\n\r\n")) {
       try {
         int character = socket.getInputStream().read();
