--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -220,11 +220,17 @@
     if (!channelContext.channel().isActive()) {
       return;
     }
-    responses.advance();
-    while (!isFull() && gate.resume()) {
+    try {
       responses.advance();
+      while (!isFull() && gate.resume()) {
+        responses.advance();
+      }
+      suspendReadingWhenFull();
+    } catch (RuntimeException e) {
+      // Often called for the outcome of another request, whose target is not the cause.
+      relay.recordDecisionFailure(e);
+      close();
     }
-    suspendReadingWhenFull();
   }
 
   @Override
@@ -279,7 +285,12 @@
           writeProgress.countCompleted();
           responses.changeUnwrittenBytes(-bodyBytes);
           relay.bodyBudget().removeComplete(bodyBytes);
-          proceed();
+          if (future.isSuccess()) {
+            proceed();
+          } else {
+            // The next response would be taken for the one that was not written.
+            close();
+          }
         });
     if (!writeFuture.isDone() && !checksWriteProgress) {
       writeProgress.begin(System.nanoTime());
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -426,10 +426,14 @@
     try {
       exchange.routingChanged();
     } catch (RuntimeException e) {
-      log.write(LogEvent.of("request.decision_failed").with("error", e));
+      recordDecisionFailure(e);
     }
   }
 
+  void recordDecisionFailure(RuntimeException error) {
+    log.write(LogEvent.of("request.decision_failed").with("error", error));
+  }
+
   private LoadReport createLoadReport() {
     Map<ServiceName, Map<Integer, Integer>> requestCounts = new HashMap<>(requestCountsByKey);
     requestCountsByKey.clear();
--- a/src/main/java/io/coltsfootwheel/relay/RequestAggregator.java
+++ b/src/main/java/io/coltsfootwheel/relay/RequestAggregator.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -17,6 +18,7 @@
 final class RequestAggregator extends HttpObjectAggregator {
   private final BooleanSupplier mayContinue;
   private final Consumer<HttpResponseStatus> onRejected;
+  private boolean rejected;
 
   /**
    * Creates an aggregator.
@@ -42,7 +44,7 @@
       return mayContinue.getAsBoolean() ? response : null;
     }
     if (!response.status().equals(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)) {
-      onRejected.accept(response.status());
+      reject(response.status());
     }
     // Without a response the aggregator handles a body that is too large as an oversized message.
     return null;
@@ -50,6 +52,21 @@
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    onRejected.accept(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+  }
+
+  private void reject(HttpResponseStatus status) {
+    rejected = true;
+    onRejected.accept(status);
+  }
+
+  /** Drops what follows a rejected request, whose body the client may or may not have sent. */
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (rejected) {
+      ReferenceCountUtil.release(message);
+    } else {
+      super.channelRead(context, message);
+    }
   }
 }
--- a/src/test/java/io/coltsfootwheel/relay/PipeliningTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/PipeliningTest.java
@@ -167,6 +167,7 @@
     "'GET / no-protocol x', 'x: y', 400",
     "'GET /safe/2 HTTP/1.1', 'x: LONG', 431",
     "'POST /safe/2 HTTP/1.1', 'Content-Length: 1001', 413",
+    "'POST /safe/2 HTTP/1.1', 'Content-Length: 1\r\nExpect: other', 417",
     "'POST /safe/2 HTTP/1.1', 'Content-Length: 1001\r\nExpect: 100-continue', 413"
   })
   void nothingBehindAResponseThatClosesIsForwarded(String line, String header, int status)
--- a/src/test/java/io/coltsfootwheel/relay/SlowReaderTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/SlowReaderTest.java
@@ -33,19 +33,21 @@
 
   private static final long BRIEF_TIMEOUT_MILLIS = 600;
 
-  private final RelayFixture fixture =
-      new RelayFixture(
-          RelayFixture.DRAIN_MILLIS,
-          List.of(
-              ConfigurationItem.of(new ServicePolicy(SERVICE, false, 500), "{}"),
-              ConfigurationItem.of(new ClientLimits(2_048, 8 * MIB, 60_000, IDLE_MILLIS), "{}"),
-              RelayFixture.route("safe", SERVICE, RouteKind.SAFE, 20_000),
-              RelayFixture.route("unsafe", SERVICE, RouteKind.UNSAFE, 20_000),
-              RelayFixture.route("brief", SERVICE, RouteKind.UNSAFE, BRIEF_TIMEOUT_MILLIS)));
-
+  private RelayFixture fixture = fixture(IDLE_MILLIS);
   private final List<Socket> sockets = new ArrayList<>();
   private HoldingTarget target;
 
+  private static RelayFixture fixture(long idleMillis) {
+    return new RelayFixture(
+        RelayFixture.DRAIN_MILLIS,
+        List.of(
+            ConfigurationItem.of(new ServicePolicy(SERVICE, false, 500), "{}"),
+            ConfigurationItem.of(new ClientLimits(2_048, 8 * MIB, 60_000, idleMillis), "{}"),
+            RelayFixture.route("safe", SERVICE, RouteKind.SAFE, 20_000),
+            RelayFixture.route("unsafe", SERVICE, RouteKind.UNSAFE, 20_000),
+            RelayFixture.route("brief", SERVICE, RouteKind.UNSAFE, BRIEF_TIMEOUT_MILLIS)));
+  }
+
   @AfterEach
   void stop() throws IOException {
     for (Socket socket : sockets) {
@@ -165,6 +167,23 @@
     await(() -> completeBytes() == 0);
   }
 
+  /** Guards against a client that reads nothing and makes the relay refuse those of all others. */
+  @Test
+  void clientThatReadsNothingIsDisconnectedWhenMemoryIsShort() throws Exception {
+    fixture.close();
+    fixture = fixture(60_000);
+    startTarget(LARGE_BYTES);
+    send("/safe/1", 0);
+    await(() -> completeBytes() > 0);
+    String status = "";
+    while (!status.endsWith("504") && !status.endsWith("200")) {
+      TimeUnit.MILLISECONDS.sleep(200);
+      InputStream input = send("/brief/hold", 7 * MIB).getInputStream();
+      status = new String(input.readNBytes(12), StandardCharsets.ISO_8859_1);
+    }
+    assertThat(isLogged("the client does not read its responses")).isTrue();
+  }
+
   /** Guards against the request of a slow target that is kept after its deadline. */
   @Test
   void requestThatTheTargetDoesNotReadIsReleasedAtItsDeadline() throws Exception {
