--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ClientLimits;
@@ -13,12 +14,14 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -45,6 +48,23 @@
 public final class Relay implements RelayContext, AutoCloseable {
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
+  /**
+   * Requests in progress behind another one of their connection: a third of the 3,075 descriptors
+   * of the smallest entry, because each can need a connection to a target.
+   */
+  private static final int MAX_PIPELINED_REQUESTS = 1_024;
+
+  /** An eighth of the direct memory that the deploy file grants. */
+  private static final long MAX_WAITING_RESPONSE_BYTES = 4L * 1024 * 1024;
+
+  /**
+   * Unwritten bytes of a client from which on it is not read and no further response is written,
+   * and those at which that ends. The high mark holds four responses of 60 kB; 64 clients that read
+   * nothing hold as much as {@link BufferedBodyBudget} allows.
+   */
+  private static final WriteBufferWaterMark CLIENT_WATER_MARK =
+      new WriteBufferWaterMark(64 * 1024, 256 * 1024);
+
   private static final int LISTEN_BACKLOG = 1_024;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -64,8 +84,9 @@
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
-  private final BufferedBodyBudget bodyBudget =
-      new BufferedBodyBudget(BufferedBodyBudget.MAX_BODY_BYTES);
+  private final BufferedBodyBudget bodyBudget = BufferedBodyBudget.ofProcess();
+  private final PipelineBudget pipelineBudget =
+      new PipelineBudget(MAX_PIPELINED_REQUESTS, MAX_WAITING_RESPONSE_BYTES);
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
@@ -97,6 +118,7 @@
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
+    this.metrics.registerPipeline(pipelineBudget, bodyBudget);
   }
 
   /** Binds the client address at the first try and accepts connections. */
@@ -117,6 +139,7 @@
             .port(settings.listen().port())
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK)
             .doOnConnection(this::onConnection)
             .handle((in, out) -> Mono.never());
     DisposableServer server =
@@ -283,13 +306,17 @@
   private void onConnection(Connection connection) {
     ClientLimits limits = routing.routes().limits().applicable();
     int maxBodyBytes = (int) limits.maxBodyBytes();
-    RequestReadProgress progress = new RequestReadProgress();
-    connection.addHandlerLast("received-bytes", progress.bytesHandler());
-    connection.addHandlerLast(
-        new HttpServerCodec(
+    ClientRequestDecoder decoder =
+        new ClientRequestDecoder(
             new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.maxHeaderBytes())));
+                .setMaxHeaderSize(limits.maxHeaderBytes()));
+    RequestReadProgress progress = new RequestReadProgress(decoder);
+    InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent());
+    ClientHandler client = new ClientHandler(this, progress, gate, limits.idleTimeoutMillis());
+    connection.addHandlerLast(gate);
+    connection.addHandlerLast(decoder);
+    connection.addHandlerLast(new HttpResponseEncoder());
     connection.addHandlerLast("received-messages", progress.messageHandler());
     connection.addHandlerLast(
         new BufferedBodyLimiter(
@@ -301,14 +328,17 @@
     connection.addHandlerLast(
         new RequestAggregator(
             maxBodyBytes,
-            () ->
-                log.write(
-                    LogEvent.of("request.rejected")
-                        .with("reason", "body too large")
-                        .with("max_bytes", maxBodyBytes))));
+            () -> !client.hasUnansweredRequests(),
+            status -> {
+              log.write(
+                  LogEvent.of("request.rejected")
+                      .with("reason", status.reasonPhrase())
+                      .with("max_bytes", maxBodyBytes));
+              client.reject(status);
+            }));
     connection.addHandlerLast(
         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
-    connection.addHandlerLast(new ClientHandler(this, progress));
+    connection.addHandlerLast(client);
     connection.channel().config().setAutoRead(true);
   }
 
@@ -330,7 +360,54 @@
                 .with("detail", "503 the entry is stopping and the body is incomplete"));
   }
 
+  PipelineBudget pipelineBudget() {
+    return pipelineBudget;
+  }
+
+  BufferedBodyBudget bodyBudget() {
+    return bodyBudget;
+  }
+
+  /**
+   * Records that a request is refused because complete bodies use too much memory, and disconnects
+   * the client that holds most of it without taking any.
+   */
+  void recordMemoryRefusal(HttpHeaders headers) {
+    record(
+        "refused",
+        0,
+        () ->
+            LogEvent.of("request.refused")
+                .with("request", headers.get(settings.headerNames().requestId(), ""))
+                .with("detail", "503 bodies use too much memory"));
+    clients.stream()
+        .filter(ClientHandler::isStalled)
+        .max(Comparator.comparingLong(ClientHandler::unwrittenBytes))
+        .ifPresent(ClientHandler::closeStalled);
+  }
+
+  void recordStalledClient(long unwrittenBytes) {
+    metrics.countStalledClient();
+    log.write(
+        LogEvent.of("client.closed")
+            .with("reason", "the client does not read its responses")
+            .with("unwritten_bytes", unwrittenBytes));
+  }
+
+  /**
+   * Returns whether a request may be executed more than once; not known before the first routes.
+   * One without a route is not sent.
+   */
+  boolean isIdempotent(RelayRequest request) {
+    return routing
+        .routes()
+        .find(request.host(), request.uri())
+        .map(route -> route.kind().isIdempotent())
+        .orElse(routing.isComplete());
+  }
+
   void recordDiscarded(HttpHeaders headers) {
+    metrics.countDiscarded();
     log.write(
         LogEvent.of("request.discarded")
             .with("request", headers.get(settings.headerNames().requestId(), ""))
@@ -352,10 +429,14 @@
     try {
       exchange.routingChanged();
     } catch (RuntimeException e) {
-      log.write(LogEvent.of("request.decision_failed").with("error", e));
+      recordDecisionFailure(e);
     }
   }
 
+  void recordDecisionFailure(RuntimeException error) {
+    log.write(LogEvent.of("request.decision_failed").with("error", error));
+  }
+
   private LoadReport createLoadReport() {
     Map<ServiceName, Map<Integer, Integer>> requestCounts = new HashMap<>(requestCountsByKey);
     requestCountsByKey.clear();
@@ -451,6 +532,12 @@
     }
   }
 
+  @Override
+  public void releaseBody(RelayRequest request) {
+    bodyBudget.removeComplete(request.body().readableBytes());
+    request.body().release();
+  }
+
   @Override
   public void removeExchange(RelayExchange exchange) {
     exchanges.remove(exchange);
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -38,6 +38,7 @@
 
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
   private static final String STOPPING = "the entry is stopping";
+  private static final String DEADLINE_PASSED = "deadline passed before the request could be sent";
   private static final String OUTDATED = "changes of routes and targets arrive too late";
 
   private final RelayContext context;
@@ -110,7 +111,11 @@
             request.deadlineMillis().orElse(route.get().timeoutMillis()),
             route.get().timeoutMillis());
     deadlineNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    context.schedule(this::onDeadline, Math.max(0, remainingMillis()));
+    if (remainingMillis() <= 0) {
+      refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
+    context.schedule(this::onDeadline, remainingMillis());
     clientWaitedMillis =
         context
             .deadlineTracker()
@@ -130,18 +135,25 @@
     }
     completed = true;
     context.removeExchange(this);
-    boolean idempotent = route.map(r -> r.kind().isIdempotent()).orElse(true);
-    if (call.isPresent() && idempotent) {
+    if (call.isPresent() && isIdempotent()) {
       call.get().cancel();
       target.ifPresent(TargetStats::recordCancellation);
       call = Optional.empty();
     }
     if (call.isEmpty()) {
-      request.body().release();
+      context.releaseBody(request);
     }
     log("client_left", "");
   }
 
+  /**
+   * Returns whether the request may be executed more than once. Without a route it is not known
+   * while the request waits for the first routes, and does not matter once it is refused.
+   */
+  boolean isIdempotent() {
+    return route.map(r -> r.kind().isIdempotent()).orElse(completed);
+  }
+
   /** Decides again on a request that waits for a change of routes, targets or ownership. */
   void routingChanged() {
     if (!awaitsRouting || completed) {
@@ -284,7 +296,7 @@
         calledTarget.recordResponse();
       }
       if (completed) {
-        request.body().release();
+        context.releaseBody(request);
         return;
       }
       switch (check) {
@@ -305,7 +317,7 @@
         calledTarget.recordFailure(System.nanoTime());
       }
       if (completed) {
-        request.body().release();
+        context.releaseBody(request);
         return;
       }
       retryFailed(failure);
@@ -386,7 +398,7 @@
     } else if (!completed && mayHaveExecuted) {
       respond(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline passed", RetryAfter.NONE);
     } else if (!completed) {
-      refuse("deadline passed before the request could be sent", DEFAULT_RETRY_AFTER_MILLIS);
+      refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
     }
   }
 
@@ -398,7 +410,7 @@
     call = Optional.empty();
     target.ifPresent(t -> t.recordFailure(System.nanoTime()));
     if (completed) {
-      request.body().release();
+      context.releaseBody(request);
     } else {
       respond(HttpResponseStatus.GATEWAY_TIMEOUT, "target did not answer in time", RetryAfter.NONE);
     }
@@ -445,7 +457,7 @@
   private void complete(RelayResponse response) {
     completed = true;
     context.removeExchange(this);
-    request.body().release();
+    context.releaseBody(request);
     responder.accept(response);
   }
 
