Replicate the evacuated zones and move their keys

Cause: operators evacuate an availability zone; the order must survive every tolerated loss, and the keys of its targets must move before requests to them end. No range is placed in such a zone; ranges of its targets move with the reason "zone is evacuated", those never granted at once. A range that no other target can receive returns to its owner after the end. TargetHeartbeat records whether a target has reported since the end.

--- a/src/main/java/io/coltsfootwheel/keyspace/FleetCommand.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ConfigurationChange;
@@ -14,7 +15,8 @@
   @JsonSubTypes.Type(value = FleetCommand.RegisterTarget.class, name = "register"),
   @JsonSubTypes.Type(value = FleetCommand.RemoveTarget.class, name = "remove"),
   @JsonSubTypes.Type(value = FleetCommand.AssignRanges.class, name = "assign"),
-  @JsonSubTypes.Type(value = FleetCommand.ChangeConfiguration.class, name = "configure")
+  @JsonSubTypes.Type(value = FleetCommand.ChangeConfiguration.class, name = "configure"),
+  @JsonSubTypes.Type(value = FleetCommand.SetZoneEvacuation.class, name = "evacuate")
 })
 public sealed interface FleetCommand {
   /**
@@ -59,6 +61,15 @@
    */
   record ChangeConfiguration(ConfigurationChange change) implements FleetCommand {}
 
+  /**
+   * Starts or ends the evacuation of an availability zone; of two orders the later one in the log
+   * counts.
+   *
+   * @param zone the zone
+   * @param evacuated true when no requests are to be sent to the targets of the zone
+   */
+  record SetZoneEvacuation(AvailabilityZone zone, boolean evacuated) implements FleetCommand {}
+
   /**
    * New owner of a range. Ignored when the new owner is not registered, is leaving or offers
    * another service, or when a key of the range has an owner other than {@code previous}: an
--- a/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
@@ -1,24 +1,30 @@
 package io.coltsfootwheel.keyspace;
 
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ControlCodec;
 import io.coltsfootwheel.model.Fence;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ChangeOutcome;
 import io.coltsfootwheel.routing.Configuration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
- * Immutable replicated state: configuration, registered targets, and the owners of keys.
+ * Immutable replicated state: configuration, registered targets, the owners of keys, and the zones
+ * that are evacuated.
  *
  * <p>Usage: {@code state = state.apply(index, command)}.
  */
 public final class FleetState {
   private static final FleetState EMPTY =
-      new FleetState(0, Configuration.empty(), Map.of(), Map.of(), DepartedTargets.none());
+      new FleetState(
+          0, Configuration.empty(), Map.of(), Map.of(), DepartedTargets.none(), Set.of());
 
   private final long index;
   private final Configuration configuration;
@@ -26,14 +32,17 @@
   private final List<TargetRecord> targetsInOrder;
   private final Map<ServiceName, RangeTable> tables;
   private final DepartedTargets departed;
+  private final Set<AvailabilityZone> evacuatedZones;
 
   private FleetState(
       long index,
       Configuration configuration,
       Map<TargetId, TargetRecord> targets,
       Map<ServiceName, RangeTable> tables,
-      DepartedTargets departed) {
+      DepartedTargets departed,
+      Set<AvailabilityZone> evacuatedZones) {
     this.departed = departed;
+    this.evacuatedZones = evacuatedZones;
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
@@ -47,10 +56,12 @@
       Configuration configuration,
       List<TargetRecord> targets,
       Map<ServiceName, RangeTable> tables,
-      Optional<DepartedTargets> departed) {
-    /** Replaces the departed targets, which snapshots of earlier versions do not have. */
+      Optional<DepartedTargets> departed,
+      List<AvailabilityZone> evacuatedZones) {
+    /** Replaces the components that snapshots of earlier versions do not have. */
     private Snapshot {
       departed = departed == null ? Optional.empty() : departed;
+      evacuatedZones = evacuatedZones == null ? List.of() : evacuatedZones;
     }
   }
 
@@ -78,7 +89,8 @@
         snapshot.configuration(),
         targets,
         new TreeMap<>(snapshot.tables()),
-        snapshot.departed().orElse(DepartedTargets.none()));
+        snapshot.departed().orElse(DepartedTargets.none()),
+        new TreeSet<>(snapshot.evacuatedZones()));
   }
 
   /**
@@ -88,7 +100,13 @@
    */
   public byte[] toSnapshot() {
     return ControlCodec.encode(
-        new Snapshot(index, configuration, targetsInOrder, tables, Optional.of(departed)));
+        new Snapshot(
+            index,
+            configuration,
+            targetsInOrder,
+            tables,
+            Optional.of(departed),
+            List.copyOf(evacuatedZones)));
   }
 
   /**
@@ -147,6 +165,20 @@
     return Map.copyOf(tables);
   }
 
+  /**
+   * Returns the zones to whose targets no requests are to be sent.
+   *
+   * @return the zones, ordered by name
+   */
+  public Set<AvailabilityZone> evacuatedZones() {
+    return Collections.unmodifiableSet(evacuatedZones);
+  }
+
+  /** Returns whether the zone of a target is evacuated. */
+  boolean isEvacuated(TargetRecord target) {
+    return target.zone() != null && evacuatedZones.contains(target.zone());
+  }
+
   /**
    * Applies a command. A command that does not fit the state changes only the index.
    *
@@ -167,9 +199,12 @@
     if (command instanceof FleetCommand.AssignRanges assign) {
       return assign(commandIndex, assign);
     }
+    if (command instanceof FleetCommand.SetZoneEvacuation order) {
+      return withEvacuation(commandIndex, order);
+    }
     FleetCommand.ChangeConfiguration change = (FleetCommand.ChangeConfiguration) command;
     return configuration.evaluate(change.change()) instanceof ChangeOutcome.Applicable applicable
-        ? new FleetState(commandIndex, applicable.next(), targets, tables, departed)
+        ? new FleetState(commandIndex, applicable.next(), targets, tables, departed, evacuatedZones)
         : withIndex(commandIndex);
   }
 
@@ -195,7 +230,8 @@
     if (newIncarnation) {
       nextTables.replaceAll((s, table) -> table.withFence(target.id(), Fence.of(commandIndex)));
     }
-    return new FleetState(commandIndex, configuration, nextTargets, nextTables, base.departed);
+    return new FleetState(
+        commandIndex, configuration, nextTargets, nextTables, base.departed, evacuatedZones);
   }
 
   /**
@@ -236,7 +272,8 @@
   }
 
   private FleetState withDeparted(TargetRecord target) {
-    return new FleetState(index, configuration, targets, tables, departed.with(target));
+    return new FleetState(
+        index, configuration, targets, tables, departed.with(target), evacuatedZones);
   }
 
   private FleetState remove(long commandIndex, TargetRecord target) {
@@ -245,7 +282,8 @@
     Map<ServiceName, RangeTable> nextTables = new TreeMap<>(tables);
     nextTables.replaceAll((service, table) -> table.withoutOwner(target.id()));
     FleetState next =
-        new FleetState(commandIndex, configuration, nextTargets, nextTables, departed);
+        new FleetState(
+            commandIndex, configuration, nextTargets, nextTables, departed, evacuatedZones);
     return target.phase() == TargetPhase.LEFT ? next.withDeparted(target) : next;
   }
 
@@ -272,10 +310,21 @@
     }
     Map<ServiceName, RangeTable> nextTables = new TreeMap<>(tables);
     nextTables.put(command.service(), table);
-    return new FleetState(commandIndex, configuration, targets, nextTables, departed);
+    return new FleetState(
+        commandIndex, configuration, targets, nextTables, departed, evacuatedZones);
+  }
+
+  private FleetState withEvacuation(long commandIndex, FleetCommand.SetZoneEvacuation order) {
+    Set<AvailabilityZone> nextZones = new TreeSet<>(evacuatedZones);
+    if (order.evacuated()) {
+      nextZones.add(order.zone());
+    } else {
+      nextZones.remove(order.zone());
+    }
+    return new FleetState(commandIndex, configuration, targets, tables, departed, nextZones);
   }
 
   private FleetState withIndex(long commandIndex) {
-    return new FleetState(commandIndex, configuration, targets, tables, departed);
+    return new FleetState(commandIndex, configuration, targets, tables, departed, evacuatedZones);
   }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
@@ -13,7 +13,7 @@
 
 /**
  * Starts the moves of ranges during the term of one leader: away from targets that are busy, leave,
- * are lost or cannot be granted keys, and to targets that have none.
+ * are lost, are in an evacuated zone or cannot be granted keys, and to targets that have none.
  */
 final class MoveStarter {
   /**
@@ -22,6 +22,9 @@
    */
   private static final long REBALANCE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /** Reason of moves that bring keys out of an evacuated zone. */
+  static final String ZONE_EVACUATED = "zone is evacuated";
+
   private final HeartbeatMonitor heartbeats;
   private final RangeMoves moves;
   private final LoadStatistics loadStatistics;
@@ -107,6 +110,12 @@
       owned.forEach(r -> startMove(target, heartbeat, r.range(), "target is leaving"));
       return;
     }
+    if (state.isEvacuated(target)) {
+      if (keyedServices.grantMethod(target.service()) == GrantMethod.HEARTBEAT) {
+        owned.forEach(r -> startMove(target, heartbeat, r.range(), ZONE_EVACUATED));
+      }
+      return;
+    }
     KeyLoad keys = loadStatistics.keyLoad(target.service());
     List<KeyRange> parts =
         RangePlanner.rangesToOffload(
@@ -148,24 +157,27 @@
   }
 
   /**
-   * Starts moves of the ranges whose owner stopped to report before it was granted them. No answer
-   * of this term contains such a range, and the new term took all ranges of its start as granted,
-   * so there is no lease whose end must be awaited.
+   * Starts moves of the ranges that their owner was never granted, when it stopped to report or its
+   * zone is evacuated: its assignment may have been proposed before the evacuation. No answer of
+   * this term contains such a range, and the new term took all ranges of its start as granted, so
+   * there is no lease whose end must be awaited.
    */
   List<RangeMove> startUngrantedMoves(long nowNanos) {
     List<RangeMove> started = new ArrayList<>();
     for (TargetRecord target : state.targets()) {
-      boolean isLost =
-          keyedServices.contains(target.service())
-              && !heartbeats.isReporting(nowNanos, target.id());
-      if (isLost && !pendingRemovals.contains(target.id())) {
-        started.addAll(startUngrantedMoves(nowNanos, target));
+      boolean isLost = !heartbeats.isReporting(nowNanos, target.id());
+      boolean isUsable = !isLost && !state.isEvacuated(target);
+      if (keyedServices.contains(target.service())
+          && !isUsable
+          && !pendingRemovals.contains(target.id())) {
+        String reason = isLost ? "owner was lost" : ZONE_EVACUATED;
+        started.addAll(startUngrantedMoves(nowNanos, target, reason));
       }
     }
     return started;
   }
 
-  private List<RangeMove> startUngrantedMoves(long nowNanos, TargetRecord owner) {
+  private List<RangeMove> startUngrantedMoves(long nowNanos, TargetRecord owner, String reason) {
     Optional<TargetHeartbeat> heartbeat =
         heartbeats.find(owner.id()).filter(h -> h.incarnationMillis() == owner.incarnationMillis());
     List<OwnedRange> whole = state.table(owner.service()).rangesOf(owner.id());
@@ -181,7 +193,7 @@
     loadsOfRound.clear();
     hasStarted = true;
     return ungranted.stream()
-        .map(r -> moves.startUngranted(owner, heartbeat.orElseThrow(), r, "owner was lost"))
+        .map(r -> moves.startUngranted(owner, heartbeat.orElseThrow(), r, reason))
         .toList();
   }
 
@@ -230,8 +242,9 @@
   }
 
   /**
-   * Starts moves of the keys of called targets that have left or that do not answer calls. Targets
-   * of other services release all keys of which an answer to their reports says nothing.
+   * Starts moves of the keys of called targets that have left, that do not answer calls, or whose
+   * zone is evacuated. Targets of other services release all keys of which an answer to their
+   * reports says nothing.
    */
   void startMovesOfCalledTargets(long nowNanos) {
     for (TargetRecord target : state.targets()) {
@@ -240,23 +253,39 @@
         continue;
       }
       boolean hasLeft = target.phase() == TargetPhase.LEFT;
-      Optional<TargetHeartbeat> heartbeat =
-          heartbeats.find(target.id()).filter(h -> hasLeft || h.callLeases().isFailing(nowNanos));
-      if (heartbeat.isPresent()) {
+      Optional<TargetHeartbeat> heartbeat = heartbeats.find(target.id());
+      if (heartbeat.filter(h -> hasLeft || h.callLeases().isFailing(nowNanos)).isPresent()) {
         String reason = hasLeft ? "target has left" : "target does not answer calls";
-        startMovesOfAllRanges(nowNanos, target, heartbeat.get(), reason);
+        startMovesOf(stableRanges(target), target, heartbeat.get(), nowNanos, reason);
+      } else if (heartbeat.isPresent() && state.isEvacuated(target)) {
+        List<OwnedRange> certain = certainRanges(nowNanos, target, heartbeat.get());
+        startMovesOf(certain, target, heartbeat.get(), nowNanos, ZONE_EVACUATED);
       }
     }
   }
 
-  private void startMovesOfAllRanges(
-      long nowNanos, TargetRecord target, TargetHeartbeat heartbeat, String reason) {
-    List<OwnedRange> owned = stableRanges(target);
+  /**
+   * Returns the ranges of a called target of which no late grant can follow. Any other range would
+   * have no holder from its release until the end of the lease that such a grant may begin.
+   */
+  private List<OwnedRange> certainRanges(
+      long nowNanos, TargetRecord target, TargetHeartbeat heartbeat) {
+    return stableRanges(target).stream()
+        .filter(r -> !GrantCalls.isArrivalUncertain(nowNanos, heartbeat, r.range()))
+        .toList();
+  }
+
+  private void startMovesOf(
+      List<OwnedRange> ranges,
+      TargetRecord target,
+      TargetHeartbeat heartbeat,
+      long nowNanos,
+      String reason) {
     boolean hasReceiver =
-        !owned.isEmpty()
+        !ranges.isEmpty()
             && !placement.receivers(nowNanos, target.service(), target.id(), state).isEmpty();
     if (hasReceiver) {
-      owned.forEach(r -> startMove(target, heartbeat, r.range(), reason));
+      ranges.forEach(r -> startMove(target, heartbeat, r.range(), reason));
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -286,6 +286,7 @@
   public void applied(FleetCommand command, FleetState newState) {
     moveStarter.clearLoads();
     removedOwnerLeases.recordRemoved(state, newState, heartbeats);
+    recordEvacuationEnds(state, newState);
     state = newState;
     moveStarter.setState(newState);
     viewChanged |= !(command instanceof FleetCommand.ChangeConfiguration);
@@ -299,6 +300,15 @@
     moves.applied(command, newState);
   }
 
+  private void recordEvacuationEnds(FleetState before, FleetState after) {
+    if (!before.evacuatedZones().equals(after.evacuatedZones())) {
+      after.targets().stream()
+          .filter(t -> before.isEvacuated(t) && !after.isEvacuated(t))
+          .flatMap(t -> heartbeats.find(t.id()).stream())
+          .forEach(TargetHeartbeat::recordEvacuationEnd);
+    }
+  }
+
   /**
    * Returns the moves in progress.
    *
--- a/src/main/java/io/coltsfootwheel/keyspace/RangePlacement.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlacement.java
@@ -40,7 +40,7 @@
   }
 
   /**
-   * Returns the targets of a service that can receive ranges.
+   * Returns the targets of a service that can receive ranges; none of them is in an evacuated zone.
    *
    * @param excluded target that is left out, or null
    */
@@ -48,6 +48,7 @@
       long nowNanos, ServiceName service, TargetId excluded, FleetState state) {
     return state.targets().stream()
         .filter(t -> t.service().equals(service) && t.phase() == TargetPhase.READY)
+        .filter(t -> !state.isEvacuated(t))
         .filter(t -> !t.id().equals(excluded) && !pendingRemovals.contains(t.id()))
         .filter(t -> heartbeats.canReceiveKeys(nowNanos, t.id()))
         .toList();
@@ -67,11 +68,24 @@
       if (to.isPresent()) {
         assignments.addAll(RangeMoves.splitByHandoverToken(move, to.get()));
         moves.markAssignmentProposed(move);
+      } else if (mayReturn(move, load)) {
+        assignments.add(
+            new FleetCommand.Assignment(move.range(), Optional.of(move.from()), move.from(), ""));
+        moves.markAssignmentProposed(move);
       }
     }
     return assignments;
   }
 
+  /**
+   * Returns whether a range that no other target can receive goes back to its owner: the evacuation
+   * because of which the owner released it has ended.
+   */
+  private static boolean mayReturn(RangeMove move, ServiceLoad load) {
+    return move.reason().equals(MoveStarter.ZONE_EVACUATED)
+        && load.receivers().stream().anyMatch(t -> t.id().equals(move.from()));
+  }
+
   /** Divides all keys of a service evenly among its targets. */
   List<FleetCommand.Assignment> assignInitial(
       long nowNanos, ServiceName service, FleetState state) {
--- a/src/main/java/io/coltsfootwheel/keyspace/TargetHeartbeat.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/TargetHeartbeat.java
@@ -10,6 +10,7 @@
   private long leaseEndNanos;
   private long grantedIndex;
   private long warmupEndNanos;
+  private boolean awaitsReportSinceEvacuation;
 
   /**
    * Creates the record with the longest lease that an earlier leader may have granted.
@@ -46,9 +47,23 @@
     sequence = reportSequence;
     lastReportNanos = nowNanos;
     warmupEndNanos = newWarmupEndNanos;
+    awaitsReportSinceEvacuation = false;
     reports++;
   }
 
+  /**
+   * Records that the evacuation of the target's zone has ended. The target may have become cold
+   * meanwhile and says so in its next report.
+   */
+  void recordEvacuationEnd() {
+    awaitsReportSinceEvacuation = true;
+  }
+
+  /** Returns whether the target has reported since the end of an evacuation in this term. */
+  boolean hasReportedSinceEvacuation() {
+    return !awaitsReportSinceEvacuation;
+  }
+
   void recordGrant(long newLeaseEndNanos, long index) {
     leaseEndNanos = Math.max(leaseEndNanos, newLeaseEndNanos);
     grantedIndex = index;
--- a/src/main/java/io/coltsfootwheel/keyspace/ViewBuilder.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/ViewBuilder.java
@@ -46,7 +46,9 @@
                         t.zone(),
                         t.slots(),
                         t.phase(),
-                        t.incarnationMillis()))
+                        t.incarnationMillis(),
+                        state.isEvacuated(t),
+                        WarmupState.UNKNOWN))
             .toList();
     List<OwnershipView.Range> ranges = new ArrayList<>();
     for (ServiceName service : new TreeSet<>(state.tables().keySet())) {
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -50,6 +50,13 @@
     apply(report(name, TargetPhase.READY));
   }
 
+  /** Starts or ends the evacuation of the zone of all targets whose name begins with a letter. */
+  void setEvacuation(String firstLetter, boolean evacuated) {
+    apply(
+        List.of(
+            new FleetCommand.SetZoneEvacuation(AvailabilityZone.of("z" + firstLetter), evacuated)));
+  }
+
   void assign(KeyRange range, String name) {
     FleetCommand.Assignment assignment =
         new FleetCommand.Assignment(range, Optional.empty(), TargetId.of(name), "");
@@ -133,7 +140,7 @@
             incarnationMillis,
             service,
             new Address("10.0.0.1", port),
-            AvailabilityZone.of("z"),
+            AvailabilityZone.of("z" + name.charAt(0)),
             2,
             phase);
     HeartbeatReport report = new HeartbeatReport(target, sequence, 0, List.of(), List.of());
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -30,6 +30,7 @@
   private static final long STEP_MILLIS = 10;
   private static final int REPORT_INTERVAL_MILLIS = 870;
   private static final int SLOTS = 2;
+  private static final int ZONES = 4;
   private static final int REPORTS_PER_SECOND = 10;
   private static final double SLOWEST_CLOCK_RATE = 0.98;
 
@@ -183,13 +184,23 @@
   private static TargetRecord recordAt(
       int port, TargetId id, long incarnationMillis, ServiceName service, TargetPhase phase) {
     return new TargetRecord(
-        id,
-        incarnationMillis,
-        service,
-        new Address("10.0.0.1", port),
-        AvailabilityZone.of("z"),
-        SLOTS,
-        phase);
+        id, incarnationMillis, service, new Address("10.0.0.1", port), zone(id), SLOTS, phase);
+  }
+
+  private static AvailabilityZone zone(TargetId id) {
+    return AvailabilityZone.of("z" + Math.floorMod(id.hashCode(), ZONES));
+  }
+
+  /** Proposes the start or the end of the evacuation of a zone. */
+  void setEvacuation(AvailabilityZone zone, boolean evacuated) {
+    propose(new FleetCommand.SetZoneEvacuation(zone, evacuated));
+  }
+
+  /** Returns the number of targets in a zone that hold keys. */
+  long holdersIn(AvailabilityZone zone) {
+    return targets.values().stream()
+        .filter(t -> zone(t.id).equals(zone) && !t.heldRanges().isEmpty())
+        .count();
   }
 
   void setLoad(IntToDoubleFunction loadByKey) {
@@ -557,7 +568,7 @@
     target.nextReportMillis = nowMillis + random.nextInt(200);
   }
 
-  private void electLeader() {
+  void electLeader() {
     awaitsConfirmation = false;
     leader = new OwnershipLeader(settings, state, nanos());
   }
