End the use of targets in an evacuated zone in time

Cause: no request may reach a target of an evacuated zone later than the bound after the confirmation. Change: TargetStats counts the time from the last confirmed view without the evacuation. Unkeyed requests avoid the targets at once; keyed ones go to the owner until the bound less the margins to connect and in transit. RelaySettings has the evacuation time.

--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ClientLimits;
@@ -88,7 +89,9 @@
     this.settings = settings;
     this.log = log;
     this.random = RandomSource.SPLIT_MIX_64.create(settings.seed());
-    this.chooser = new TargetChooser(random, settings.zone(), settings.drainMillis());
+    this.chooser =
+        new TargetChooser(
+            random, settings.zone(), settings.drainMillis(), settings.evacuationMillis());
     this.retryBudget =
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
@@ -148,6 +151,7 @@
     runOnEventLoop(
         () -> {
           Set<TargetId> unusableBefore = routing.unusableTargets();
+          Set<AvailabilityZone> evacuatedBefore = routing.evacuatedZones();
           long changeNanos = freshness.earliestChangeNanos(System.nanoTime());
           routing.updateOwnership(view, changeNanos).forEach(connections::close);
           if (!routing.unusableTargets().equals(unusableBefore)) {
@@ -156,6 +160,9 @@
                     .with("targets", routing.unusableTargets())
                     .with("reason", "the address is no IP address"));
           }
+          if (!routing.evacuatedZones().equals(evacuatedBefore)) {
+            log.write(LogEvent.of("zones.evacuated").with("zones", routing.evacuatedZones()));
+          }
           routingComplete = routing.isComplete();
           notifyRoutingChanged();
         });
--- a/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
@@ -10,6 +10,8 @@
  * @param zone availability zone of this entry
  * @param headerNames names of the protocol's HTTP headers
  * @param drainMillis time for which a target that is no longer ready may still receive requests
+ * @param evacuationMillis time after the start of the evacuation of a zone for which its targets
+ *     may still receive requests
  * @param retryRatio retries per request that all entries together may make
  * @param retryAllowance additional retries that all entries together may make within a window
  * @param retryWindowMillis length of the sliding window in which retries are counted
@@ -20,7 +22,41 @@
     AvailabilityZone zone,
     ProtocolHeaderNames headerNames,
     long drainMillis,
+    long evacuationMillis,
     double retryRatio,
     double retryAllowance,
     long retryWindowMillis,
-    long seed) {}
+    long seed) {
+  /**
+   * Creates settings without an evacuation time; the drain time limits evacuations too.
+   *
+   * @param listen address on which clients connect
+   * @param zone availability zone of this entry
+   * @param headerNames names of the protocol's HTTP headers
+   * @param drainMillis time for which a target that is no longer ready may still receive requests
+   * @param retryRatio retries per request that all entries together may make
+   * @param retryAllowance additional retries that all entries together may make within a window
+   * @param retryWindowMillis length of the sliding window in which retries are counted
+   * @param seed seed of the random number generator
+   */
+  public RelaySettings(
+      Address listen,
+      AvailabilityZone zone,
+      ProtocolHeaderNames headerNames,
+      long drainMillis,
+      double retryRatio,
+      double retryAllowance,
+      long retryWindowMillis,
+      long seed) {
+    this(
+        listen,
+        zone,
+        headerNames,
+        drainMillis,
+        drainMillis,
+        retryRatio,
+        retryAllowance,
+        retryWindowMillis,
+        seed);
+  }
+}
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
@@ -31,6 +32,10 @@
   private Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> rangesByService = Map.of();
   private RouteTable routes = RouteTable.empty();
   private Set<TargetId> unusableTargets = Set.of();
+
+  /** Replaced as a whole; metrics read it on other threads. */
+  private volatile Set<AvailabilityZone> evacuatedZones = Set.of();
+
   private boolean hasOwnership;
   private int entryCount = 1;
   private OptionalLong estimatesConfirmedNanos = OptionalLong.empty();
@@ -43,8 +48,8 @@
    * Replaces the targets and ranges by those of a view.
    *
    * @param view the view
-   * @param changeNanos earliest time at which a target can have begun to leave that the view shows
-   *     as leaving for the first time
+   * @param changeNanos earliest time at which a target can have begun to leave, or its zone to be
+   *     evacuated, that the view shows so for the first time
    * @return the targets that the view removed
    */
   List<TargetId> updateOwnership(OwnershipView view, long changeNanos) {
@@ -52,11 +57,15 @@
     Map<ServiceName, List<TargetStats>> byService = new HashMap<>();
     List<TargetId> removed = new ArrayList<>(targets.keySet());
     Set<TargetId> unusable = new TreeSet<>();
+    Set<AvailabilityZone> evacuated = new TreeSet<>();
     for (OwnershipView.Target target : view.targets()) {
       if (!target.address().isNumeric()) {
         unusable.add(target.id());
         continue;
       }
+      if (target.evacuated()) {
+        evacuated.add(target.zone());
+      }
       removed.remove(target.id());
       TargetStats stats =
           targets.computeIfAbsent(target.id(), id -> new TargetStats(target, changeNanos));
@@ -64,6 +73,7 @@
       byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(stats);
     }
     unusableTargets = unusable;
+    evacuatedZones = evacuated;
     targets.keySet().removeAll(removed);
     Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> ranges = new HashMap<>();
     for (OwnershipView.Range range : view.ranges()) {
@@ -90,6 +100,11 @@
         });
   }
 
+  /** Returns the evacuated zones that have targets. */
+  Set<AvailabilityZone> evacuatedZones() {
+    return evacuatedZones;
+  }
+
   /** Returns the targets whose address is no IP address; no request is sent to them. */
   Set<TargetId> unusableTargets() {
     return unusableTargets;
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -54,11 +54,22 @@
   private final UniformRandomProvider random;
   private final AvailabilityZone zone;
   private final long drainMillis;
+  private final long evacuationMillis;
 
+  /** Creates a chooser that sends to an evacuated zone for the drain time. */
   TargetChooser(UniformRandomProvider random, AvailabilityZone zone, long drainMillis) {
+    this(random, zone, drainMillis, drainMillis);
+  }
+
+  TargetChooser(
+      UniformRandomProvider random,
+      AvailabilityZone zone,
+      long drainMillis,
+      long evacuationMillis) {
     this.random = random;
     this.zone = zone;
     this.drainMillis = drainMillis;
+    this.evacuationMillis = evacuationMillis;
   }
 
   /** Decides whether a keyed request is sent to the owner of its key, waits or is refused. */
@@ -78,8 +89,11 @@
     if (pauseMillis > 0) {
       return new RoutingDecision.Refuse(PAUSED, pauseMillis, owner);
     }
-    if (owner.isEmpty() || !owner.get().acceptsRequests(nowNanos, drainMillis)) {
-      return waitOrRefuse("owner is leaving", EXPECTED_REASSIGNMENT_MILLIS, remainingMillis);
+    if (owner.isEmpty()
+        || !owner.get().acceptsKeyedRequests(nowNanos, drainMillis, evacuationMillis)) {
+      boolean isEvacuated = owner.filter(TargetStats::isEvacuated).isPresent();
+      String reason = isEvacuated ? "zone of the owner is evacuated" : "owner is leaving";
+      return waitOrRefuse(reason, EXPECTED_REASSIGNMENT_MILLIS, remainingMillis);
     }
     if (owner.get().isSuspect(nowNanos)) {
       return new RoutingDecision.Refuse("owner does not answer", MAX_RETRY_DELAY_MILLIS);
@@ -133,12 +147,14 @@
 
   /**
    * Returns whether a request that waited for a connection to its chosen target may still be sent:
-   * the target has not been removed, and its drain time has not ended.
+   * the target has not been removed, and neither its drain time nor the evacuation time of its zone
+   * has ended.
    */
   boolean maySend(RoutingState routing, TargetStats chosenTarget, long nowNanos) {
     return routing
         .target(chosenTarget.spec().id())
-        .filter(t -> t == chosenTarget && t.isReachableInTime(nowNanos, drainMillis))
+        .filter(
+            t -> t == chosenTarget && t.isReachableInTime(nowNanos, drainMillis, evacuationMillis))
         .isPresent();
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -44,6 +44,11 @@
   /** False for a target that was already leaving when this entry first saw it. */
   private boolean isDrainStartKnown;
 
+  private long evacuatedSinceNanos;
+
+  /** False for a target whose zone was already evacuated when this entry first saw it there. */
+  private boolean isEvacuationStartKnown;
+
   TargetStats(OwnershipView.Target spec, long changeNanos) {
     updateSpec(spec, changeNanos);
   }
@@ -61,6 +66,10 @@
       notReadySinceNanos = changeNanos;
       isDrainStartKnown = spec != null;
     }
+    if (newSpec.evacuated() && (spec == null || !spec.evacuated())) {
+      evacuatedSinceNanos = changeNanos;
+      isEvacuationStartKnown = spec != null && newSpec.zone().equals(spec.zone());
+    }
     if (spec != null && spec.incarnationMillis() != newSpec.incarnationMillis()) {
       notices = new TargetNotices();
     }
@@ -77,6 +86,11 @@
     return spec.phase() != TargetPhase.READY || notices.isLeaving();
   }
 
+  /** Returns whether the zone of the target is evacuated; this is neither a fault nor leaving. */
+  boolean isEvacuated() {
+    return spec.evacuated();
+  }
+
   /** Returns the time for which the target has asked to receive no requests, 0 for none. */
   long remainingPauseMillis(long nowNanos) {
     return notices.remainingPauseMillis(nowNanos);
@@ -135,15 +149,35 @@
   /**
    * Returns whether the target wants requests and is ready, or has been leaving for so short a time
    * that a request reaches it within its drain time. Of the leader's view and the target's own word
-   * the one counts that is first; a view that is older than the word changes nothing.
+   * the one counts that is first; a view that is older than the word changes nothing. False for a
+   * target in an evacuated zone.
    */
   boolean acceptsRequests(long nowNanos, long drainMillis) {
-    return isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos);
+    return !spec.evacuated() && isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos);
+  }
+
+  /**
+   * Returns whether requests for keys that the target owns may be sent to it. Only the owner can
+   * serve them, so it is also used until shortly before the end of the evacuation time.
+   */
+  boolean acceptsKeyedRequests(long nowNanos, long drainMillis, long evacuationMillis) {
+    return isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos)
+        && isUsableInEvacuation(evacuationMillis - DRAIN_MARGIN_MILLIS, nowNanos);
+  }
+
+  /**
+   * Returns whether a request that is written now reaches the target within its drain time, and
+   * within the evacuation time of its zone.
+   */
+  boolean isReachableInTime(long nowNanos, long drainMillis, long evacuationMillis) {
+    return isUsableFor(drainMillis - TRANSIT_MARGIN_MILLIS, nowNanos)
+        && isUsableInEvacuation(evacuationMillis - TRANSIT_MARGIN_MILLIS, nowNanos);
   }
 
-  /** Returns whether a request that is written now reaches the target within its drain time. */
-  boolean isReachableInTime(long nowNanos, long drainMillis) {
-    return isUsableFor(drainMillis - TRANSIT_MARGIN_MILLIS, nowNanos);
+  private boolean isUsableInEvacuation(long millisAfterStart, long nowNanos) {
+    return !spec.evacuated()
+        || isEvacuationStartKnown
+            && nowNanos - evacuatedSinceNanos < TimeUnit.MILLISECONDS.toNanos(millisAfterStart);
   }
 
   private boolean isUsableFor(long millisAfterLeaving, long nowNanos) {
--- a/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
@@ -173,4 +173,47 @@
       assertThat(((RoutingDecision.Send) decision).target().spec().id()).isEqualTo(FIRST);
     }
   }
+
+  /**
+   * Guards against requests to the targets of an evacuated zone: unkeyed ones at any time, also
+   * when there is no other target, and keyed ones that are chosen or still wait after the bound.
+   */
+  @Test
+  void evacuatedZoneReceivesOnlyKeyedRequestsUntilTheBound() {
+    TargetChooser bounded =
+        new TargetChooser(
+            RandomSource.SPLIT_MIX_64.create(3), AvailabilityZone.of("z0"), 2_000, 901);
+    RoutingState routing = routing(2, true, 0);
+    TargetStats owner = routing.target(FIRST).orElseThrow();
+    owner.updateSpec(evacuated(owner), 0);
+    for (int i = 0; i < 20; i++) {
+      RoutingDecision any = bounded.chooseAny(routing, Set.of(), constraints(1, 1_000, 400));
+      assertThat(((RoutingDecision.Send) any).target().spec().id()).isEqualTo(TargetId.of("t1"));
+    }
+    assertThat(bounded.chooseOwner(routing, 5, constraints(1, 1_000, 400)))
+        .isInstanceOf(RoutingDecision.Send.class);
+    assertThat(bounded.maySend(routing, owner, 400_000_000L)).isTrue();
+    assertThat(bounded.maySend(routing, owner, 401_000_000L)).isFalse();
+    TargetStats other = routing.target(TargetId.of("t1")).orElseThrow();
+    other.updateSpec(evacuated(other), 0);
+    assertThat(bounded.chooseAny(routing, Set.of(), constraints(1, 1_000, 400)))
+        .isInstanceOf(RoutingDecision.Refuse.class);
+    RequestConstraints late =
+        new RequestConstraints(SERVICE, RouteKind.SAFE, 1, 1_000_000, 1_000, 400);
+    assertThat(bounded.chooseOwner(routing, 5, late)).isInstanceOf(RoutingDecision.Wait.class);
+  }
+
+  private static OwnershipView.Target evacuated(TargetStats target) {
+    OwnershipView.Target spec = target.spec();
+    return new OwnershipView.Target(
+        spec.id(),
+        spec.service(),
+        spec.address(),
+        spec.zone(),
+        spec.slots(),
+        spec.phase(),
+        spec.incarnationMillis(),
+        true,
+        spec.warmup());
+  }
 }
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -4,6 +4,7 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.WarmupState;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
@@ -54,7 +55,7 @@
   void requestThatWaitedIsSentOnlyWithinTheDrainTime(long millis, boolean expected) {
     TargetStats target = new TargetStats(spec(TargetPhase.READY), 0);
     target.updateSpec(spec(TargetPhase.DRAINING), 0);
-    assertThat(target.isReachableInTime(TimeUnit.MILLISECONDS.toNanos(millis), 2_000))
+    assertThat(target.isReachableInTime(TimeUnit.MILLISECONDS.toNanos(millis), 2_000, 2_000))
         .isEqualTo(expected);
   }
 
@@ -64,15 +65,72 @@
     assertThat(new TargetStats(spec(TargetPhase.DRAINING), 0).acceptsRequests(0, 2_000)).isFalse();
   }
 
+  /**
+   * Guards against requests that reach an evacuated zone later than its bound, which counts from
+   * before the entry learns of it; against unkeyed requests there at any time; and against a target
+   * that is taken for leaving or is not used again at once after the end.
+   */
+  @Test
+  void ownerInAnEvacuatedZoneIsUsedUntilTheBoundAndAfterTheEnd() {
+    TargetStats target = new TargetStats(spec(TargetPhase.READY), 0);
+    target.updateSpec(evacuated("z"), 0);
+    // A later view does not begin the time anew.
+    target.updateSpec(evacuated("z"), TimeUnit.SECONDS.toNanos(3));
+    assertThat(target.acceptsRequests(0, 2_000)).isFalse();
+    assertThat(target.isLeaving()).isFalse();
+    assertThat(target.isSuspect(0)).isFalse();
+    long[][] limitsMillis = {{4_099, 4_499}, {4_100, 4_500}};
+    for (int i = 0; i < 2; i++) {
+      long sendNanos = TimeUnit.MILLISECONDS.toNanos(limitsMillis[i][0]);
+      long writeNanos = TimeUnit.MILLISECONDS.toNanos(limitsMillis[i][1]);
+      assertThat(target.acceptsKeyedRequests(sendNanos, 2_000, 5_000)).isEqualTo(i == 0);
+      assertThat(target.isReachableInTime(writeNanos, 2_000, 5_000)).isEqualTo(i == 0);
+    }
+    target.updateSpec(spec(TargetPhase.READY), TimeUnit.SECONDS.toNanos(20));
+    long laterNanos = TimeUnit.SECONDS.toNanos(20);
+    assertThat(target.acceptsRequests(laterNanos, 2_000)).isTrue();
+    assertThat(target.acceptsKeyedRequests(laterNanos, 2_000, 5_000)).isTrue();
+    assertThat(target.isReachableInTime(laterNanos, 2_000, 5_000)).isTrue();
+    target.updateSpec(evacuated("z"), laterNanos);
+    assertThat(target.acceptsKeyedRequests(laterNanos, 2_000, 5_000)).isTrue();
+  }
+
+  /**
+   * Guards against an evacuation that begins anew in an entry that has just started, or for a
+   * target that is registered in a zone evacuated long ago; and against a drain time that it
+   * extends.
+   */
+  @Test
+  void evacuatedTargetWithoutKnownStartAcceptsNoRequest() {
+    assertThat(new TargetStats(evacuated("z"), 0).acceptsKeyedRequests(0, 2_000, 5_000)).isFalse();
+    TargetStats moved = new TargetStats(spec(TargetPhase.READY), 0);
+    moved.updateSpec(evacuated("other"), 0);
+    assertThat(moved.acceptsKeyedRequests(0, 2_000, 5_000)).isFalse();
+    TargetStats leaving = new TargetStats(spec(TargetPhase.READY), 0);
+    leaving.updateSpec(spec(TargetPhase.DRAINING, "z", true), 0);
+    long nanos = TimeUnit.MILLISECONDS.toNanos(1_100);
+    assertThat(leaving.acceptsKeyedRequests(nanos, 2_000, 5_000)).isFalse();
+  }
+
+  private static OwnershipView.Target evacuated(String zone) {
+    return spec(TargetPhase.READY, zone, true);
+  }
+
   private static OwnershipView.Target spec(TargetPhase phase) {
+    return spec(phase, "z", false);
+  }
+
+  private static OwnershipView.Target spec(TargetPhase phase, String zone, boolean evacuated) {
     return new OwnershipView.Target(
         TargetId.of("a"),
         ServiceName.of("s"),
         new Address("127.0.0.1", 1),
-        AvailabilityZone.of("z"),
+        AvailabilityZone.of(zone),
         2,
         phase,
-        1);
+        1,
+        evacuated,
+        WarmupState.UNKNOWN);
   }
 
   /** Guards against a cancelled request that the leader counts as in flight for another second. */
