Accept orders to start and end the evacuation of a zone

Cause: operators order an evacuation by evacuations.start and evacuations.end and resend until confirmed, to any control process. Change: the leader evaluates orders one at a time after a quorum round (EvacuationOrders) and confirms them when committed, or at once when they change nothing. Unknown zones and a missing zone are refused with 400; a body is ignored and logged. Settings: evacuationMs in bounds (without it the value of drainMs), zones from the table [zones]. Log events evacuation.started, evacuation.ended and call.body.ignored; gauges coltsfootwheel.evacuated.zones and coltsfootwheel.evacuated.ranges of control processes.

--- a/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/FleetState.java
@@ -174,6 +174,18 @@
     return Collections.unmodifiableSet(evacuatedZones);
   }
 
+  /**
+   * Returns how many ranges the targets of evacuated zones own.
+   *
+   * @return the number of ranges, 0 once all of them have moved
+   */
+  public long countEvacuatedRanges() {
+    return tables.values().stream()
+        .flatMap(t -> t.ranges().stream())
+        .filter(r -> target(r.owner()).filter(this::isEvacuated).isPresent())
+        .count();
+  }
+
   /** Returns whether the zone of a target is evacuated. */
   boolean isEvacuated(TargetRecord target) {
     return target.zone() != null && evacuatedZones.contains(target.zone());
--- a/src/main/java/io/coltsfootwheel/node/ControlAnswer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlAnswer.java
@@ -15,7 +15,7 @@
    */
   record Acknowledged(Optional<LeaseGrant> grant, InstanceId leader) implements ControlAnswer {}
 
-  /** The configuration change or the removal of the target was committed. */
+  /** The configuration change, the removal of the target or the evacuation order was committed. */
   record Accepted() implements ControlAnswer {}
 
   /**
@@ -26,7 +26,7 @@
   record Conflict(long currentVersion) implements ControlAnswer {}
 
   /**
-   * The change is not valid.
+   * The change or the order is not valid.
    *
    * @param reason what is wrong
    */
--- a/src/main/java/io/coltsfootwheel/node/ControlEvent.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlEvent.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.node;
 
 import io.coltsfootwheel.consensus.ReplicationEvent;
+import io.coltsfootwheel.keyspace.FleetCommand;
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
@@ -50,6 +51,10 @@
   record ChangeRequested(long nowNanos, long requestId, ConfigurationChange change)
       implements ControlEvent {}
 
+  /** Operator's order to start or end the evacuation of an availability zone. */
+  record EvacuationRequested(long nowNanos, long requestId, FleetCommand.SetZoneEvacuation order)
+      implements ControlEvent {}
+
   /** Operator's request for the current configuration. */
   record ReadRequested(long nowNanos, long requestId) implements ControlEvent {}
 }
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -6,16 +6,20 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.journal.Journal;
+import io.coltsfootwheel.keyspace.FleetCommand;
+import io.coltsfootwheel.keyspace.FleetState;
 import io.coltsfootwheel.keyspace.HeartbeatReport;
 import io.coltsfootwheel.keyspace.TargetCall;
 import io.coltsfootwheel.keyspace.TargetCallResult;
 import io.coltsfootwheel.keyspace.TargetLeave;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.routing.ConfigurationChange;
 import io.coltsfootwheel.runtime.DecisionLoop;
 import io.coltsfootwheel.runtime.JournalDriver;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.nio.file.Path;
@@ -71,6 +75,10 @@
   private final DecisionLateness lateness;
   private Optional<JournalDriver> journal = Optional.empty();
   private Optional<ControlReducer> reducer = Optional.empty();
+
+  /** Replicated state after the last event; metrics read it on other threads. */
+  private volatile FleetState state = FleetState.empty();
+
   private List<InstanceId> seeds;
   private long nextOpenNanos;
 
@@ -113,6 +121,10 @@
     this.log = log;
     this.lateness = new DecisionLateness(log);
     this.persistTime = meters.timer("coltsfootwheel.journal.persist");
+    Gauge.builder("coltsfootwheel.evacuated.zones", this, n -> n.state.evacuatedZones().size())
+        .register(meters);
+    Gauge.builder("coltsfootwheel.evacuated.ranges", this, n -> n.state.countEvacuatedRanges())
+        .register(meters);
     this.links =
         new NodeLinks(
             settings.cluster(),
@@ -171,6 +183,18 @@
     return call(id -> new ControlEvent.ChangeRequested(System.nanoTime(), id, change));
   }
 
+  /**
+   * Starts or ends the evacuation of an availability zone.
+   *
+   * @param zone the zone
+   * @param evacuated true when nothing more is to be sent to the targets of the zone
+   * @return the answer
+   */
+  public Mono<ControlAnswer> setEvacuation(AvailabilityZone zone, boolean evacuated) {
+    FleetCommand.SetZoneEvacuation order = new FleetCommand.SetZoneEvacuation(zone, evacuated);
+    return call(id -> new ControlEvent.EvacuationRequested(System.nanoTime(), id, order));
+  }
+
   /**
    * Reads the current configuration, with a quorum round that confirms leadership.
    *
@@ -224,7 +248,10 @@
     if (reducer.isEmpty()) {
       openJournal(event.nowNanos());
     }
-    return reducer.map(r -> r.apply(event)).orElseGet(() -> unavailable(event));
+    List<ControlEffect> effects =
+        reducer.map(r -> r.apply(event)).orElseGet(() -> unavailable(event));
+    reducer.ifPresent(r -> state = r.state());
+    return effects;
   }
 
   /** Answers calls as unavailable while there is no open journal; all other events are dropped. */
@@ -239,6 +266,9 @@
     if (event instanceof ControlEvent.ChangeRequested call) {
       return List.of(new ControlEffect.Answer(call.requestId(), answer));
     }
+    if (event instanceof ControlEvent.EvacuationRequested call) {
+      return List.of(new ControlEffect.Answer(call.requestId(), answer));
+    }
     if (event instanceof ControlEvent.ReadRequested call) {
       return List.of(new ControlEffect.Answer(call.requestId(), answer));
     }
--- a/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNodeSettings.java
@@ -2,9 +2,11 @@
 
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.InstanceId;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Settings of a control process.
@@ -18,6 +20,7 @@
  *     its place, in milliseconds
  * @param ownership durations of leases on key ranges
  * @param dataFolder folder of the replicated log
+ * @param zones availability zones of the deployment, empty when the settings name none
  */
 public record ControlNodeSettings(
     String cluster,
@@ -27,7 +30,8 @@
     int toleratedLosses,
     long catchUpMillis,
     OwnershipSettings ownership,
-    Path dataFolder) {
+    Path dataFolder,
+    Set<AvailabilityZone> zones) {
   /**
    * Each leader measures anew, so the loss of a leader makes a group wait for the time-out again.
    */
@@ -40,6 +44,7 @@
         firstStart,
         2 * toleratedLosses + 1,
         catchUpMillis / VOTER_TIMEOUTS_PER_CATCH_UP,
-        ownership);
+        ownership,
+        zones);
   }
 }
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -117,6 +117,8 @@
       withLeaderSession(leave.requestId(), s -> s.leave(leave.requestId(), leave.leave()));
     } else if (event instanceof ControlEvent.ChangeRequested change) {
       withLeaderSession(change.requestId(), s -> s.change(change.requestId(), change.change()));
+    } else if (event instanceof ControlEvent.EvacuationRequested request) {
+      withLeaderSession(request.requestId(), s -> s.evacuate(request.requestId(), request.order()));
     } else if (event instanceof ControlEvent.TargetCallEnded ended) {
       session.ifPresent(s -> s.targetCallEnded(nowNanos, ended.call(), ended.result()));
     } else if (event instanceof ControlEvent.ReadRequested read) {
@@ -294,6 +296,7 @@
                   TimeUnit.MILLISECONDS.toNanos(settings.voterTimeoutMillis()),
                   nowNanos),
               state,
+              settings.zones(),
               nowNanos);
       started.setEventTime(nowNanos);
       started.setEntries(subscriptions.entries());
--- a/src/main/java/io/coltsfootwheel/node/ControlSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlSettings.java
@@ -1,8 +1,10 @@
 package io.coltsfootwheel.node;
 
 import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Settings of the decision logic of a control process.
@@ -14,6 +16,7 @@
  * @param voterTimeoutMillis time without contact after which a voter is replaced by a learner, in
  *     milliseconds
  * @param ownership durations of leases on key ranges
+ * @param zones availability zones of the deployment, empty when the settings name none
  */
 record ControlSettings(
     InstanceId self,
@@ -21,9 +24,11 @@
     boolean firstStart,
     int wantedVoters,
     long voterTimeoutMillis,
-    OwnershipSettings ownership) {
+    OwnershipSettings ownership,
+    Set<AvailabilityZone> zones) {
   ControlSettings {
     seeds = seeds.stream().sorted().toList();
+    zones = Set.copyOf(zones);
   }
 
   /** Returns the members of the initial group; empty unless the cluster is bootstrapped. */
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -15,6 +15,7 @@
 import io.coltsfootwheel.keyspace.TargetCallResult;
 import io.coltsfootwheel.keyspace.TargetLeave;
 import io.coltsfootwheel.keyspace.TargetRecord;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.routing.ChangeOutcome;
 import io.coltsfootwheel.routing.Configuration;
@@ -26,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -46,6 +48,7 @@
   private final OwnershipLeader ownership;
   private final GroupMembership membership;
   private final EntryUpdates entryUpdates;
+  private final EvacuationOrders evacuationOrders;
   private final LeadershipConfirmations confirmations = new LeadershipConfirmations();
   private final Map<Long, Consumer<Boolean>> proposals = new HashMap<>();
   private final Deque<PendingChange> queuedChanges = new ArrayDeque<>();
@@ -66,6 +69,7 @@
       OwnershipSettings settings,
       GroupMembership membership,
       FleetState state,
+      Set<AvailabilityZone> zones,
       long nowNanos) {
     this.self = self;
     this.term = term;
@@ -74,6 +78,7 @@
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
     this.entryUpdates = new EntryUpdates(nowNanos, term, actions, ownership.view(nowNanos));
     this.membership = membership;
+    this.evacuationOrders = new EvacuationOrders(zones, actions, this::propose, () -> this.state);
   }
 
   void report(long nowNanos, long requestId, HeartbeatReport report) {
@@ -146,6 +151,20 @@
         });
   }
 
+  void evacuate(long requestId, FleetCommand.SetZoneEvacuation order) {
+    confirmations.add(
+        confirmed -> {
+          if (confirmed) {
+            evacuationOrders.add(requestId, order);
+          } else {
+            actions.answer(
+                requestId,
+                new ControlAnswer.Unavailable(
+                    "no quorum confirmed the leadership of this process"));
+          }
+        });
+  }
+
   void read(long requestId) {
     confirmations.add(
         confirmed ->
@@ -300,9 +319,13 @@
 
   void onApplied(FleetCommand command, FleetState newState) {
     Configuration before = state.configuration();
+    boolean changesEvacuation = !state.evacuatedZones().equals(newState.evacuatedZones());
     state = newState;
     ownership.applied(command, newState);
     logApplied(command);
+    if (changesEvacuation) {
+      logEvacuation((FleetCommand.SetZoneEvacuation) command);
+    }
     if (before.version() != newState.configuration().version()) {
       entryUpdates.sendConfiguration(eventNanos, groupFacts());
     }
@@ -322,6 +345,7 @@
   /** Rejects all waiting calls, because another process may lead now. */
   void rejectPending() {
     confirmations.rejectAll();
+    evacuationOrders.rejectQueued();
     List<Consumer<Boolean>> openProposals = List.copyOf(proposals.values());
     proposals.clear();
     openProposals.forEach(p -> p.accept(false));
@@ -350,6 +374,15 @@
             .with("reason", move.reason()));
   }
 
+  private void logEvacuation(FleetCommand.SetZoneEvacuation order) {
+    long targets = state.targets().stream().filter(t -> order.zone().equals(t.zone())).count();
+    actions.log(
+        LogEvent.of(order.evacuated() ? "evacuation.started" : "evacuation.ended")
+            .with("zone", order.zone())
+            .with("targets", targets)
+            .with("index", state.index()));
+  }
+
   private void logApplied(FleetCommand command) {
     if (command instanceof FleetCommand.RegisterTarget register) {
       actions.log(
--- a/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlAnswer;
@@ -47,6 +48,7 @@
   private final LoopResources loops;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger callsInProgress = new AtomicInteger();
+  private final AtomicInteger ignoredBodies = new AtomicInteger();
   private Optional<DisposableServer> server = Optional.empty();
   private volatile boolean draining;
 
@@ -159,10 +161,27 @@
       case PlatformNames.PUT_CALL -> node.change(ConfigurationJson.parseComplete(base, body));
       case PlatformNames.PATCH_CALL -> node.change(ConfigurationJson.parsePatch(base, body));
       case PlatformNames.GET_CALL -> node.read();
+      case PlatformNames.EVACUATION_START_CALL, PlatformNames.EVACUATION_END_CALL ->
+          evacuate(call, parameter(uri, "of"), body);
       default -> Mono.just(new ControlAnswer.Invalid("call " + call + " is unknown"));
     };
   }
 
+  private Mono<ControlAnswer> evacuate(String call, String zone, byte[] body) {
+    if (body.length > 0) {
+      log.write(
+          LogEvent.of("call.body.ignored")
+              .with("call", call)
+              .with("of", zone)
+              .with("bytes", body.length)
+              .with("total", ignoredBodies.incrementAndGet()));
+    }
+    return zone.isEmpty()
+        ? Mono.just(new ControlAnswer.Invalid("of: expected the name of a zone, got nothing"))
+        : node.setEvacuation(
+            AvailabilityZone.of(zone), call.equals(PlatformNames.EVACUATION_START_CALL));
+  }
+
   private static int maxBodyBytes(String call) {
     boolean isConfiguration =
         call.equals(PlatformNames.PUT_CALL) || call.equals(PlatformNames.PATCH_CALL);
--- a/src/main/java/io/coltsfootwheel/platform/PlatformBound.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformBound.java
@@ -9,6 +9,9 @@
   CATCH_UP_SECONDS("catchUpS", 4, 0, 86_400),
   MAX_HOLD_MILLIS("maxHoldMs", 10_000, 1, 86_400_000),
   DRAIN_MILLIS("drainMs", 2_000, 0, 86_400_000),
+
+  /** Without a value of its own the drain time of the settings takes its place. */
+  EVACUATION_MILLIS("evacuationMs", DRAIN_MILLIS.defaultValue, 0, 86_400_000),
   RETRY_BUDGET_RATIO("retryBudgetRatio", 0.1, 0, 1_000),
   RETRY_BUDGET_SLACK("retryBudgetSlack", 10, 0, 1_000_000_000),
   BUDGET_WINDOW_SECONDS("budgetWindowS", 10, 0.001, 86_400);
--- a/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
@@ -12,6 +12,8 @@
   static final String PUT_CALL = "config.put";
   static final String PATCH_CALL = "config.patch";
   static final String GET_CALL = "config.get";
+  static final String EVACUATION_START_CALL = "evacuations.start";
+  static final String EVACUATION_END_CALL = "evacuations.end";
   static final String GRANT_PATH = "/api/grant";
   static final String RELEASE_PATH = "/api/release";
   static final String HANDOVER_HEADER = "X-Coltsfootwheel-Handover";
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -65,6 +67,8 @@
       FIELDS.optional("bounds", ValueType.list());
   private static final RequiredField<JsonValue> LISTEN_ADDRESSES =
       FIELDS.required("listenAddrs", ValueType.object());
+  private static final OptionalField<JsonValue> ZONES =
+      FIELDS.optional("zones", ValueType.object());
   private static final OptionalField<JsonValue> FAULT_TOLERANCE =
       FIELDS.optional("faultTolerance", ValueType.object());
 
@@ -167,7 +171,29 @@
         OwnershipSettings.of(
             root.read(HEARTBEAT_MILLIS).orElse(DEFAULT_HEARTBEAT_MILLIS),
             bounds.get(PlatformBound.MAX_HOLD_MILLIS).longValue()),
-        Path.of(root.read(DATA_FOLDER)));
+        Path.of(root.read(DATA_FOLDER)),
+        zones());
+  }
+
+  /** Returns the zones that the settings name; a name that no target can have is left out. */
+  private Set<AvailabilityZone> zones() {
+    Set<AvailabilityZone> zones = new TreeSet<>();
+    root.read(ZONES)
+        .ifPresent(
+            table ->
+                table
+                    .node()
+                    .fieldNames()
+                    .forEachRemaining(name -> parseZone(name).ifPresent(zones::add)));
+    return zones;
+  }
+
+  private static Optional<AvailabilityZone> parseZone(String name) {
+    try {
+      return Optional.of(AvailabilityZone.of(name));
+    } catch (ColtsfootwheelException e) {
+      return Optional.empty();
+    }
   }
 
   EntryNodeSettings entry() {
@@ -182,6 +208,7 @@
         root.read(ZONE),
         PlatformNames.HEADERS,
         bounds.get(PlatformBound.DRAIN_MILLIS).longValue(),
+        bounds.get(PlatformBound.EVACUATION_MILLIS).longValue(),
         bounds.get(PlatformBound.RETRY_BUDGET_RATIO),
         bounds.get(PlatformBound.RETRY_BUDGET_SLACK),
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
@@ -199,9 +226,6 @@
   /** Returns each bound that the processes use; reads them all, so that a fault ends the start. */
   private Map<PlatformBound, Double> bounds() {
     Map<PlatformBound, Double> bounds = new EnumMap<>(PlatformBound.class);
-    for (PlatformBound bound : PlatformBound.values()) {
-      bounds.put(bound, bound.defaultValue());
-    }
     for (JsonValue value : root.read(BOUNDS).orElse(List.of())) {
       String text = value.as(ValueType.text());
       PlatformBound.named(text)
@@ -211,6 +235,12 @@
                       bound,
                       bound.parse(text).orElseThrow(() -> value.unexpected(bound.expectedText()))));
     }
+    if (bounds.containsKey(PlatformBound.DRAIN_MILLIS)) {
+      bounds.putIfAbsent(PlatformBound.EVACUATION_MILLIS, bounds.get(PlatformBound.DRAIN_MILLIS));
+    }
+    for (PlatformBound bound : PlatformBound.values()) {
+      bounds.putIfAbsent(bound, bound.defaultValue());
+    }
     return bounds;
   }
 
--- a/src/test/java/io/coltsfootwheel/node/CollectedChangesTest.java
+++ b/src/test/java/io/coltsfootwheel/node/CollectedChangesTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,7 @@
           OwnershipSettings.of(870, 10_000),
           new GroupMembership(5, TimeUnit.SECONDS.toNanos(2), 0),
           state,
+          Set.of(),
           0);
   private final EntryRouting routing = new EntryRouting();
   private OwnershipView view = OwnershipView.empty();
--- a/src/test/java/io/coltsfootwheel/node/ControlGroup.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlGroup.java
@@ -8,6 +8,7 @@
 import io.coltsfootwheel.consensus.ReplicationSettings;
 import io.coltsfootwheel.consensus.Role;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -28,6 +29,10 @@
   /** Time that the successor of a lost member has to take its place. */
   static final long CATCH_UP_MILLIS = 4_000;
 
+  /** Availability zones that the settings of all processes name. */
+  static final Set<AvailabilityZone> ZONES =
+      Set.of(AvailabilityZone.of("z"), AvailabilityZone.of("empty"));
+
   private static final long STEP_NANOS = 10_000_000;
 
   private final Map<InstanceId, ControlReducer> members = new HashMap<>();
@@ -63,7 +68,13 @@
     MemberId self = new MemberId(id, "disk-" + id + "-" + members.size());
     ControlSettings settings =
         new ControlSettings(
-            id, seeds, firstStart, 5, CATCH_UP_MILLIS / 4, OwnershipSettings.of(870, 10_000));
+            id,
+            seeds,
+            firstStart,
+            5,
+            CATCH_UP_MILLIS / 4,
+            OwnershipSettings.of(870, 10_000),
+            ZONES);
     ReplicationSettings replication =
         ControlNode.replicationSettings(self, settings, id.hashCode());
     members.put(
--- a/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlReducerTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class ControlReducerTest {
@@ -240,6 +241,7 @@
         OwnershipSettings.of(870, 10_000),
         new GroupMembership(5, 2_000_000_000L, group.nowNanos()),
         FleetState.empty().apply(1, new FleetCommand.RegisterTarget(target)),
+        Set.of(),
         group.nowNanos());
   }
 
--- a/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/LeaderLoadSimulation.java
@@ -36,6 +36,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -290,6 +291,7 @@
             OwnershipSettings.of(REPORT_INTERVAL_MILLIS, 10_000),
             new GroupMembership(5, 2_000_000_000L, nanos()),
             state,
+            Set.of(),
             nanos());
     for (int i = 0; i < targetCount; i++) {
       targets.add(new SimulatedTarget(i));
--- a/src/test/java/io/coltsfootwheel/node/RunningControlGroup.java
+++ b/src/test/java/io/coltsfootwheel/node/RunningControlGroup.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import reactor.core.publisher.Mono;
 
@@ -65,7 +66,8 @@
                 toleratedLosses,
                 4_000,
                 OwnershipSettings.of(1_000, 10_000),
-                folder.resolve("disk-" + index)),
+                folder.resolve("disk-" + index),
+                Set.of()),
             disk::open,
             call -> Mono.just(TargetCallResult.of(TargetCallResult.Outcome.UNKNOWN)),
             log,
--- a/src/test/java/io/coltsfootwheel/node/RunningFleet.java
+++ b/src/test/java/io/coltsfootwheel/node/RunningFleet.java
@@ -31,6 +31,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -126,7 +127,8 @@
                   TOLERATED_LOSSES,
                   4_000,
                   OwnershipSettings.of(1_000, 10_000),
-                  folder.resolve("disk-" + disks[index])),
+                  folder.resolve("disk-" + disks[index]),
+                  Set.of()),
               Journal::open,
               call -> Mono.just(TargetCallResult.of(TargetCallResult.Outcome.UNKNOWN)),
               log,
@@ -196,6 +198,16 @@
     setControl(index, startControl(index, controls.size()));
   }
 
+  /** Ends all control processes, then starts them again on their disks. */
+  void restartAllControls() throws InterruptedException {
+    for (int i = 0; i < controls.size(); i++) {
+      control(i).close();
+    }
+    for (int i = 0; i < controls.size(); i++) {
+      setControl(i, startControl(i, controls.size()));
+    }
+  }
+
   /** Ends a control process and starts it again on an empty disk. */
   void replaceDisk(int index) throws InterruptedException {
     disks[index] = ++lastDisk;
--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointTest.java
@@ -121,6 +121,51 @@
     assertThat(logLines.stream().anyMatch(l -> l.contains("\"phase\":\"LEFT\""))).isEqualTo(leaves);
   }
 
+  /** Sends an evacuation call until the process leads, and returns the last answer. */
+  private String evacuate(String parameters, String body) throws Exception {
+    String answer = "HTTP/1.1 503";
+    while (answer.startsWith("HTTP/1.1 503")) {
+      try (Socket socket = new Socket(HOST, port)) {
+        write(socket, "POST /api/rpc?call=evacuations." + parameters + " HTTP/1.1\r\nHost: h\r\n");
+        write(socket, "Connection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        answer = readToEnd(socket);
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    return answer;
+  }
+
+  /**
+   * Guards against evacuation calls without a zone, or with an unknown one, that are confirmed; and
+   * against correct calls, also repeated ones, that are refused.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "start&of=z, 200, {}",
+    "end&of=z, 200, {}",
+    "start, 400, of:",
+    "end&of=, 400, of:",
+    "start&of=plateau, 400, plateau",
+    "end&of=plateau, 400, plateau",
+    "start&of=%0A, 400, zone",
+    "begin&of=z, 400, evacuations.begin"
+  })
+  void evacuationNamesAKnownZone(String parameters, int status, String text) throws Exception {
+    for (int i = 0; i < 2; i++) {
+      assertThat(evacuate(parameters, "")).startsWith("HTTP/1.1 " + status).contains(text);
+    }
+  }
+
+  /** Guards against an evacuation that is refused, or not logged, because the call has a body. */
+  @Test
+  void bodyOfAnEvacuationIsIgnoredAndLogged() throws Exception {
+    assertThat(evacuate("start&of=z", "{\"of\":\"other\"")).startsWith("HTTP/1.1 200");
+    assertThat(evacuate("start&of=z", "")).startsWith("HTTP/1.1 200");
+    log.close();
+    assertThat(logLines).filteredOn(l -> l.contains("call.body.ignored")).isNotEmpty();
+    assertThat(logLines.stream().filter(l -> l.contains("\"evacuation.started\""))).hasSize(1);
+  }
+
   /** Guards against calls that get no answer because the process stops. */
   @Test
   void callsOnOpenConnectionsAreAnsweredDuringTheDrain() throws Exception {
--- a/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
@@ -53,6 +53,35 @@
     assertThat(PlatformSettings.read(file).control().catchUpMillis()).isEqualTo(catchUpMillis);
   }
 
+  /**
+   * Guards against an evacuation bound that is not read, and against a default that is not the
+   * drain time of the deployment.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "graceS=6, 2000",
+    "drainMs=700, 700",
+    "evacuationMs=5000, 5000",
+    "'drainMs=700\",\"evacuationMs=4000', 4000",
+    "'evacuationMs=0\",\"drainMs=700', 0"
+  })
+  void evacuationTimeFollowsTheBounds(String bounds, long evacuationMillis) throws IOException {
+    Path file = folder.resolve("settings.toml");
+    Files.writeString(file, SETTINGS.replace("graceS=6", bounds));
+    assertThat(PlatformSettings.read(file).relay().evacuationMillis()).isEqualTo(evacuationMillis);
+  }
+
+  /** Guards against zones of the settings that no order can name; odd names are left out. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {"''|0", "[zones]|0", "[zones];plateau = \"dakar\";\"a b\" = 3;pikine = 1|2"})
+  void zonesOfTheTableAreKnown(String table, int count) throws IOException {
+    Path file = folder.resolve("settings.toml");
+    Files.writeString(file, SETTINGS + table.replace(';', '\n'));
+    assertThat(PlatformSettings.read(file).control().zones()).hasSize(count);
+  }
+
   /** Asks for all settings, as the two processes do at their start. */
   private void readAll(String content) throws IOException {
     Path file = folder.resolve("settings.toml");
@@ -105,6 +134,8 @@
         "ready = \"127.0.0.1:8140\"|ready = 8140|listenAddrs.ready",
         "control = \"127.0.0.1:8146\"|control = \"127.0.0.1:0\"|listenAddrs.control",
         "[listenAddrs]|[other]|listenAddrs",
+        "\"graceS=6\"|\"evacuationMs=-1\"|bounds[3]",
+        "future = {x = [1]}|zones = [\"z\"]|zones",
         "machines = 2|machines = -1|faultTolerance.machines",
         "machines = 2|machines = \"2\"|faultTolerance.machines",
         "[faultTolerance]|[[faultTolerance]]|faultTolerance",
--- a/src/test/java/io/coltsfootwheel/platform/SingleControlNode.java
+++ b/src/test/java/io/coltsfootwheel/platform/SingleControlNode.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
 import io.coltsfootwheel.model.Address;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNode;
 import io.coltsfootwheel.node.ControlNodeSettings;
@@ -11,6 +12,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import reactor.core.publisher.Mono;
 
 /** Control process that is the only member of its group. */
@@ -33,7 +35,8 @@
             0,
             CATCH_UP_MILLIS,
             ownership,
-            folder),
+            folder,
+            Set.of(AvailabilityZone.of("z"))),
         call -> Mono.never(),
         log,
         new SimpleMeterRegistry(),
