Start no evacuation move for an incarnation that has ended

Cause: between the report of a new incarnation and its registration a move could be started that names the earlier one, and would wait for the end of the lease. Change: MoveStarter compares the incarnations; unkeyed targets are skipped first, as before. Result: ZoneEvacuationTest, GrantCallsTest and OwnershipLeaderTest pass; the window itself has no test.

--- a/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
@@ -165,13 +165,13 @@
   List<RangeMove> startUngrantedMoves(long nowNanos) {
     List<RangeMove> started = new ArrayList<>();
     for (TargetRecord target : state.targets()) {
-      boolean isLost = !heartbeats.isReporting(nowNanos, target.id());
-      boolean isUsable = !isLost && !state.isEvacuated(target);
-      if (keyedServices.contains(target.service())
-          && !isUsable
-          && !pendingRemovals.contains(target.id())) {
-        String reason = isLost ? "owner was lost" : ZONE_EVACUATED;
-        started.addAll(startUngrantedMoves(nowNanos, target, reason));
+      if (!keyedServices.contains(target.service()) || pendingRemovals.contains(target.id())) {
+        continue;
+      }
+      if (!heartbeats.isReporting(nowNanos, target.id())) {
+        started.addAll(startUngrantedMoves(nowNanos, target, "owner was lost"));
+      } else if (state.isEvacuated(target)) {
+        started.addAll(startUngrantedMoves(nowNanos, target, ZONE_EVACUATED));
       }
     }
     return started;
@@ -257,9 +257,13 @@
       if (heartbeat.filter(h -> hasLeft || h.callLeases().isFailing(nowNanos)).isPresent()) {
         String reason = hasLeft ? "target has left" : "target does not answer calls";
         startMovesOf(stableRanges(target), target, heartbeat.get(), nowNanos, reason);
-      } else if (heartbeat.isPresent() && state.isEvacuated(target)) {
-        List<OwnedRange> certain = certainRanges(nowNanos, target, heartbeat.get());
-        startMovesOf(certain, target, heartbeat.get(), nowNanos, ZONE_EVACUATED);
+      } else if (state.isEvacuated(target)) {
+        heartbeat
+            .filter(h -> h.incarnationMillis() == target.incarnationMillis())
+            .ifPresent(
+                h ->
+                    startMovesOf(
+                        certainRanges(nowNanos, target, h), target, h, nowNanos, ZONE_EVACUATED));
       }
     }
   }
