--- a/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
@@ -185,7 +185,7 @@
             RandomSource.SPLIT_MIX_64.create(3), AvailabilityZone.of("z0"), 2_000, 901);
     RoutingState routing = routing(2, true, 0);
     TargetStats owner = routing.target(FIRST).orElseThrow();
-    owner.updateSpec(evacuated(owner), 0);
+    owner.updateSpec(evacuated(owner.spec()), 0);
     for (int i = 0; i < 20; i++) {
       RoutingDecision any = bounded.chooseAny(routing, Set.of(), constraints(1, 1_000, 400));
       assertThat(((RoutingDecision.Send) any).target().spec().id()).isEqualTo(TargetId.of("t1"));
@@ -195,7 +195,7 @@
     assertThat(bounded.maySend(routing, owner, 400_000_000L)).isTrue();
     assertThat(bounded.maySend(routing, owner, 401_000_000L)).isFalse();
     TargetStats other = routing.target(TargetId.of("t1")).orElseThrow();
-    other.updateSpec(evacuated(other), 0);
+    other.updateSpec(evacuated(other.spec()), 0);
     assertThat(bounded.chooseAny(routing, Set.of(), constraints(1, 1_000, 400)))
         .isInstanceOf(RoutingDecision.Refuse.class);
     RequestConstraints late =
@@ -203,8 +203,8 @@
     assertThat(bounded.chooseOwner(routing, 5, late)).isInstanceOf(RoutingDecision.Wait.class);
   }
 
-  private static OwnershipView.Target evacuated(TargetStats target) {
-    OwnershipView.Target spec = target.spec();
+  /** Returns a target as the leader shows it during the evacuation of its zone. */
+  static OwnershipView.Target evacuated(OwnershipView.Target spec) {
     return new OwnershipView.Target(
         spec.id(),
         spec.service(),
