--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/SelectionNeed.java
@@ -0,0 +1,9 @@
+package io.coltsfootwheel.loadcontrol;
+
+/**
+ * What a request requires of its target.
+ *
+ * @param remainingObjectiveMillis time until the latency objective is missed, negative afterwards
+ * @param bulk whether its request or response is large
+ */
+public record SelectionNeed(double remainingObjectiveMillis, boolean bulk) {}
