Report demand by priority to the leader and publish reserved slots

Cause: one entry sees about one request per second of an urgent kind, too few to know the demand. Change: LoadReport.demand and NodeMessage.Routing.reserves as new last components; the leader sums the demand and states the reserves in each answer with load estimates. Services with one priority have no reserve. Event slots.reserved.

--- a/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
@@ -12,18 +12,33 @@
  *
  * @param requestsByKey requests per service and key
  * @param targets observations of targets
+ * @param demand requests by service and priority; empty from an entry of an earlier version
  */
 public record LoadReport(
-    Map<ServiceName, Map<Integer, Integer>> requestsByKey, List<TargetObservation> targets) {
-  /** Copies the collections. */
+    Map<ServiceName, Map<Integer, Integer>> requestsByKey,
+    List<TargetObservation> targets,
+    List<KindDemand> demand) {
+  /** Copies the collections, and replaces a missing demand. */
   public LoadReport {
     requestsByKey = Map.copyOf(requestsByKey);
     targets = List.copyOf(targets);
+    demand = demand == null ? List.of() : List.copyOf(demand);
   }
 
   /**
-   * Returns the report without counts that are not positive or belong to no key. An instance of
-   * another version may send them.
+   * Creates a report without demand by priority.
+   *
+   * @param requestsByKey requests per service and key
+   * @param targets observations of targets
+   */
+  public LoadReport(
+      Map<ServiceName, Map<Integer, Integer>> requestsByKey, List<TargetObservation> targets) {
+    this(requestsByKey, targets, List.of());
+  }
+
+  /**
+   * Returns the report without counts that are not positive or belong to no key, and without
+   * negative demand. An instance of another version may send them.
    *
    * @return this report if all its counts are valid, otherwise a report with the valid ones
    */
@@ -32,12 +47,12 @@
         requestsByKey.values().stream()
             .flatMap(counts -> counts.entrySet().stream())
             .allMatch(LoadReport::isValid);
-    if (isValid) {
+    if (isValid && demand.stream().allMatch(KindDemand::isValid)) {
       return this;
     }
     Map<ServiceName, Map<Integer, Integer>> valid = new HashMap<>();
     requestsByKey.forEach((service, counts) -> valid.put(service, validCounts(counts)));
-    return new LoadReport(valid, targets);
+    return new LoadReport(valid, targets, demand.stream().filter(KindDemand::isValid).toList());
   }
 
   private static Map<Integer, Integer> validCounts(Map<Integer, Integer> counts) {
@@ -58,4 +73,24 @@
    * @param completed requests answered since the last report, not counting rejected ones
    */
   public record TargetObservation(TargetId target, int inFlight, int completed) {}
+
+  /**
+   * Requests of one service and priority.
+   *
+   * @param service the service
+   * @param priority the priority; 0 is the highest
+   * @param requests requests that arrived, also refused ones
+   * @param timedRequests responses of targets that had a free slot when the request was sent
+   * @param timedMillis sum of their times
+   */
+  public record KindDemand(
+      ServiceName service, int priority, int requests, int timedRequests, long timedMillis) {
+    private boolean isValid() {
+      return service != null
+          && priority >= 0
+          && requests >= 0
+          && timedRequests >= 0
+          && timedMillis >= 0;
+    }
+  }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
@@ -1,15 +1,21 @@
 package io.coltsfootwheel.keyspace;
 
+import io.coltsfootwheel.loadcontrol.DemandStatistics;
+import io.coltsfootwheel.loadcontrol.SlotReserve;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 
 /** Load of keys and targets, aggregated by the leader from the reports of the entries. */
 final class LoadStatistics {
   private final Map<ServiceName, KeyLoad> keyLoads = new HashMap<>();
   private final Map<TargetId, TargetLoad> targetLoads = new HashMap<>();
+  private final Map<ServiceName, DemandStatistics> demands = new HashMap<>();
 
   void add(long nowNanos, InstanceId entry, LoadReport report, FleetState state) {
     report.requestsByKey().forEach((service, keys) -> keyLoad(service).add(nowNanos, keys));
@@ -19,11 +25,38 @@
           .ifPresent(
               t -> targetLoad(t.id()).add(nowNanos, entry, t.slots(), o.inFlight(), o.completed()));
     }
+    for (LoadReport.KindDemand d : report.demand()) {
+      demands
+          .computeIfAbsent(d.service(), s -> new DemandStatistics())
+          .add(nowNanos, d.priority(), d.requests(), d.timedRequests(), d.timedMillis());
+    }
   }
 
   void evictIdle(long nowNanos, FleetState state) {
     keyLoads.values().forEach(k -> k.evictIdle(nowNanos));
     targetLoads.keySet().removeIf(id -> state.target(id).isEmpty());
+    demands.values().removeIf(d -> d.slotsByPriority(nowNanos).isEmpty());
+  }
+
+  /** Returns the slots of each service that are reserved against its less urgent requests. */
+  List<ReservedSlots> reservedSlots(long nowNanos, FleetState state) {
+    List<ReservedSlots> reserved = new ArrayList<>();
+    demands.forEach(
+        (service, statistics) -> {
+          SortedMap<Integer, Double> demand = statistics.slotsByPriority(nowNanos);
+          if (demand.size() > 1) {
+            SlotReserve.reservedAgainst(demand, slots(service, state))
+                .forEach((p, slots) -> reserved.add(new ReservedSlots(service, p, slots)));
+          }
+        });
+    return reserved;
+  }
+
+  private static int slots(ServiceName service, FleetState state) {
+    return state.targets().stream()
+        .filter(t -> t.service().equals(service) && t.phase() == TargetPhase.READY)
+        .mapToInt(TargetRecord::slots)
+        .sum();
   }
 
   KeyLoad keyLoad(ServiceName service) {
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -352,6 +352,17 @@
                 TargetRecord::id, t -> loadStatistics.targetLoad(t.id()).estimate(nowNanos)));
   }
 
+  /**
+   * Returns the slots that are reserved for more urgent requests, from the demand that all entries
+   * reported.
+   *
+   * @param nowNanos monotonic time
+   * @return reserved slots of services with requests of several priorities
+   */
+  public List<ReservedSlots> reservedSlots(long nowNanos) {
+    return loadStatistics.reservedSlots(nowNanos, state);
+  }
+
   /**
    * Returns the command that joins the first two adjacent ranges of a target, both of which it was
    * granted and holds according to its report.
--- a/src/main/java/io/coltsfootwheel/node/EntryUpdates.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryUpdates.java
@@ -1,10 +1,13 @@
 package io.coltsfootwheel.node;
 
 import io.coltsfootwheel.consensus.MemberProgress;
+import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.PublishedLoadEstimates;
+import io.coltsfootwheel.keyspace.ReservedSlots;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
 import java.util.HashMap;
@@ -12,8 +15,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
+import java.util.stream.Collectors;
 
 /** Routing updates of one term that the leader sends to the entries. */
 final class EntryUpdates {
@@ -36,6 +41,7 @@
   private final PublishedLoadEstimates loadEstimates = new PublishedLoadEstimates();
 
   private List<InstanceId> entries = List.of();
+  private List<ReservedSlots> reserves = List.of();
   private long viewSequence;
   private long changeSentNanos;
   private long estimatedNanos;
@@ -224,6 +230,26 @@
     }
   }
 
+  /**
+   * Sets the slots that are reserved for more urgent requests; answers state them from now on.
+   * Writes a line when a service gets its first reserve or loses its last one.
+   */
+  void setReserves(List<ReservedSlots> newReserves) {
+    Set<ServiceName> before = servicesOf(reserves);
+    Set<ServiceName> now = servicesOf(newReserves);
+    if (!now.equals(before)) {
+      actions.log(LogEvent.of("slots.reserved").with("reserves", newReserves));
+    }
+    reserves = newReserves;
+  }
+
+  private static Set<ServiceName> servicesOf(List<ReservedSlots> reserves) {
+    return reserves.stream()
+        .filter(r -> r.slots() > 0)
+        .map(ReservedSlots::service)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Sends a new configuration to all subscribed entries. Its version goes to all of them first, so
    * that no entry takes the transfer for the silence of a lost leader.
@@ -277,6 +303,7 @@
         entries.size(),
         facts.memberNames(),
         content.estimateSequence(),
-        content.confirmedNanos());
+        content.confirmedNanos(),
+        content.estimateSequence() > 0 ? Optional.of(reserves) : Optional.empty());
   }
 }
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -228,6 +228,7 @@
   void tick(long nowNanos, List<MemberProgress> progress) {
     groupProgress = progress;
     entryUpdates.updateLoadEstimates(nowNanos, ownership::loadEstimates);
+    entryUpdates.setReserves(ownership.reservedSlots(nowNanos));
     for (FleetCommand command : ownership.tick(nowNanos)) {
       propose(command, committed -> {});
     }
--- a/src/main/java/io/coltsfootwheel/node/NodeMessage.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeMessage.java
@@ -5,6 +5,7 @@
 import io.coltsfootwheel.consensus.ReplicationMessage;
 import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.ReservedSlots;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.link.Frame;
 import io.coltsfootwheel.link.FrameKind;
@@ -99,6 +100,8 @@
    * @param confirmedNanos {@link Subscribe#sentNanos} of the entry's last subscription that arrived
    *     before a quorum confirmed the leadership: the versions that this message states were the
    *     newest at that time of the entry's clock; empty when none was confirmed yet
+   * @param reserves slots that are reserved for more urgent requests; empty in a message that
+   *     carries no load estimates, and from a leader of an earlier version
    */
   record Routing(
       long term,
@@ -111,8 +114,42 @@
       int entries,
       List<InstanceId> members,
       long estimateSequence,
-      OptionalLong confirmedNanos)
-      implements NodeMessage {}
+      OptionalLong confirmedNanos,
+      Optional<List<ReservedSlots>> reserves)
+      implements NodeMessage {
+    /** Replaces missing reserves. */
+    public Routing {
+      reserves = reserves == null ? Optional.empty() : reserves;
+    }
+
+    /** Creates an update without reserves. */
+    Routing(
+        long term,
+        long viewSequence,
+        long configurationVersion,
+        Optional<Configuration> configuration,
+        Optional<OwnershipView> view,
+        Optional<OwnershipView.Change> change,
+        Map<TargetId, TargetLoadEstimate> loadEstimates,
+        int entries,
+        List<InstanceId> members,
+        long estimateSequence,
+        OptionalLong confirmedNanos) {
+      this(
+          term,
+          viewSequence,
+          configurationVersion,
+          configuration,
+          view,
+          change,
+          loadEstimates,
+          entries,
+          members,
+          estimateSequence,
+          confirmedNanos,
+          Optional.empty());
+    }
+  }
 
   /**
    * Message that was encoded before it was addressed, so that its encoding costs the sender the
--- a/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
+++ b/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeName;
 import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.ReservedSlots;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
 import io.coltsfootwheel.model.Address;
@@ -15,11 +16,14 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests messages between processes of this version and of the one before it. */
 class NodeMessageTest {
@@ -106,6 +110,7 @@
     NodeMessage.Routing read =
         ControlCodec.decode(ControlCodec.encode(earlier), NodeMessage.Routing.class);
     assertThat(read.confirmedNanos()).isEmpty();
+    assertThat(read.reserves()).isEmpty();
     assertThat(read.view().orElseThrow().targets().get(0).incarnationMillis()).isZero();
   }
 
@@ -135,6 +140,39 @@
     assertThat(NodeMessage.decode(unconfirmed.toFrame())).isEqualTo(unconfirmed);
   }
 
+  /** Guards against reserves that are lost on their way, or taken for those of an older leader. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void reservesAreTransferred(int count) {
+    NodeMessage.Routing plain = routing(OptionalLong.empty());
+    NodeMessage sent =
+        new NodeMessage.Routing(
+            plain.term(),
+            plain.viewSequence(),
+            plain.configurationVersion(),
+            plain.configuration(),
+            plain.view(),
+            plain.change(),
+            plain.loadEstimates(),
+            plain.entries(),
+            plain.members(),
+            1,
+            plain.confirmedNanos(),
+            Optional.of(Collections.nCopies(count, new ReservedSlots(ServiceName.of("s"), 2, 10))));
+    assertThat(NodeMessage.decode(sent.toFrame())).isEqualTo(sent);
+  }
+
+  /** Guards against a leader that fails on the load report of an entry of the earlier version. */
+  @Test
+  void loadReportOfTheEarlierVersionHasNoDemand() {
+    record EarlierReport(
+        Map<ServiceName, Map<Integer, Integer>> requestsByKey,
+        List<LoadReport.TargetObservation> targets) {}
+
+    byte[] encoded = ControlCodec.encode(new EarlierReport(Map.of(), List.of()));
+    assertThat(ControlCodec.decode(encoded, LoadReport.class)).isEqualTo(NO_LOAD);
+  }
+
   /** Guards against an update that differs after it was encoded once for many entries. */
   @Test
   void encodedUpdateIsReadAsItWas() {
