--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.loadcontrol.PipelineBudget;
+import io.coltsfootwheel.loadcontrol.SelectionStep;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
@@ -11,6 +12,7 @@
 import io.micrometer.core.instrument.binder.BaseUnits;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
@@ -38,6 +40,7 @@
       RoutingState routing,
       RoutingFreshness freshness,
       TargetConnections connections,
+      TargetChooser chooser,
       EventLog log) {
     this.meters = meters;
     this.retries = meters.counter("coltsfootwheel.retries");
@@ -54,6 +57,14 @@
     FunctionCounter.builder(
             "coltsfootwheel.target.connections", connections, TargetConnections::openedCount)
         .register(meters);
+    for (SelectionStep step : SelectionStep.values()) {
+      FunctionCounter.builder(
+              "coltsfootwheel.target.selections", chooser, c -> c.selectionCount(step))
+          .tag("step", step.name().toLowerCase(Locale.ROOT))
+          .register(meters);
+    }
+    FunctionCounter.builder("coltsfootwheel.target.withheld", chooser, TargetChooser::withheldCount)
+        .register(meters);
     FunctionCounter.builder("coltsfootwheel.log.dropped", log, EventLog::dropped).register(meters);
   }
 
