--- a/src/main/java/io/coltsfootwheel/loadcontrol/TokenBucket.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/TokenBucket.java
@@ -32,12 +32,24 @@
    * @return the number of tokens taken
    */
   public int take(long nowNanos, double ratePerSecond, double burst, int maxTokens) {
+    int taken = Math.min(maxTokens, available(nowNanos, ratePerSecond, burst));
+    tokens -= taken;
+    return taken;
+  }
+
+  /**
+   * Returns the whole tokens that can be taken.
+   *
+   * @param nowNanos monotonic time
+   * @param ratePerSecond tokens that are added each second
+   * @param burst largest number of tokens that the bucket holds
+   * @return the number of tokens
+   */
+  public int available(long nowNanos, double ratePerSecond, double burst) {
     double refilled = (nowNanos - lastRefillNanos) * ratePerSecond / NANOS_PER_SECOND;
     tokens = Math.min(burst, tokens + refilled);
     lastRefillNanos = nowNanos;
-    int taken = (int) Math.min(maxTokens, Math.floor(tokens));
-    tokens -= taken;
-    return taken;
+    return (int) Math.floor(tokens);
   }
 
   /**
