Read the limits of cold targets from configuration and settings

Cause: services state warmupS and warmupPerS, settings state warmupOvershoot and warmupSlack; they were ignored. Change: ServicePolicy.warmup (last component, absent in stored configurations), two bounds, OwnershipSettings. The example document of the tests has both fields, because each field must have an example there.

--- a/src/main/java/io/coltsfootwheel/platform/PlatformBound.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformBound.java
@@ -11,7 +11,9 @@
   DRAIN_MILLIS("drainMs", 2_000, 0, 86_400_000),
   RETRY_BUDGET_RATIO("retryBudgetRatio", 0.1, 0, 1_000),
   RETRY_BUDGET_SLACK("retryBudgetSlack", 10, 0, 1_000_000_000),
-  BUDGET_WINDOW_SECONDS("budgetWindowS", 10, 0.001, 86_400);
+  BUDGET_WINDOW_SECONDS("budgetWindowS", 10, 0.001, 86_400),
+  WARMUP_OVERSHOOT("warmupOvershoot", 1.5, 0, 1_000),
+  WARMUP_SLACK("warmupSlack", 8, 0, 1_000_000_000);
 
   private final String wireName;
   private final double defaultValue;
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -166,7 +166,9 @@
         millis(bounds, PlatformBound.CATCH_UP_SECONDS),
         OwnershipSettings.of(
             root.read(HEARTBEAT_MILLIS).orElse(DEFAULT_HEARTBEAT_MILLIS),
-            bounds.get(PlatformBound.MAX_HOLD_MILLIS).longValue()),
+            bounds.get(PlatformBound.MAX_HOLD_MILLIS).longValue(),
+            bounds.get(PlatformBound.WARMUP_OVERSHOOT),
+            bounds.get(PlatformBound.WARMUP_SLACK)),
         Path.of(root.read(DATA_FOLDER)));
   }
 
--- a/src/main/java/io/coltsfootwheel/platform/ServiceJson.java
+++ b/src/main/java/io/coltsfootwheel/platform/ServiceJson.java
@@ -5,7 +5,9 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.routing.GrantMethod;
 import io.coltsfootwheel.routing.ServicePolicy;
+import io.coltsfootwheel.routing.WarmupPolicy;
 import java.util.Map;
+import java.util.Optional;
 
 /** Reads the services of a configuration. */
 final class ServiceJson {
@@ -17,6 +19,10 @@
       FIELDS.optional("sharded", ValueType.flag());
   private static final OptionalField<GrantMethod> GRANTS =
       FIELDS.optional("grants", ValueType.choice(GrantMethod.class));
+  private static final OptionalField<Double> WARMUP_SECONDS =
+      FIELDS.optional("warmupS", ValueType.number(0, Double.MAX_VALUE));
+  private static final OptionalField<Double> WARMUP_PER_SECOND =
+      FIELDS.optional("warmupPerS", ValueType.number(0, Double.MAX_VALUE));
 
   private static final RequiredField<String> HEALTH_PATH =
       FIELDS.required(
@@ -35,7 +41,14 @@
         name,
         spec.read(SHARDED).orElse(false),
         spec.read(MAX_CONNECTIONS),
-        spec.read(GRANTS).orElse(GrantMethod.HEARTBEAT));
+        spec.read(GRANTS).orElse(GrantMethod.HEARTBEAT),
+        readWarmup(spec));
+  }
+
+  /** Reads the limit of cold targets; a time without a rate limits nothing. */
+  private static Optional<WarmupPolicy> readWarmup(JsonValue spec) {
+    double seconds = spec.read(WARMUP_SECONDS).orElse(0.0);
+    return spec.read(WARMUP_PER_SECOND).map(perSecond -> new WarmupPolicy(seconds, perSecond));
   }
 
   /** Checks the fields that the processes do not use; a configuration is read in full. */
--- a/src/test/java/io/coltsfootwheel/platform/ConfigurationExamples.java
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationExamples.java
@@ -22,7 +22,8 @@
       "targetLatencyMs":400,"priority":2,"split":[{"service":"huvo11a","weight":90},\
       {"service":"wuno96b","weight":10}],"maxAttempts":2}},{"resourceType":"services",\
       "metadata":{"name":"huvo11a"},"spec":{"healthPath":"/healthz","maxConnections":130,\
-      "protocol":"h1","tls":false,"sharded":true,"warmS":2.0,"grants":"heartbeat"}},\
+      "protocol":"h1","tls":false,"sharded":true,"warmS":2.0,"grants":"heartbeat",\
+      "warmupS":3.0,"warmupPerS":3.7}},\
       {"resourceType":"services","metadata":{"name":"wuno96b"},"spec":{"healthPath":"/healthz",\
       "maxConnections":130,"protocol":"h1","tls":false}},{"resourceType":"limits","metadata":{},\
       "spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,\
--- a/src/test/java/io/coltsfootwheel/platform/ConfigurationMutationTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ConfigurationMutationTest.java
@@ -12,6 +12,7 @@
 import io.coltsfootwheel.routing.ConfigurationItem;
 import io.coltsfootwheel.routing.Route;
 import io.coltsfootwheel.routing.ServicePolicy;
+import io.coltsfootwheel.routing.WarmupPolicy;
 import io.coltsfootwheel.routing.WeightedService;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -218,6 +219,8 @@
     assertThat((long) service.maxConnections()).isEqualTo(integer(spec, "maxConnections"));
     assertThat(service.grantMethod().name().toLowerCase(Locale.ROOT))
         .isEqualTo(spec.has("grants") ? spec.get("grants").textValue() : "heartbeat");
+    assertThat(service.warmup().map(WarmupPolicy::requestsPerSecond))
+        .isEqualTo(Optional.ofNullable(spec.get("warmupPerS")).map(JsonNode::doubleValue));
   }
 
   private static long integer(JsonNode spec, String name) {
--- a/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
@@ -100,6 +100,8 @@
         "\"graceS=6\"|\"graceS=1e999\"|bounds[3]",
         "\"graceS=6\"|\"graceS=NaN\"|bounds[3]",
         "\"graceS=6\"|\"budgetWindowS=0\"|bounds[3]",
+        "\"graceS=6\"|\"warmupOvershoot=-1\"|bounds[3]",
+        "\"graceS=6\"|\"warmupSlack=many\"|bounds[3]",
         "bounds = [|bounds = \"graceS=6\" #|bounds",
         "front = \"127.0.0.1:8144\"|#|listenAddrs.front",
         "ready = \"127.0.0.1:8140\"|ready = 8140|listenAddrs.ready",
