Send requests to cold targets with permits only

Cause: entries sent cold targets their usual load. Change: TargetStats keeps permits with their expiry. A keyed request for a cold owner waits for a permit or is refused at once; unkeyed requests use a permit when the cold target is fast enough, else a warm target. Waiting requests are decided again when permits arrive. A request that waited for a connection is checked again before it is written.

--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -174,6 +174,7 @@
     use(routing.apply(update), update.configurationVersion());
     relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
     routing.confirmation().ifPresent(this::confirmRouting);
+    update.permits().ifPresent(p -> relay.grantPermits(p.askedNanos(), p.byTarget()));
   }
 
   /** Passes news to the relay; when that fails, all is requested again from the leader. */
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -6,6 +6,8 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
+import io.coltsfootwheel.loadcontrol.PermitLimit;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ClientLimits;
@@ -72,7 +74,9 @@
   private final RelayStop stop;
   private final TargetNoticeReader noticeReader;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
-  private final RoutingFreshness freshness = new RoutingFreshness(System.nanoTime());
+  private final PermitDemand permitDemand = new PermitDemand();
+  private final long startNanos = System.nanoTime();
+  private final RoutingFreshness freshness = new RoutingFreshness(startNanos);
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
   private volatile boolean routingComplete;
@@ -175,6 +179,32 @@
         });
   }
 
+  /**
+   * Adds permits for cold targets, and decides again on the requests that wait for them. Permits
+   * that no question of this process can have asked for belong to an earlier process at the same
+   * address and are ignored.
+   *
+   * @param askedNanos time of {@link System#nanoTime} at which the permits were asked for
+   * @param grants grants by target
+   */
+  public void grantPermits(long askedNanos, Map<TargetId, PermitGrant> grants) {
+    runOnEventLoop(
+        () -> {
+          long nowNanos = System.nanoTime();
+          if (askedNanos - startNanos < 0 || nowNanos - askedNanos < 0) {
+            return;
+          }
+          long endNanos = askedNanos + TimeUnit.MILLISECONDS.toNanos(PermitLimit.VALID_MILLIS);
+          boolean inTime = nowNanos - endNanos < 0;
+          grants.forEach(
+              (id, grant) -> {
+                metrics.countPermits(grant.permits(), inTime);
+                routing.target(id).ifPresent(t -> t.permits().record(nowNanos, grant, endNanos));
+              });
+          List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::permitsArrived));
+        });
+  }
+
   /**
    * Records that routes, or targets and owners, in use were the newest at an earlier time.
    *
@@ -344,13 +374,13 @@
   }
 
   private void notifyRoutingChanged() {
-    List.copyOf(exchanges).forEach(this::notifyRoutingChanged);
+    List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::routingChanged));
   }
 
   /** A request whose decision fails keeps no other one from its own. */
-  private void notifyRoutingChanged(RelayExchange exchange) {
+  private void decideAgain(RelayExchange exchange, Consumer<RelayExchange> decision) {
     try {
-      exchange.routingChanged();
+      decision.accept(exchange);
     } catch (RuntimeException e) {
       log.write(LogEvent.of("request.decision_failed").with("error", e));
     }
@@ -367,7 +397,8 @@
                 target.spec().id(), target.inFlight(), target.takeCompletedCount()));
       }
     }
-    return new LoadReport(requestCounts, observations);
+    return new LoadReport(
+        requestCounts, observations, permitDemand.take(System.nanoTime(), routing));
   }
 
   @Override
@@ -425,6 +456,16 @@
     requestCountsByKey.computeIfAbsent(service, s -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
+  @Override
+  public PermitDemand permitDemand() {
+    return permitDemand;
+  }
+
+  @Override
+  public void countUsedPermit() {
+    metrics.countUsedPermit();
+  }
+
   @Override
   public long leaderContactAgeMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastLeaderContactNanos);
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -29,6 +29,12 @@
   /** Counts a request for a key in the next load report to the leader. */
   void countKey(ServiceName service, int key);
 
+  /** Returns the permits for cold targets that the next load report asks for. */
+  PermitDemand permitDemand();
+
+  /** Counts a permit that was used for a request. */
+  void countUsedPermit();
+
   /** Returns the time since the last contact with the leader. */
   long leaderContactAgeMillis();
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -58,6 +59,12 @@
   private int sendCount;
   private Optional<TargetStats> target = Optional.empty();
 
+  /** Cold target for which the request waits for a permit. */
+  private Optional<TargetStats> awaitedTarget = Optional.empty();
+
+  /** End of the permit with which the request was or will be written; empty for a warm target. */
+  private OptionalLong permitEndNanos = OptionalLong.empty();
+
   /** Incarnation of the target that was called last. */
   private long calledIncarnationMillis;
 
@@ -115,6 +122,9 @@
             .waitedMillis(request.receivedNanos(), route.get().name(), request.deadlineMillis());
     context.retryBudget().recordRequest(request.receivedNanos(), name);
     request.key().ifPresent(key -> context.countKey(name, key));
+    if (!service.get().keyed()) {
+      context.permitDemand().recordUnkeyed(name);
+    }
     decide();
   }
 
@@ -127,6 +137,7 @@
       return;
     }
     completed = true;
+    stopWaitingForPermit();
     context.removeExchange(this);
     boolean idempotent = route.map(r -> r.kind().isIdempotent()).orElse(true);
     if (call.isPresent() && idempotent) {
@@ -147,6 +158,18 @@
     }
   }
 
+  /** Decides again on a request that waits for a permit to be sent to a cold target. */
+  void permitsArrived() {
+    if (awaitedTarget.isPresent()) {
+      routingChanged();
+    }
+  }
+
+  private void stopWaitingForPermit() {
+    awaitedTarget.ifPresent(t -> t.permits().stopWaiting());
+    awaitedTarget = Optional.empty();
+  }
+
   /** Returns whether a target may be working on the request. */
   boolean isForwarded() {
     return call.isPresent() && call.get().isSent();
@@ -173,12 +196,14 @@
       return;
     }
     awaitsRouting = false;
+    boolean awaitsPermit = awaitedTarget.isPresent();
+    stopWaitingForPermit();
     long nowNanos = System.nanoTime();
     if (context.freshness().isOutdated(nowNanos)) {
       refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
-    RequestConstraints constraints = constraints(nowNanos);
+    RequestConstraints constraints = constraints(nowNanos, awaitsPermit);
     RoutingDecision decision =
         service.orElseThrow().keyed()
             ? context
@@ -186,7 +211,7 @@
                 .chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
             : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
     if (decision instanceof RoutingDecision.Send send) {
-      send(send.target(), constraints.remainingMillis());
+      send(send.target(), constraints.remainingMillis(), nowNanos);
     } else if (decision instanceof RoutingDecision.Wait wait) {
       awaitRouting(wait, nowNanos);
     } else if (decision instanceof RoutingDecision.Refuse refusal) {
@@ -195,7 +220,7 @@
     }
   }
 
-  private RequestConstraints constraints(long nowNanos) {
+  private RequestConstraints constraints(long nowNanos, boolean awaitsPermit) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
     return new RequestConstraints(
@@ -204,7 +229,8 @@
         currentRoute.priority(),
         nowNanos,
         remainingMillis(),
-        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis);
+        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis,
+        awaitsPermit);
   }
 
   private void awaitRouting(RoutingDecision.Wait wait, long nowNanos) {
@@ -217,10 +243,12 @@
       return;
     }
     awaitsRouting = true;
+    awaitedTarget = wait.coldTarget();
+    awaitedTarget.ifPresent(t -> t.permits().startWaiting());
     context.schedule(this::routingChanged, remainingWaitMillis + 1);
   }
 
-  private void send(TargetStats chosenTarget, long remainingMillis) {
+  private void send(TargetStats chosenTarget, long remainingMillis, long nowNanos) {
     target = Optional.of(chosenTarget);
     calledIncarnationMillis = chosenTarget.spec().incarnationMillis();
     triedTargets.add(chosenTarget.spec().id());
@@ -228,6 +256,10 @@
     if (sendCount > 1) {
       context.countRetry();
     }
+    permitEndNanos = OptionalLong.empty();
+    if (chosenTarget.isCold()) {
+      takePermit(chosenTarget, nowNanos);
+    }
     chosenTarget.recordSent();
     int maxConnections =
         ConnectionShare.of(service.orElseThrow().maxConnections(), context.routing().entryCount());
@@ -244,6 +276,28 @@
                     new CallOutcome()));
   }
 
+  private void takePermit(TargetStats coldTarget, long nowNanos) {
+    permitEndNanos = coldTarget.permits().take(nowNanos);
+    if (permitEndNanos.isPresent()) {
+      context.countUsedPermit();
+    }
+  }
+
+  /**
+   * Returns whether the request may be written to its target now. If the target has become cold or
+   * the permit has expired while the request waited for a connection, it needs another permit.
+   */
+  private boolean isPermitted(TargetStats chosenTarget, long nowNanos) {
+    if (!chosenTarget.isCold()) {
+      return true;
+    }
+    boolean isValid = permitEndNanos.isPresent() && nowNanos - permitEndNanos.getAsLong() < 0;
+    if (!isValid) {
+      takePermit(chosenTarget, nowNanos);
+    }
+    return permitEndNanos.isPresent();
+  }
+
   /** Handles the outcome of the call in progress. */
   private final class CallOutcome implements CallListener {
     @Override
@@ -251,7 +305,8 @@
       long nowNanos = System.nanoTime();
       return !completed
           && !context.freshness().isOutdated(nowNanos)
-          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos);
+          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos)
+          && isPermitted(target.orElseThrow(), nowNanos);
     }
 
     @Override
@@ -424,6 +479,7 @@
 
   private void complete(RelayResponse response) {
     completed = true;
+    stopWaitingForPermit();
     context.removeExchange(this);
     request.body().release();
     responder.accept(response);
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -26,6 +26,9 @@
 
   private final MeterRegistry meters;
   private final Counter retries;
+  private final Counter grantedPermits;
+  private final Counter usedPermits;
+  private final Counter latePermits;
   private final Map<String, Timer> timerByOutcome = new HashMap<>();
 
   RelayMetrics(
@@ -36,6 +39,11 @@
       EventLog log) {
     this.meters = meters;
     this.retries = meters.counter("coltsfootwheel.retries");
+    this.grantedPermits = meters.counter("coltsfootwheel.permits", "kind", "granted");
+    this.usedPermits = meters.counter("coltsfootwheel.permits", "kind", "used");
+    this.latePermits = meters.counter("coltsfootwheel.permits", "kind", "late");
+    Gauge.builder("coltsfootwheel.targets.cold", routing, RoutingState::coldTargetCount)
+        .register(meters);
     Gauge.builder("coltsfootwheel.configuration.version", routing, r -> r.routes().version())
         .register(meters);
     registerAge("coltsfootwheel.routes.age", freshness, RoutingFreshness::configurationAgeMillis);
@@ -69,6 +77,15 @@
     retries.increment();
   }
 
+  /** Counts permits for cold targets that arrived in time to be used, or too late. */
+  void countPermits(int count, boolean inTime) {
+    (inTime ? grantedPermits : latePermits).increment(count);
+  }
+
+  void countUsedPermit() {
+    usedPermits.increment();
+  }
+
   private Timer timer(String outcome) {
     return Timer.builder("coltsfootwheel.request")
         .tag("outcome", outcome)
--- a/src/main/java/io/coltsfootwheel/relay/RequestConstraints.java
+++ b/src/main/java/io/coltsfootwheel/relay/RequestConstraints.java
@@ -12,6 +12,7 @@
  * @param nowNanos monotonic time
  * @param remainingMillis time until the deadline
  * @param remainingObjectiveMillis time until the latency objective is missed, negative afterwards
+ * @param awaitsPermit whether the request has waited for a permit since it was decided on last
  */
 record RequestConstraints(
     ServiceName service,
@@ -19,4 +20,16 @@
     int priority,
     long nowNanos,
     long remainingMillis,
-    long remainingObjectiveMillis) {}
+    long remainingObjectiveMillis,
+    boolean awaitsPermit) {
+  /** Creates the properties of a request that has not waited for a permit. */
+  RequestConstraints(
+      ServiceName service,
+      RouteKind kind,
+      int priority,
+      long nowNanos,
+      long remainingMillis,
+      long remainingObjectiveMillis) {
+    this(service, kind, priority, nowNanos, remainingMillis, remainingObjectiveMillis, false);
+  }
+}
--- a/src/main/java/io/coltsfootwheel/relay/RoutingDecision.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingDecision.java
@@ -12,8 +12,15 @@
    *
    * @param maxWaitMillis longest time to wait
    * @param reason why it cannot be sent now
+   * @param coldTarget target for which it needs a permit, or empty if it waits for another reason
    */
-  record Wait(long maxWaitMillis, String reason) implements RoutingDecision {}
+  record Wait(long maxWaitMillis, String reason, Optional<TargetStats> coldTarget)
+      implements RoutingDecision {
+    /** Waits for a change of ownership. */
+    Wait(long maxWaitMillis, String reason) {
+      this(maxWaitMillis, reason, Optional.empty());
+    }
+  }
 
   /**
    * Refuses the request, which was not executed.
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -31,6 +31,10 @@
   private Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> rangesByService = Map.of();
   private RouteTable routes = RouteTable.empty();
   private Set<TargetId> unusableTargets = Set.of();
+
+  /** Cold targets of the last view; read by metrics on other threads. */
+  private volatile int coldTargetCount;
+
   private boolean hasOwnership;
   private int entryCount = 1;
   private OptionalLong estimatesConfirmedNanos = OptionalLong.empty();
@@ -64,6 +68,8 @@
       byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(stats);
     }
     unusableTargets = unusable;
+    coldTargetCount =
+        (int) byService.values().stream().flatMap(List::stream).filter(TargetStats::isCold).count();
     targets.keySet().removeAll(removed);
     Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> ranges = new HashMap<>();
     for (OwnershipView.Range range : view.ranges()) {
@@ -118,6 +124,10 @@
     return hasOwnership && routes.version() > 0;
   }
 
+  int coldTargetCount() {
+    return coldTargetCount;
+  }
+
   int entryCount() {
     return entryCount;
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -40,6 +40,12 @@
 
   private static final long MIN_WAIT_MILLIS = 20;
 
+  /**
+   * Time until a permit can arrive: half of the interval between two reports, a tick of the leader,
+   * a quorum round, and the way there and back.
+   */
+  private static final long PERMIT_DELAY_MILLIS = 120;
+
   /**
    * Penalties of targets that are used only as a last resort. Their sizes set the preference: first
    * a target that is not ready, then a suspect one, then one that was already tried.
@@ -50,6 +56,7 @@
   private static final double TRIED_PENALTY_MILLIS = 1e7;
 
   private static final String PAUSED = "target wants no requests for a time";
+  private static final String COLD = "target is cold and its permits are used";
 
   private final UniformRandomProvider random;
   private final AvailabilityZone zone;
@@ -84,7 +91,27 @@
     if (owner.get().isSuspect(nowNanos)) {
       return new RoutingDecision.Refuse("owner does not answer", MAX_RETRY_DELAY_MILLIS);
     }
-    return AdmissionPolicy.admit(owner.get(), constraints);
+    return owner.get().isCold()
+        ? chooseCold(owner.get(), constraints)
+        : AdmissionPolicy.admit(owner.get(), constraints);
+  }
+
+  /**
+   * Decides on a request for a cold target: it is sent with a permit only. When entries wait for
+   * more permits than are granted within the longest wait, only a share of the requests waits.
+   */
+  private RoutingDecision chooseCold(TargetStats target, RequestConstraints constraints) {
+    if (target.permits().available(constraints.nowNanos()) > 0) {
+      return AdmissionPolicy.admit(target, constraints);
+    }
+    long maxWaitMillis = (long) (constraints.remainingMillis() * MAX_WAIT_RATIO);
+    long fleetWaitMillis = target.permits().waitMillis(constraints.nowNanos());
+    boolean waits =
+        constraints.awaitsPermit() || random.nextDouble() * fleetWaitMillis < maxWaitMillis;
+    if (maxWaitMillis < PERMIT_DELAY_MILLIS || !waits) {
+      return refuseFor(COLD, Math.max(PERMIT_DELAY_MILLIS, fleetWaitMillis));
+    }
+    return new RoutingDecision.Wait(maxWaitMillis, COLD, Optional.of(target));
   }
 
   /**
@@ -97,10 +124,21 @@
       RoutingState routing, Set<TargetId> triedTargets, RequestConstraints constraints) {
     double othersWeight = routing.loadEstimateWeight(constraints.nowNanos());
     List<TargetStats> targets = routing.targetsOf(constraints.service());
-    List<TargetStats> candidates =
+    List<TargetStats> usable =
         targets.stream()
             .filter(t -> t.acceptsRequests(constraints.nowNanos(), drainMillis))
             .toList();
+    List<TargetStats> cold =
+        usable.stream().filter(t -> t.isCold() && !t.isSuspect(constraints.nowNanos())).toList();
+    Optional<TargetStats> toWarmUp =
+        ColdTargetPolicy.targetToWarmUp(cold, triedTargets, constraints);
+    if (toWarmUp.isPresent()) {
+      return new RoutingDecision.Send(toWarmUp.get());
+    }
+    List<TargetStats> candidates = usable.stream().filter(t -> !t.isCold()).toList();
+    if (candidates.isEmpty() && !cold.isEmpty()) {
+      return chooseCold(ColdTargetPolicy.leastAwaited(cold, constraints), constraints);
+    }
     if (candidates.isEmpty()) {
       return refuseWithoutCandidates(targets, constraints.nowNanos());
     }
@@ -160,11 +198,14 @@
   private static RoutingDecision waitOrRefuse(
       String reason, long readyInMillis, long remainingMillis) {
     if (readyInMillis > remainingMillis * MAX_WAIT_RATIO) {
-      return new RoutingDecision.Refuse(
-          reason,
-          Math.min(MAX_RETRY_DELAY_MILLIS, Math.max(MIN_RETRY_DELAY_MILLIS, readyInMillis)));
+      return refuseFor(reason, readyInMillis);
     }
     return new RoutingDecision.Wait(
         Math.max(MIN_WAIT_MILLIS, (long) (remainingMillis * MAX_WAIT_RATIO)), reason);
   }
+
+  private static RoutingDecision refuseFor(String reason, long readyInMillis) {
+    return new RoutingDecision.Refuse(
+        reason, Math.min(MAX_RETRY_DELAY_MILLIS, Math.max(MIN_RETRY_DELAY_MILLIS, readyInMillis)));
+  }
 }
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.WarmupState;
 import io.coltsfootwheel.model.TargetNotices;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -31,7 +32,9 @@
   private static final long DRAIN_MARGIN_MILLIS =
       TargetConnections.CONNECT_TIMEOUT_MILLIS + TRANSIT_MARGIN_MILLIS;
 
+  private final TargetPermits permits = new TargetPermits();
   private OwnershipView.Target spec;
+  private boolean isCold;
   private TargetNotices notices = new TargetNotices();
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private int reportedInFlight;
@@ -61,9 +64,14 @@
       notReadySinceNanos = changeNanos;
       isDrainStartKnown = spec != null;
     }
-    if (spec != null && spec.incarnationMillis() != newSpec.incarnationMillis()) {
+    boolean isKnownIncarnation =
+        spec != null && spec.incarnationMillis() == newSpec.incarnationMillis();
+    if (spec != null && !isKnownIncarnation) {
       notices = new TargetNotices();
     }
+    isCold =
+        newSpec.warmup() == WarmupState.COLD
+            || newSpec.warmup() == WarmupState.UNKNOWN && isKnownIncarnation && isCold;
     spec = newSpec;
   }
 
@@ -77,6 +85,16 @@
     return spec.phase() != TargetPhase.READY || notices.isLeaving();
   }
 
+  /** Returns whether requests may be sent to the target only with a permit. */
+  boolean isCold() {
+    return isCold;
+  }
+
+  /** Returns the permits for the time in which the target is cold. */
+  TargetPermits permits() {
+    return permits;
+  }
+
   /** Returns the time for which the target has asked to receive no requests, 0 for none. */
   long remainingPauseMillis(long nowNanos) {
     return notices.remainingPauseMillis(nowNanos);
--- a/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetChooserTest.java
@@ -6,6 +6,8 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.WarmupState;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
@@ -16,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,6 +38,12 @@
       new TargetChooser(RandomSource.SPLIT_MIX_64.create(2), AvailabilityZone.of("remote"), 2_000);
 
   static RoutingState routing(int targetCount, boolean granted, int readyInMillis) {
+    return routing(targetCount, granted, readyInMillis, 0);
+  }
+
+  /** Returns the state with targets of which the first ones are cold. */
+  private static RoutingState routing(
+      int targetCount, boolean granted, int readyInMillis, int coldCount) {
     List<OwnershipView.Target> targetViews = new ArrayList<>();
     for (int i = 0; i < targetCount; i++) {
       targetViews.add(
@@ -45,7 +54,9 @@
               AvailabilityZone.of("z" + i),
               2,
               TargetPhase.READY,
-              1));
+              1,
+              false,
+              i < coldCount ? WarmupState.COLD : WarmupState.WARM));
     }
     RoutingState routing = new RoutingState();
     routing.updateOwnership(
@@ -162,6 +173,59 @@
     assertThat(requests.values()).allMatch(n -> n < 2 * REQUESTS_PER_TARGET);
   }
 
+  /** Guards against a wait for a permit that ends too late, and against a refusal too early. */
+  @ParameterizedTest
+  @CsvSource({"0, 0, 1000, Wait", "1, 0, 1000, Send", "0, 0, 100, Refuse", "0, 60000, 100, Refuse"})
+  void keyedRequestForAColdOwnerNeedsAPermit(
+      int permits, int waitMillis, long remainingMillis, String expected) {
+    RoutingState routing = routing(1, true, 0, 1);
+    owner(routing, 0).permits().record(1, new PermitGrant(permits, waitMillis), 1_000);
+    RoutingDecision decision =
+        chooser.chooseOwner(routing, 5, constraints(1, remainingMillis, remainingMillis));
+    assertThat(decision.getClass().getSimpleName()).isEqualTo(expected);
+  }
+
+  /** Guards against a wait of all requests for permits that suffice for few of them. */
+  @Test
+  void onlyAShareOfTheRequestsWaitsForScarcePermits() {
+    RoutingState routing = routing(1, true, 0, 1);
+    owner(routing, 0).permits().record(1, new PermitGrant(0, 6_000), 1_000);
+    int waiting = 0;
+    for (int i = 0; i < 1_000; i++) {
+      RoutingDecision decision = chooser.chooseOwner(routing, 5, constraints(1, 1_000, 1_000));
+      waiting += decision instanceof RoutingDecision.Wait ? 1 : 0;
+    }
+    assertThat(waiting).isBetween(50, 150);
+  }
+
+  /**
+   * Guards against unkeyed requests that a cold target receives without a permit, or that it would
+   * serve too late while warm targets serve them in time, and against permits that are never used.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "1, 2, 400, 200, t0",
+    "0, 2, 400, 200, t1",
+    "1, 2, 150, 200, t1",
+    "1, 2, 150, 90, t0",
+    "1, 1, 400, 200, t0",
+    "0, 1, 400, 200, Wait"
+  })
+  void unkeyedRequestUsesAPermitWhenTheColdTargetIsFastEnough(
+      int permits, int targets, long objectiveMillis, long validMillis, String expected) {
+    RoutingState routing = routing(targets, true, 0, 1);
+    owner(routing, 0)
+        .permits()
+        .record(1, new PermitGrant(permits, 0), TimeUnit.MILLISECONDS.toNanos(validMillis));
+    RoutingDecision decision =
+        chooser.chooseAny(routing, Set.of(), constraints(1, 1_000, objectiveMillis));
+    assertThat(
+            decision instanceof RoutingDecision.Send send
+                ? send.target().spec().id().value()
+                : decision.getClass().getSimpleName())
+        .isEqualTo(expected);
+  }
+
   /** Guards against downloads from another zone while the local zone has capacity. */
   @Test
   void downloadStaysInTheLocalZone() {
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -4,6 +4,7 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.WarmupState;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
@@ -64,7 +65,32 @@
     assertThat(new TargetStats(spec(TargetPhase.DRAINING), 0).acceptsRequests(0, 2_000)).isFalse();
   }
 
+  /**
+   * Guards against the loss of what an entry knows when a new leader knows nothing yet, and against
+   * a state that is taken over from an earlier incarnation.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "UNKNOWN, 1, UNKNOWN, false",
+    "COLD, 1, UNKNOWN, true",
+    "COLD, 2, UNKNOWN, false",
+    "COLD, 1, WARM, false",
+    "WARM, 1, UNKNOWN, false",
+    "WARM, 1, COLD, true"
+  })
+  void unknownWarmupStateKeepsWhatIsKnownOfTheIncarnation(
+      WarmupState before, long incarnationMillis, WarmupState after, boolean expected) {
+    TargetStats target = new TargetStats(spec(TargetPhase.READY, 1, before), 0);
+    target.updateSpec(spec(TargetPhase.READY, incarnationMillis, after), 0);
+    assertThat(target.isCold()).isEqualTo(expected);
+  }
+
   private static OwnershipView.Target spec(TargetPhase phase) {
+    return spec(phase, 1, WarmupState.UNKNOWN);
+  }
+
+  private static OwnershipView.Target spec(
+      TargetPhase phase, long incarnationMillis, WarmupState warmup) {
     return new OwnershipView.Target(
         TargetId.of("a"),
         ServiceName.of("s"),
@@ -72,7 +98,9 @@
         AvailabilityZone.of("z"),
         2,
         phase,
-        1);
+        incarnationMillis,
+        false,
+        warmup);
   }
 
   /** Guards against a cancelled request that the leader counts as in flight for another second. */
