Ask for no permits of leaving targets, and bound the sum of demands

Cause: a leaving cold target was asked for permits that nothing uses; the sum of demands could overflow. Change: PermitDemand leaves such targets out; PermitIssuer sums as double. Result: ColdFleetTest, ColdTargetsTest, ColdTargetRelayTest, PermitLimitTest, TargetChooserTest pass.

--- a/src/main/java/io/coltsfootwheel/loadcontrol/PermitIssuer.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/PermitIssuer.java
@@ -86,7 +86,7 @@
     if (rate <= 0) {
       return MAX_WAIT_MILLIS;
     }
-    int missing = bucket.demands.values().stream().mapToInt(Demand::missing).sum();
+    double missing = bucket.demands.values().stream().mapToDouble(Demand::missing).sum();
     return (int) Math.min(MAX_WAIT_MILLIS, missing * TimeUnit.SECONDS.toMillis(1) / rate);
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/PermitDemand.java
+++ b/src/main/java/io/coltsfootwheel/relay/PermitDemand.java
@@ -33,7 +33,8 @@
 
   /** Returns the permits to ask for, by target, and forgets the recorded requests. */
   Map<TargetId, Integer> take(long nowNanos, RoutingState routing) {
-    List<TargetStats> cold = routing.targets().stream().filter(TargetStats::isCold).toList();
+    List<TargetStats> cold =
+        routing.targets().stream().filter(t -> t.isCold() && !t.isLeaving()).toList();
     List<Wish> wishes = new ArrayList<>();
     for (TargetStats target : cold) {
       ServiceName service = target.spec().service();
