--- a/src/test/java/io/coltsfootwheel/relay/ColdTargetRelayTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/ColdTargetRelayTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -71,22 +72,28 @@
     }
   }
 
-  /** Guards against requests that are sent without a permit, or that wait on when one is there. */
+  /**
+   * Guards against requests that are sent without a permit, on a new connection or on an idle one,
+   * or that wait on when a permit is there.
+   */
   @Test
   void eachPermitSendsOneWaitingRequest() {
-    CompletableFuture<HttpResponse<String>> one = entry.send(KEYED, "one");
-    CompletableFuture<HttpResponse<String>> two = entry.send(KEYED, "two");
-    awaitDemand(2);
+    int requests = 4;
+    List<CompletableFuture<HttpResponse<String>>> responses =
+        IntStream.range(0, requests).mapToObj(i -> entry.send(KEYED, "r" + i)).toList();
+    awaitDemand(requests);
     assertThat(target.requests()).isEmpty();
-    grant(System.nanoTime(), 1);
-    assertThat(CompletableFuture.anyOf(one, two).join())
-        .extracting(r -> ((HttpResponse<?>) r).statusCode())
-        .isEqualTo(200);
-    awaitDemand(1);
-    assertThat(target.requests()).hasSize(1);
+    for (int granted = 1; granted <= 2; granted++) {
+      grant(System.nanoTime(), 1);
+      int expected = granted;
+      while (responses.stream().filter(CompletableFuture::isDone).count() < expected) {
+        Thread.onSpinWait();
+      }
+      awaitDemand(requests - granted);
+      assertThat(target.requests()).hasSize(granted);
+    }
     publish(WarmupState.WARM);
-    assertThat(one.join().statusCode()).isEqualTo(200);
-    assertThat(two.join().statusCode()).isEqualTo(200);
+    responses.forEach(r -> assertThat(r.join().statusCode()).isEqualTo(200));
     assertThat(report().permitRequests()).isEmpty();
   }
 
