--- a/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
@@ -106,6 +106,21 @@
         .isPresent();
   }
 
+  /**
+   * Returns whether a target is warming up by its last report of this term. After the evacuation of
+   * its zone a target counts as cold until it reports, because it may have become cold meanwhile.
+   */
+  WarmupState warmupState(long nowNanos, TargetId target) {
+    Optional<TargetHeartbeat> heartbeat = find(target);
+    if (heartbeat.filter(h -> !h.hasReportedSinceEvacuation()).isPresent()) {
+      return WarmupState.COLD;
+    }
+    return heartbeat
+        .filter(h -> h.reports() > 0)
+        .map(h -> h.isWarmedUp(nowNanos) ? WarmupState.WARM : WarmupState.COLD)
+        .orElse(WarmupState.UNKNOWN);
+  }
+
   /** Returns whether a target has reported to this leader, and recently enough to receive keys. */
   boolean isReporting(long nowNanos, TargetId target) {
     long maxAgeMillis = (long) (MAX_REPORT_AGE_INTERVALS * settings.reportIntervalMillis());
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
@@ -13,27 +13,31 @@
  * @param requestsByKey requests per service and key
  * @param targets observations of targets
  * @param demand requests by service and priority; empty from an entry of an earlier version
+ * @param permitRequests permits that the entry asks for, by cold target; empty when the entry is of
+ *     an earlier version
  */
 public record LoadReport(
     Map<ServiceName, Map<Integer, Integer>> requestsByKey,
     List<TargetObservation> targets,
-    List<KindDemand> demand) {
-  /** Copies the collections, and replaces a missing demand. */
+    List<KindDemand> demand,
+    Map<TargetId, Integer> permitRequests) {
+  /** Copies the collections, and replaces missing ones. */
   public LoadReport {
     requestsByKey = Map.copyOf(requestsByKey);
     targets = List.copyOf(targets);
     demand = demand == null ? List.of() : List.copyOf(demand);
+    permitRequests = permitRequests == null ? Map.of() : Map.copyOf(permitRequests);
   }
 
   /**
-   * Creates a report without demand by priority.
+   * Creates a report without demand by priority and without requests for permits.
    *
    * @param requestsByKey requests per service and key
    * @param targets observations of targets
    */
   public LoadReport(
       Map<ServiceName, Map<Integer, Integer>> requestsByKey, List<TargetObservation> targets) {
-    this(requestsByKey, targets, List.of());
+    this(requestsByKey, targets, List.of(), Map.of());
   }
 
   /**
@@ -52,7 +56,8 @@
     }
     Map<ServiceName, Map<Integer, Integer>> valid = new HashMap<>();
     requestsByKey.forEach((service, counts) -> valid.put(service, validCounts(counts)));
-    return new LoadReport(valid, targets, demand.stream().filter(KindDemand::isValid).toList());
+    return new LoadReport(
+        valid, targets, demand.stream().filter(KindDemand::isValid).toList(), permitRequests);
   }
 
   private static Map<Integer, Integer> validCounts(Map<Integer, Integer> counts) {
--- a/src/main/java/io/coltsfootwheel/node/NodeMessage.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeMessage.java
@@ -9,6 +9,7 @@
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.link.Frame;
 import io.coltsfootwheel.link.FrameKind;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.ControlCodec;
 import io.coltsfootwheel.model.Deflate;
@@ -102,6 +103,8 @@
    *     newest at that time of the entry's clock; empty when none was confirmed yet
    * @param reserves slots that are reserved for more urgent requests; empty in a message that
    *     carries no load estimates, and from a leader of an earlier version
+   * @param permits permits for cold targets that this entry asked for; null in a message of an
+   *     earlier version becomes empty
    */
   record Routing(
       long term,
@@ -115,14 +118,34 @@
       List<InstanceId> members,
       long estimateSequence,
       OptionalLong confirmedNanos,
-      Optional<List<ReservedSlots>> reserves)
+      Optional<List<ReservedSlots>> reserves,
+      Optional<Permits> permits)
       implements NodeMessage {
-    /** Replaces missing reserves. */
+    /** Replaces missing reserves and permits. */
     public Routing {
       reserves = reserves == null ? Optional.empty() : reserves;
+      permits = permits == null ? Optional.empty() : permits;
     }
 
-    /** Creates an update without reserves. */
+    /** Returns this update with permits for its receiver. */
+    Routing withPermits(Permits granted) {
+      return new Routing(
+          term,
+          viewSequence,
+          configurationVersion,
+          configuration,
+          view,
+          change,
+          loadEstimates,
+          entries,
+          members,
+          estimateSequence,
+          confirmedNanos,
+          reserves,
+          Optional.of(granted));
+    }
+
+    /** Creates an update without reserves and permits. */
     Routing(
         long term,
         long viewSequence,
@@ -147,10 +170,20 @@
           members,
           estimateSequence,
           confirmedNanos,
+          Optional.empty(),
           Optional.empty());
     }
   }
 
+  /**
+   * Permits for cold targets.
+   *
+   * @param askedNanos {@link Subscribe#sentNanos} of the subscription that asked for them; their
+   *     validity counts from that time of the entry's clock
+   * @param byTarget grants by target
+   */
+  record Permits(long askedNanos, Map<TargetId, PermitGrant> byTarget) {}
+
   /**
    * Message that was encoded before it was addressed, so that its encoding costs the sender the
    * same for one receiver as for hundreds.
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -7,6 +7,8 @@
 import io.coltsfootwheel.keyspace.ReservedSlots;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
+import io.coltsfootwheel.loadcontrol.PermitLimit;
 import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
@@ -96,7 +98,9 @@
   private final RelayStop stop;
   private final TargetNoticeReader noticeReader;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
-  private final RoutingFreshness freshness = new RoutingFreshness(System.nanoTime());
+  private final PermitDemand permitDemand = new PermitDemand();
+  private final long startNanos = System.nanoTime();
+  private final RoutingFreshness freshness = new RoutingFreshness(startNanos);
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
   private volatile boolean routingComplete;
@@ -221,6 +225,32 @@
     runOnEventLoop(() -> priorityReserve.update(System.nanoTime(), reserves));
   }
 
+  /**
+   * Adds permits for cold targets, and decides again on the requests that wait for them. Permits
+   * that no question of this process can have asked for belong to an earlier process at the same
+   * address and are ignored.
+   *
+   * @param askedNanos time of {@link System#nanoTime} at which the permits were asked for
+   * @param grants grants by target
+   */
+  public void grantPermits(long askedNanos, Map<TargetId, PermitGrant> grants) {
+    runOnEventLoop(
+        () -> {
+          long nowNanos = System.nanoTime();
+          if (askedNanos - startNanos < 0 || nowNanos - askedNanos < 0) {
+            return;
+          }
+          long endNanos = askedNanos + TimeUnit.MILLISECONDS.toNanos(PermitLimit.VALID_MILLIS);
+          boolean inTime = nowNanos - endNanos < 0;
+          grants.forEach(
+              (id, grant) -> {
+                metrics.countPermits(grant.permits(), inTime);
+                routing.target(id).ifPresent(t -> t.permits().record(nowNanos, grant, endNanos));
+              });
+          List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::permitsArrived));
+        });
+  }
+
   /**
    * Records that routes, or targets and owners, in use were the newest at an earlier time.
    *
@@ -444,13 +474,13 @@
   }
 
   private void notifyRoutingChanged() {
-    List.copyOf(exchanges).forEach(this::notifyRoutingChanged);
+    List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::routingChanged));
   }
 
   /** A request whose decision fails keeps no other one from its own. */
-  private void notifyRoutingChanged(RelayExchange exchange) {
+  private void decideAgain(RelayExchange exchange, Consumer<RelayExchange> decision) {
     try {
-      exchange.routingChanged();
+      decision.accept(exchange);
     } catch (RuntimeException e) {
       recordDecisionFailure(e);
     }
@@ -472,7 +502,10 @@
       }
     }
     return new LoadReport(
-        requestCounts, observations, priorityReserve.takeReport(System.nanoTime()));
+        requestCounts,
+        observations,
+        priorityReserve.takeReport(System.nanoTime()),
+        permitDemand.take(System.nanoTime(), routing));
   }
 
   @Override
@@ -535,6 +568,16 @@
     requestCountsByKey.computeIfAbsent(service, s -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
+  @Override
+  public PermitDemand permitDemand() {
+    return permitDemand;
+  }
+
+  @Override
+  public void countUsedPermit() {
+    metrics.countUsedPermit();
+  }
+
   @Override
   public long leaderContactAgeMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastLeaderContactNanos);
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -60,6 +60,12 @@
   private int sendCount;
   private Optional<TargetStats> target = Optional.empty();
 
+  /** Cold target for which the request waits for a permit. */
+  private Optional<TargetStats> awaitedTarget = Optional.empty();
+
+  /** End of the permit with which the request was or will be written; empty for a warm target. */
+  private OptionalLong permitEndNanos = OptionalLong.empty();
+
   /** Incarnation of the target that was called last. */
   private long calledIncarnationMillis;
 
@@ -127,6 +133,9 @@
     context.retryBudget().recordRequest(request.receivedNanos(), name);
     context.priorityReserve().recordRequest(name, route.get().priority());
     request.key().ifPresent(key -> context.countKey(name, key));
+    if (!service.get().keyed()) {
+      context.permitDemand().recordUnkeyed(name);
+    }
     decide();
   }
 
@@ -139,6 +148,7 @@
       return;
     }
     completed = true;
+    stopWaitingForPermit();
     context.removeExchange(this);
     if (call.isPresent() && isIdempotent()) {
       call.get().cancel();
@@ -184,6 +194,18 @@
     }
   }
 
+  /** Decides again on a request that waits for a permit to be sent to a cold target. */
+  void permitsArrived() {
+    if (awaitedTarget.isPresent()) {
+      routingChanged();
+    }
+  }
+
+  private void stopWaitingForPermit() {
+    awaitedTarget.ifPresent(t -> t.permits().stopWaiting());
+    awaitedTarget = Optional.empty();
+  }
+
   /** Returns whether a target may be working on the request. */
   boolean isForwarded() {
     return call.isPresent() && call.get().isSent();
@@ -210,12 +232,14 @@
       return;
     }
     awaitsRouting = false;
+    boolean awaitsPermit = awaitedTarget.isPresent();
+    stopWaitingForPermit();
     long nowNanos = System.nanoTime();
     if (context.freshness().isOutdated(nowNanos)) {
       refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
-    RequestConstraints constraints = constraints(nowNanos);
+    RequestConstraints constraints = constraints(nowNanos, awaitsPermit);
     RoutingDecision decision =
         service.orElseThrow().keyed()
             ? context
@@ -223,7 +247,7 @@
                 .chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
             : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
     if (decision instanceof RoutingDecision.Send send) {
-      send(send.target(), constraints.remainingMillis());
+      send(send.target(), constraints.remainingMillis(), nowNanos);
     } else if (decision instanceof RoutingDecision.Wait wait) {
       awaitRouting(wait, nowNanos);
     } else if (decision instanceof RoutingDecision.Refuse refusal) {
@@ -232,7 +256,7 @@
     }
   }
 
-  private RequestConstraints constraints(long nowNanos) {
+  private RequestConstraints constraints(long nowNanos, boolean awaitsPermit) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
     return new RequestConstraints(
@@ -241,7 +265,8 @@
         currentRoute.priority(),
         nowNanos,
         remainingMillis(),
-        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis);
+        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis,
+        awaitsPermit);
   }
 
   private void awaitRouting(RoutingDecision.Wait wait, long nowNanos) {
@@ -254,10 +279,12 @@
       return;
     }
     awaitsRouting = true;
+    awaitedTarget = wait.coldTarget();
+    awaitedTarget.ifPresent(t -> t.permits().startWaiting());
     context.schedule(this::routingChanged, remainingWaitMillis + 1);
   }
 
-  private void send(TargetStats chosenTarget, long remainingMillis) {
+  private void send(TargetStats chosenTarget, long remainingMillis, long nowNanos) {
     target = Optional.of(chosenTarget);
     calledIncarnationMillis = chosenTarget.spec().incarnationMillis();
     triedTargets.add(chosenTarget.spec().id());
@@ -267,6 +294,10 @@
     }
     sentToFreeSlotNanos =
         chosenTarget.hasFreeSlot() ? OptionalLong.of(System.nanoTime()) : OptionalLong.empty();
+    permitEndNanos = OptionalLong.empty();
+    if (chosenTarget.isCold()) {
+      takePermit(chosenTarget, nowNanos);
+    }
     chosenTarget.recordSent();
     int maxConnections =
         ConnectionShare.of(service.orElseThrow().maxConnections(), context.routing().entryCount());
@@ -283,6 +314,28 @@
                     new CallOutcome()));
   }
 
+  private void takePermit(TargetStats coldTarget, long nowNanos) {
+    permitEndNanos = coldTarget.permits().take(nowNanos);
+    if (permitEndNanos.isPresent()) {
+      context.countUsedPermit();
+    }
+  }
+
+  /**
+   * Returns whether the request may be written to its target now. If the target has become cold or
+   * the permit has expired while the request waited for a connection, it needs another permit.
+   */
+  private boolean isPermitted(TargetStats chosenTarget, long nowNanos) {
+    if (!chosenTarget.isCold()) {
+      return true;
+    }
+    boolean isValid = permitEndNanos.isPresent() && nowNanos - permitEndNanos.getAsLong() < 0;
+    if (!isValid) {
+      takePermit(chosenTarget, nowNanos);
+    }
+    return permitEndNanos.isPresent();
+  }
+
   /** Handles the outcome of the call in progress. */
   private final class CallOutcome implements CallListener {
     @Override
@@ -290,7 +343,8 @@
       long nowNanos = System.nanoTime();
       return !completed
           && !context.freshness().isOutdated(nowNanos)
-          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos);
+          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos)
+          && isPermitted(target.orElseThrow(), nowNanos);
     }
 
     @Override
@@ -473,6 +527,7 @@
 
   private void complete(RelayResponse response) {
     completed = true;
+    stopWaitingForPermit();
     context.removeExchange(this);
     context.releaseBody(request);
     responder.accept(response);
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -36,6 +36,9 @@
   /** Replaced as a whole; metrics read it on other threads. */
   private volatile Set<AvailabilityZone> evacuatedZones = Set.of();
 
+  /** Cold targets of the last view; read by metrics on other threads. */
+  private volatile int coldTargetCount;
+
   private boolean hasOwnership;
   private int entryCount = 1;
   private OptionalLong estimatesConfirmedNanos = OptionalLong.empty();
@@ -79,6 +82,8 @@
     }
     unusableTargets = unusable;
     evacuatedZones = evacuated;
+    coldTargetCount =
+        (int) byService.values().stream().flatMap(List::stream).filter(TargetStats::isCold).count();
     targets.keySet().removeAll(removed);
     Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> ranges = new HashMap<>();
     for (OwnershipView.Range range : view.ranges()) {
@@ -138,6 +143,10 @@
     return hasOwnership && routes.version() > 0;
   }
 
+  int coldTargetCount() {
+    return coldTargetCount;
+  }
+
   int entryCount() {
     return entryCount;
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.WarmupState;
 import io.coltsfootwheel.model.TargetNotices;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -32,7 +33,9 @@
   private static final long DRAIN_MARGIN_MILLIS =
       TargetConnections.CONNECT_TIMEOUT_MILLIS + TRANSIT_MARGIN_MILLIS;
 
+  private final TargetPermits permits = new TargetPermits();
   private OwnershipView.Target spec;
+  private boolean isCold;
   private TargetNotices notices = new TargetNotices();
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private int reportedInFlight;
@@ -78,9 +81,23 @@
       notices = new TargetNotices();
       recordJoined(changeNanos);
     }
+    isCold = isColdBy(newSpec);
     spec = newSpec;
   }
 
+  /**
+   * Returns whether the target is cold by new properties. A state that the leader does not know yet
+   * stays as it was, but a target whose evacuation ended may have become cold meanwhile.
+   */
+  private boolean isColdBy(OwnershipView.Target newSpec) {
+    if (newSpec.warmup() != WarmupState.UNKNOWN) {
+      return newSpec.warmup() == WarmupState.COLD;
+    }
+    boolean isKnown = spec != null && spec.incarnationMillis() == newSpec.incarnationMillis();
+    boolean evacuationEnds = isKnown && spec.evacuated() && !newSpec.evacuated();
+    return evacuationEnds || isKnown && isCold;
+  }
+
   /** Records that the target joined while this entry knew the others of its service. */
   void recordJoined(long nowNanos) {
     joinedNanos = OptionalLong.of(nowNanos);
@@ -106,6 +123,16 @@
     return spec.evacuated();
   }
 
+  /** Returns whether requests may be sent to the target only with a permit. */
+  boolean isCold() {
+    return isCold;
+  }
+
+  /** Returns the permits for the time in which the target is cold. */
+  TargetPermits permits() {
+    return permits;
+  }
+
   /** Returns the time for which the target has asked to receive no requests, 0 for none. */
   long remainingPauseMillis(long nowNanos) {
     return notices.remainingPauseMillis(nowNanos);
--- a/src/test/java/io/coltsfootwheel/keyspace/LoadStatisticsTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/LoadStatisticsTest.java
@@ -58,7 +58,7 @@
         statistics.add(
             nowNanos,
             InstanceId.of("e" + entry),
-            new LoadReport(Map.of(), List.of(), demand),
+            new LoadReport(Map.of(), List.of(), demand, Map.of()),
             state());
       }
     }
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -112,15 +112,60 @@
     assertThat(leaving.acceptsKeyedRequests(nanos, 2_000, 5_000)).isFalse();
   }
 
+  /**
+   * Guards against the loss of what an entry knows when a new leader knows nothing yet, and against
+   * a state that is taken over from an earlier incarnation.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "UNKNOWN, 1, UNKNOWN, false",
+    "COLD, 1, UNKNOWN, true",
+    "COLD, 2, UNKNOWN, false",
+    "COLD, 1, WARM, false",
+    "WARM, 1, UNKNOWN, false",
+    "WARM, 1, COLD, true"
+  })
+  void unknownWarmupStateKeepsWhatIsKnownOfTheIncarnation(
+      WarmupState before, long incarnationMillis, WarmupState after, boolean expected) {
+    TargetStats target = new TargetStats(spec(TargetPhase.READY, 1, before), 0);
+    target.updateSpec(spec(TargetPhase.READY, incarnationMillis, after), 0);
+    assertThat(target.isCold()).isEqualTo(expected);
+  }
+
+  /** Guards against the full load on a target that became cold during an evacuation. */
+  @Test
+  void targetIsColdAfterAnEvacuationUntilItsStateIsKnown() {
+    TargetStats target = new TargetStats(spec(TargetPhase.READY, 1, WarmupState.WARM), 0);
+    target.updateSpec(spec(TargetPhase.READY, "z", true, 1, WarmupState.WARM), 0);
+    target.updateSpec(spec(TargetPhase.READY, 1, WarmupState.UNKNOWN), 0);
+    assertThat(target.isCold()).isTrue();
+    target.updateSpec(spec(TargetPhase.READY, 1, WarmupState.WARM), 0);
+    assertThat(target.isCold()).isFalse();
+  }
+
   private static OwnershipView.Target evacuated(String zone) {
-    return spec(TargetPhase.READY, zone, true);
+    return spec(TargetPhase.READY, zone, true, 1, WarmupState.UNKNOWN);
   }
 
   private static OwnershipView.Target spec(TargetPhase phase) {
-    return spec(phase, "z", false);
+    return spec(phase, "z", false, 1, WarmupState.UNKNOWN);
   }
 
   private static OwnershipView.Target spec(TargetPhase phase, String zone, boolean evacuated) {
+    return spec(phase, zone, evacuated, 1, WarmupState.UNKNOWN);
+  }
+
+  private static OwnershipView.Target spec(
+      TargetPhase phase, long incarnationMillis, WarmupState warmup) {
+    return spec(phase, "z", false, incarnationMillis, warmup);
+  }
+
+  private static OwnershipView.Target spec(
+      TargetPhase phase,
+      String zone,
+      boolean evacuated,
+      long incarnationMillis,
+      WarmupState warmup) {
     return new OwnershipView.Target(
         TargetId.of("a"),
         ServiceName.of("s"),
@@ -128,9 +173,9 @@
         AvailabilityZone.of(zone),
         2,
         phase,
-        1,
+        incarnationMillis,
         evacuated,
-        WarmupState.UNKNOWN);
+        warmup);
   }
 
   /** Guards against a cancelled request that the leader counts as in flight for another second. */
