Avoid a stream for each decoded part of a client's request

Change: the decoder looks only whether it has passed anything on. PipeliningTest (19), RelayStopTest (9) and SlowReaderTest (6) pass.

--- a/src/main/java/io/coltsfootwheel/relay/ClientRequestDecoder.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientRequestDecoder.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
 
@@ -32,8 +31,7 @@
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws Exception {
     super.decode(context, buffer, out);
-    if (out.stream().anyMatch(HttpRequest.class::isInstance)) {
-      requestLineDecoded = false;
-    }
+    // Nothing is passed on between a request line and the end of its head.
+    requestLineDecoded &= out.isEmpty();
   }
 }
