--- a/src/test/java/io/coltsfootwheel/relay/PipeliningTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/PipeliningTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.coltsfootwheel.keyspace.KeyRange;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.loadcontrol.RequestPipeline;
 import io.coltsfootwheel.model.ServiceName;
@@ -31,6 +32,7 @@
 @Timeout(60)
 class PipeliningTest {
   private static final ServiceName SERVICE = ServiceName.of("any");
+  private static final ServiceName KEYED = ServiceName.of("keyed");
   private static final long TIMEOUT_MILLIS = 20_000;
 
   /** Longer than the relay needs to forward a request that it must not forward. */
@@ -42,6 +44,8 @@
           List.of(
               ConfigurationItem.of(new ServicePolicy(SERVICE, false, 500), "{}"),
               ConfigurationItem.of(new ClientLimits(2_048, 1_000, 60_000, 60_000), "{}"),
+              ConfigurationItem.of(new ServicePolicy(KEYED, true, 20), "{}"),
+              RelayFixture.route("keyed", KEYED, RouteKind.SAFE, TIMEOUT_MILLIS),
               RelayFixture.route("safe", SERVICE, RouteKind.SAFE, TIMEOUT_MILLIS),
               RelayFixture.route("unsafe", SERVICE, RouteKind.UNSAFE, TIMEOUT_MILLIS)));
 
@@ -50,7 +54,10 @@
 
   @BeforeEach
   void connect() throws IOException {
-    fixture.updateOwnership(new OwnershipView(List.of(target.view()), List.of()));
+    // No target holds a key of the keyed service, so its requests wait for an owner.
+    OwnershipView.Range moving =
+        new OwnershipView.Range(KEYED, KeyRange.ALL, target.view().id(), false, 5_000);
+    fixture.updateOwnership(new OwnershipView(List.of(target.view()), List.of(moving)));
     socket = new Socket(RelayFixture.HOST, fixture.port());
     socket.setSoTimeout((int) TIMEOUT_MILLIS);
   }
@@ -239,6 +246,22 @@
     assertThat(stopped.map(StopReport::limitReached).blockOptional().orElse(false)).isFalse();
   }
 
+  /**
+   * Guards against a response that takes the place of an earlier one at the time limit of a stop,
+   * and against finished responses that are lost behind a request that is refused there.
+   */
+  @ParameterizedTest
+  @CsvSource({"/keyed/1, '503 200'", "/safe/hold1, ''"})
+  void limitOfTheStopKeepsTheOrder(String first, String statuses) throws Exception {
+    send(request(first, "key: 1"), request("/safe/2"));
+    await(() -> target.received().contains("/safe/2"));
+    settle();
+    fixture.relay().beginStop();
+    StopReport report = fixture.relay().drain(500).block();
+    assertThat(statusesOf(readToEnd())).isEqualTo(statuses);
+    assertThat(report.limitReached()).isTrue();
+  }
+
   /** Guards against a stop that ends a request of which only the beginning was received. */
   @ParameterizedTest
   @ValueSource(ints = {1, 20, 40})
