Fix faults that the review of the merged parts found

Cause: read by engineers who did not write the parts. Requests held at a starting entry were refused by the very update that brought the routes; their waits added up on one connection, and those behind them were not started; a range granted by call could move at once after its owner restarted in an evacuated zone; permits for a target that registers again started with a full bucket; every entry sent its first request at the moment at which a target turned warm; the reserve counted unusable targets; a cold target was used for requests that miss the deadline. Change: one small correction for each.

--- a/src/main/java/io/coltsfootwheel/keyspace/ColdTargets.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/ColdTargets.java
@@ -26,6 +26,9 @@
   private Map<TargetId, WarmupState> states = Map.of();
   private List<WarmupChange> changes = new ArrayList<>();
 
+  /** Identifiers of all targets that were registered at some time in this term. */
+  private final Set<TargetId> registeredInTerm = new HashSet<>();
+
   /** Targets that were registered for the first time since the last update. */
   private final Set<TargetId> newTargets = new HashSet<>();
 
@@ -39,6 +42,7 @@
   ColdTargets(OwnershipSettings settings, HeartbeatMonitor heartbeats, FleetState state) {
     this.settings = settings;
     this.heartbeats = heartbeats;
+    state.targets().forEach(t -> registeredInTerm.add(t.id()));
     updateServices(state);
   }
 
@@ -71,9 +75,14 @@
     return limitedServices.get(target.service()).warmup().orElseThrow().requestsPerSecond();
   }
 
-  /** Records a target whose identifier was not registered before, so that it is not in use yet. */
+  /**
+   * Records a target that was not registered. It counts as not in use yet unless it was registered
+   * before in this term: entries may still send to a target that was removed a moment ago.
+   */
   void recordNew(TargetId target) {
-    newTargets.add(target);
+    if (registeredInTerm.add(target)) {
+      newTargets.add(target);
+    }
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
@@ -55,6 +55,7 @@
   private static int slots(ServiceName service, FleetState state) {
     return state.targets().stream()
         .filter(t -> t.service().equals(service) && t.phase() == TargetPhase.READY)
+        .filter(t -> !state.isEvacuated(t))
         .mapToInt(TargetRecord::slots)
         .sum();
   }
--- a/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
@@ -194,10 +194,13 @@
     Optional<TargetHeartbeat> heartbeat =
         heartbeats.find(owner.id()).filter(h -> h.incarnationMillis() == owner.incarnationMillis());
     List<OwnedRange> whole = state.table(owner.service()).rangesOf(owner.id());
+    // A call to the earlier incarnation may have reached this one.
+    boolean isCalled = keyedServices.grantMethod(owner.service()) == GrantMethod.CALL;
     List<OwnedRange> ungranted =
         stableRanges(owner).stream()
             .filter(whole::contains)
             .filter(r -> heartbeat.filter(h -> !h.mayHaveBeenGranted(r)).isPresent())
+            .filter(r -> !isCalled || !heartbeat.get().isAnsweredLeaseInForce(nowNanos))
             .toList();
     if (ungranted.isEmpty()
         || placement.receivers(nowNanos, owner.service(), owner.id(), state).isEmpty()) {
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -294,7 +294,9 @@
     removedOwnerLeases.recordRemoved(state, newState, heartbeats);
     recordEvacuationEnds(state, newState);
     if (command instanceof FleetCommand.RegisterTarget registered
-        && state.target(registered.target().id()).isEmpty()) {
+        && state.target(registered.target().id()).isEmpty()
+        && state.targets().stream()
+            .noneMatch(t -> t.address().equals(registered.target().address()))) {
       coldTargets.recordNew(registered.target().id());
     }
     state = newState;
--- a/src/main/java/io/coltsfootwheel/loadcontrol/SlotReserve.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/SlotReserve.java
@@ -89,7 +89,9 @@
     if (reservedSlots <= 0 || !isShort(targets)) {
       return all;
     }
-    Set<T> reserved = fastest(targets, reservedSlots);
+    int usableSlots = targets.stream().filter(SlotUse::usable).mapToInt(SlotUse::slots).sum();
+    int maxReservedSlots = (int) (MAX_RESERVED_RATIO * usableSlots);
+    Set<T> reserved = fastest(targets, Math.min(reservedSlots, maxReservedSlots));
     boolean isAnyOpenUsable =
         targets.stream().anyMatch(t -> t.usable() && !reserved.contains(t.target()));
     return isAnyOpenUsable ? all.stream().filter(t -> !reserved.contains(t)).toList() : all;
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -172,7 +172,10 @@
     }
     relay.heard(update.loadEstimates(), update.entries());
     update.reserves().ifPresent(relay::updateReserves);
-    use(routing.apply(update), update.configurationVersion());
+    EntryRouting.News news = routing.apply(update);
+    // Also before the news: requests that wait for them are decided while they are applied.
+    relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
+    use(news, update.configurationVersion());
     relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
     routing.confirmation().ifPresent(this::confirmRouting);
     update.permits().ifPresent(p -> relay.grantPermits(p.askedNanos(), p.byTarget()));
--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -248,6 +248,11 @@
     relay.releaseBody(request);
   }
 
+  @Override
+  public boolean isOpen() {
+    return channelContext.channel().isActive();
+  }
+
   @Override
   public boolean isWritable() {
     return pendingWrites == 0 || channelContext.channel().isWritable();
--- a/src/main/java/io/coltsfootwheel/relay/ColdTargetPolicy.java
+++ b/src/main/java/io/coltsfootwheel/relay/ColdTargetPolicy.java
@@ -40,7 +40,7 @@
     long limitMillis =
         target.permits().isExpiring(constraints.nowNanos())
             ? constraints.remainingMillis()
-            : constraints.remainingObjectiveMillis();
+            : Math.min(constraints.remainingObjectiveMillis(), constraints.remainingMillis());
     return responseMillis <= limitMillis;
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/PermitDemand.java
+++ b/src/main/java/io/coltsfootwheel/relay/PermitDemand.java
@@ -42,7 +42,8 @@
     for (TargetStats target : cold) {
       ServiceName service = target.spec().service();
       int waiting = target.permits().waitingRequests();
-      int wanted = Math.max(waiting, unkeyedServices.contains(service) ? 1 : 0);
+      boolean takesUnkeyed = unkeyedServices.contains(service) && !target.isEvacuated();
+      int wanted = Math.max(waiting, takesUnkeyed ? 1 : 0);
       int missing = wanted - target.permits().available(nowNanos);
       if (missing > 0) {
         wishes.add(new Wish(target.spec().id(), missing, waiting));
--- a/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
+++ b/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
@@ -29,6 +29,9 @@
     /** Releases a request that is not started. */
     void drop(RelayRequest request);
 
+    /** Returns whether responses can still reach the client. */
+    boolean isOpen();
+
     /** Returns whether the client has taken enough of the responses written so far. */
     boolean isWritable();
 
@@ -116,6 +119,9 @@
   }
 
   private boolean startNext() {
+    if (!connection.isOpen()) {
+      return false;
+    }
     Optional<RequestPipeline.Entry<Item>> started = pipeline.startNext();
     started.ifPresent(this::start);
     return started.isPresent();
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -170,9 +170,8 @@
     runOnEventLoop(
         () -> {
           routing.updateConfiguration(configuration);
-          routingComplete = routing.isComplete();
           log.write(LogEvent.of("configuration.applied").with("version", configuration.version()));
-          notifyRoutingChanged();
+          routingApplied();
         });
   }
 
@@ -197,8 +196,7 @@
           if (!routing.evacuatedZones().equals(evacuatedBefore)) {
             log.write(LogEvent.of("zones.evacuated").with("zones", routing.evacuatedZones()));
           }
-          routingComplete = routing.isComplete();
-          notifyRoutingChanged();
+          routingApplied();
         });
   }
 
@@ -473,6 +471,16 @@
     return exchange;
   }
 
+  /** Decides again on waiting requests, and with the first routes on those queued behind them. */
+  private void routingApplied() {
+    boolean becomesComplete = !routingComplete && routing.isComplete();
+    routingComplete = routing.isComplete();
+    notifyRoutingChanged();
+    if (becomesComplete) {
+      List.copyOf(clients).forEach(ClientHandler::proceed);
+    }
+  }
+
   private void notifyRoutingChanged() {
     List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::routingChanged));
   }
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -96,7 +96,11 @@
       return;
     }
     if (context.freshness().isOutdated(System.nanoTime())) {
-      refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      if (awaitsRouting) {
+        awaitFirstRouting();
+      } else {
+        refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      }
       return;
     }
     route = context.routing().routes().find(request.host(), request.uri());
@@ -184,9 +188,11 @@
   private void awaitFirstRouting() {
     long nowNanos = System.nanoTime();
     if (routingWaitEndNanos == 0) {
+      // From the arrival: requests of one connection wait at the same time.
       long maxWaitMillis = StartupWait.maxWaitMillis(request.deadlineMillis());
-      routingWaitEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
-      context.schedule(this::routingChanged, maxWaitMillis + 1);
+      routingWaitEndNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
+      long leftMillis = TimeUnit.NANOSECONDS.toMillis(routingWaitEndNanos - nowNanos);
+      context.schedule(this::routingChanged, Math.max(0, leftMillis) + 1);
     }
     awaitsRouting = nowNanos - routingWaitEndNanos < 0;
     if (!awaitsRouting) {
@@ -272,6 +278,7 @@
   private void awaitRouting(RoutingDecision.Wait wait, long nowNanos) {
     if (routingWaitEndNanos == 0) {
       routingWaitEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(wait.maxWaitMillis());
+      context.schedule(this::routingChanged, wait.maxWaitMillis() + 1);
     }
     long remainingWaitMillis = TimeUnit.NANOSECONDS.toMillis(routingWaitEndNanos - nowNanos);
     if (remainingWaitMillis <= 0) {
@@ -281,7 +288,6 @@
     awaitsRouting = true;
     awaitedTarget = wait.coldTarget();
     awaitedTarget.ifPresent(t -> t.permits().startWaiting());
-    context.schedule(this::routingChanged, remainingWaitMillis + 1);
   }
 
   private void send(TargetStats chosenTarget, long remainingMillis, long nowNanos) {
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -45,6 +45,13 @@
 
   void updateConfiguration(Configuration configuration) {
     routes = RouteTable.of(configuration);
+    targets.values().forEach(this::updateWarmupLimit);
+  }
+
+  private void updateWarmupLimit(TargetStats target) {
+    routes
+        .service(target.spec().service())
+        .ifPresent(service -> target.setWarmupLimited(service.warmup().isPresent()));
   }
 
   /**
@@ -74,6 +81,7 @@
       boolean isJoining = !isFirstView && !targets.containsKey(target.id());
       TargetStats stats =
           targets.computeIfAbsent(target.id(), id -> new TargetStats(target, changeNanos));
+      updateWarmupLimit(stats);
       stats.updateSpec(target, changeNanos);
       if (isJoining) {
         stats.recordJoined(changeNanos);
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -56,6 +56,9 @@
   /** Time at which the target joined, until this entry sends it a request. */
   private OptionalLong joinedNanos = OptionalLong.empty();
 
+  /** Whether the service limits the requests to cold targets, so that permits are granted. */
+  private boolean isWarmupLimited;
+
   TargetStats(OwnershipView.Target spec, long changeNanos) {
     updateSpec(spec, changeNanos);
   }
@@ -81,8 +84,13 @@
       notices = new TargetNotices();
       recordJoined(changeNanos);
     }
+    boolean wasUnusable = spec != null && (spec.evacuated() || isCold);
     isCold = isColdBy(newSpec);
     spec = newSpec;
+    if (joinedNanos.isPresent() && wasUnusable && !spec.evacuated() && !isCold) {
+      // Entries send their first requests one after the other from the time at which they may.
+      recordJoined(changeNanos);
+    }
   }
 
   /**
@@ -95,7 +103,7 @@
     }
     boolean isKnown = spec != null && spec.incarnationMillis() == newSpec.incarnationMillis();
     boolean evacuationEnds = isKnown && spec.evacuated() && !newSpec.evacuated();
-    return evacuationEnds || isKnown && isCold;
+    return evacuationEnds && isWarmupLimited || isKnown && isCold;
   }
 
   /** Records that the target joined while this entry knew the others of its service. */
@@ -128,6 +136,11 @@
     return isCold;
   }
 
+  /** Sets whether the service limits the requests to cold targets. */
+  void setWarmupLimited(boolean limited) {
+    isWarmupLimited = limited;
+  }
+
   /** Returns the permits for the time in which the target is cold. */
   TargetPermits permits() {
     return permits;
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -136,6 +136,7 @@
   @Test
   void targetIsColdAfterAnEvacuationUntilItsStateIsKnown() {
     TargetStats target = new TargetStats(spec(TargetPhase.READY, 1, WarmupState.WARM), 0);
+    target.setWarmupLimited(true);
     target.updateSpec(spec(TargetPhase.READY, "z", true, 1, WarmupState.WARM), 0);
     target.updateSpec(spec(TargetPhase.READY, 1, WarmupState.UNKNOWN), 0);
     assertThat(target.isCold()).isTrue();
