Determine a concurrency limit for each target on the leader

Cause: the number of requests in flight that a target gets was its slots plus 8, whatever its speed and queue. Estimates for entries start from the time per request of the service in place of 0.12 s. Entries do not use the limit yet. Result: TargetLoadLimitTest, TargetLoadTest, PublishedLoadEstimatesTest, NodeMessageTest, OwnershipLeaderTest, OddTargetRecordTest, LeaderSessionTest, ControlReducerTest, LargeConfigurationTest and ArchitectureTest pass.

--- a/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
@@ -56,6 +56,28 @@
    * @param target the target
    * @param inFlight requests sent and not yet answered
    * @param completed requests answered since the last report, not counting rejected ones
+   * @param responseMillis sum of the response times of the completed requests
+   * @param overloadSignals refusals since the last report, and resets and missing responses while
+   *     the target was near its limit
+   * @param reportedLoad requests running and waiting by the target's own last word since the last
+   *     report, 0 if it said nothing
    */
-  public record TargetObservation(TargetId target, int inFlight, int completed) {}
+  public record TargetObservation(
+      TargetId target,
+      int inFlight,
+      int completed,
+      long responseMillis,
+      int overloadSignals,
+      int reportedLoad) {
+    /**
+     * Creates an observation as entries of an earlier version send it.
+     *
+     * @param target the target
+     * @param inFlight requests in flight
+     * @param completed requests answered
+     */
+    public TargetObservation(TargetId target, int inFlight, int completed) {
+      this(target, inFlight, completed, 0, 0, 0);
+    }
+  }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
@@ -8,6 +8,9 @@
 
 /** Load of keys and targets, aggregated by the leader from the reports of the entries. */
 final class LoadStatistics {
+  /** Time per request of each service, over all its targets. */
+  private final Map<ServiceName, UsualServiceTime> usualTimes = new HashMap<>();
+
   private final Map<ServiceName, KeyLoad> keyLoads = new HashMap<>();
   private final Map<TargetId, TargetLoad> targetLoads = new HashMap<>();
 
@@ -17,8 +20,42 @@
       state
           .target(o.target())
           .ifPresent(
-              t -> targetLoad(t.id()).add(nowNanos, entry, t.slots(), o.inFlight(), o.completed()));
+              t -> {
+                TargetLoad load = targetLoad(t.id());
+                load.startIncarnation(t.incarnationMillis());
+                load.add(nowNanos, entry, t.slots(), o);
+              });
+    }
+  }
+
+  /**
+   * Returns the estimates of all targets. The time per request of a target about which little is
+   * known is that of the other targets of its service.
+   */
+  Map<TargetId, TargetLoadEstimate> estimates(long nowNanos, FleetState state) {
+    Map<ServiceName, Double> busySlotSeconds = new HashMap<>();
+    Map<ServiceName, Double> completed = new HashMap<>();
+    for (TargetRecord target : state.targets()) {
+      TargetLoad load = targetLoad(target.id());
+      busySlotSeconds.merge(target.service(), load.busySlotSeconds(nowNanos), Double::sum);
+      completed.merge(target.service(), load.completed(nowNanos), Double::sum);
+    }
+    usualTimes.keySet().retainAll(completed.keySet());
+    Map<ServiceName, Double> usualSeconds = new HashMap<>();
+    busySlotSeconds.forEach(
+        (service, busy) ->
+            usualSeconds.put(
+                service,
+                usualTimes
+                    .computeIfAbsent(service, s -> new UsualServiceTime())
+                    .update(nowNanos, busy, completed.get(service))));
+    Map<TargetId, TargetLoadEstimate> estimates = new HashMap<>();
+    for (TargetRecord target : state.targets()) {
+      TargetLoad load = targetLoad(target.id());
+      load.updateUsualTime(usualSeconds.get(target.service()));
+      estimates.put(target.id(), load.estimate(nowNanos, target.slots()));
     }
+    return estimates;
   }
 
   void evictIdle(long nowNanos, FleetState state) {
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /**
  * Decides for one term of the control leader which targets are registered and which keys they hold.
@@ -346,10 +345,7 @@
    * @return load estimate by target
    */
   public Map<TargetId, TargetLoadEstimate> loadEstimates(long nowNanos) {
-    return state.targets().stream()
-        .collect(
-            Collectors.toMap(
-                TargetRecord::id, t -> loadStatistics.targetLoad(t.id()).estimate(nowNanos)));
+    return loadStatistics.estimates(nowNanos, state);
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/keyspace/PublishedLoadEstimates.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/PublishedLoadEstimates.java
@@ -23,6 +23,20 @@
   /** Difference in time per request that is published at once, relative to the published time. */
   private static final double SIGNIFICANT_TIME_RATIO = 0.15;
 
+  /**
+   * Difference in the concurrency limit that is published at once, relative to the published limit.
+   */
+  private static final double SIGNIFICANT_LIMIT_RATIO = 0.15;
+
+  /**
+   * Difference in time per request that is never published alone. The estimate of a target that
+   * completes a request now and then drifts all the time.
+   */
+  private static final int NEGLIGIBLE_TIME_MILLIS = 10;
+
+  /** Smallest difference in time per request that is published at once. */
+  private static final int SIGNIFICANT_TIME_MILLIS = 20;
+
   /** Longest time for which a smaller difference is not published. */
   private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -82,16 +96,26 @@
     if (published == null) {
       return true;
     }
-    return !published.estimate().equals(estimate)
+    return !isNegligible(published.estimate(), estimate)
         && (isSignificant(published.estimate(), estimate)
             || nowNanos - published.publishedNanos() >= MAX_AGE_NANOS);
   }
 
+  private static boolean isNegligible(TargetLoadEstimate before, TargetLoadEstimate now) {
+    int timeDifferenceMillis = Math.abs(now.millisPerRequest() - before.millisPerRequest());
+    return now.inFlight() == before.inFlight()
+        && now.concurrencyLimit() == before.concurrencyLimit()
+        && timeDifferenceMillis <= NEGLIGIBLE_TIME_MILLIS;
+  }
+
   private static boolean isSignificant(TargetLoadEstimate before, TargetLoadEstimate now) {
     int inFlightDifference = Math.abs(now.inFlight() - before.inFlight());
     int timeDifferenceMillis = Math.abs(now.millisPerRequest() - before.millisPerRequest());
+    int limitDifference = Math.abs(now.concurrencyLimit() - before.concurrencyLimit());
     return inFlightDifference
             >= Math.max(SIGNIFICANT_IN_FLIGHT, SIGNIFICANT_IN_FLIGHT_RATIO * before.inFlight())
-        || timeDifferenceMillis > SIGNIFICANT_TIME_RATIO * before.millisPerRequest();
+        || timeDifferenceMillis
+            > Math.max(SIGNIFICANT_TIME_MILLIS, SIGNIFICANT_TIME_RATIO * before.millisPerRequest())
+        || limitDifference > SIGNIFICANT_LIMIT_RATIO * before.concurrencyLimit();
   }
 }
--- a/src/main/java/io/coltsfootwheel/keyspace/TargetLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/TargetLoad.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.keyspace;
 
+import io.coltsfootwheel.loadcontrol.TargetConcurrencyLimit;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -7,7 +8,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Load of one target as observed by all entries: requests in flight and slot time per request.
+ * Load of one target as observed by all entries: requests in flight, slot time per request, and the
+ * concurrency limit that follows from them.
  *
  * <p>Detects when a target suddenly becomes several times slower. Requests completed before the
  * slowdown outnumber the later ones, so the average over a long window would hide it for seconds.
@@ -23,8 +25,14 @@
   /** Weight, in requests, of the assumed time per request before enough requests are observed. */
   private static final double PRIOR_REQUESTS = 4;
 
+  /** Assumed time per request before any target of the service has completed enough requests. */
   private static final double PRIOR_SECONDS_PER_REQUEST = 0.12;
 
+  private static final double MIN_SECONDS_PER_REQUEST = 0.001;
+
+  /** A stored number of slots that no target can have is adjusted. */
+  private static final int MAX_SLOTS = 100_000;
+
   /** Longest time between two reports for which requests in flight are taken as constant. */
   private static final long MAX_SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -46,11 +54,29 @@
   private final ServiceTime steady = new ServiceTime(STEADY_TIME_CONSTANT_MILLIS);
   private final ServiceTime recent = new ServiceTime(RECENT_TIME_CONSTANT_MILLIS);
   private long sampledNanos;
+  private double usualSecondsPerRequest = PRIOR_SECONDS_PER_REQUEST;
+  private TargetConcurrencyLimit limit = new TargetConcurrencyLimit();
+  private long incarnationMillis;
 
   private record Observation(long nowNanos, int inFlight) {}
 
+  /** Starts with a new limit if the target is another incarnation than before. */
+  void startIncarnation(long newIncarnationMillis) {
+    if (incarnationMillis != newIncarnationMillis) {
+      incarnationMillis = newIncarnationMillis;
+      limit = new TargetConcurrencyLimit();
+    }
+  }
+
+  /** Sets the time per request of the service, from which the estimates for entries start. */
+  void updateUsualTime(double secondsPerRequest) {
+    usualSecondsPerRequest = Math.max(MIN_SECONDS_PER_REQUEST, secondsPerRequest);
+  }
+
   /** Adds a report of one entry. */
-  void add(long nowNanos, InstanceId entry, int slots, int inFlightOfEntry, int completedRequests) {
+  void add(long nowNanos, InstanceId entry, int slots, LoadReport.TargetObservation observation) {
+    int inFlightOfEntry = observation.inFlight();
+    int completedRequests = observation.completed();
     Observation previous = byEntry.remove(entry);
     inFlight += inFlightOfEntry - (previous == null ? 0 : previous.inFlight());
     byEntry.put(entry, new Observation(nowNanos, inFlightOfEntry));
@@ -64,6 +90,22 @@
       recent.recordBusy(nowNanos, busySlotSeconds);
     }
     sampledNanos = nowNanos;
+    limit.add(
+        nowNanos,
+        capacity(nowNanos, slots),
+        new TargetConcurrencyLimit.Observation(
+            inFlight(nowNanos),
+            Math.max(0, completedRequests),
+            Math.max(0, observation.responseMillis()),
+            observation.overloadSignals(),
+            observation.reportedLoad()));
+  }
+
+  private TargetConcurrencyLimit.Capacity capacity(long nowNanos, int slots) {
+    return new TargetConcurrencyLimit.Capacity(
+        Math.max(1, Math.min(MAX_SLOTS, slots)),
+        Math.max(MIN_SECONDS_PER_REQUEST, secondsPerRequest(nowNanos, usualSecondsPerRequest)),
+        usualSecondsPerRequest);
   }
 
   int inFlight(long nowNanos) {
@@ -79,15 +121,40 @@
     return inFlight;
   }
 
-  TargetLoadEstimate estimate(long nowNanos) {
+  TargetLoadEstimate estimate(long nowNanos, int slots) {
     return new TargetLoadEstimate(
-        inFlight(nowNanos), (int) (secondsPerRequest(nowNanos) * TimeUnit.SECONDS.toMillis(1)));
+        inFlight(nowNanos),
+        (int) (secondsPerRequest(nowNanos, usualSecondsPerRequest) * TimeUnit.SECONDS.toMillis(1)),
+        limit.current(capacity(nowNanos, slots)));
   }
 
-  /** Returns the time for which one request occupies a slot; it is longer at a slow target. */
+  /** Returns the slot time of the requests that were completed lately. */
+  double busySlotSeconds(long nowNanos) {
+    return Math.max(0, steady.busySlotSeconds.valueAt(nowNanos));
+  }
+
+  /** Returns the requests that were completed lately. */
+  double completed(long nowNanos) {
+    return Math.max(0, steady.completed(nowNanos));
+  }
+
+  /** Returns the time per request of targets from the sums of their slot times and requests. */
+  static double secondsPerRequest(double busySlotSeconds, double completed) {
+    return (busySlotSeconds + PRIOR_REQUESTS * PRIOR_SECONDS_PER_REQUEST)
+        / (completed + PRIOR_REQUESTS);
+  }
+
+  /**
+   * Returns the time for which one request occupies a slot; it is longer at a slow target. The time
+   * assumed of an idle target is constant, because ranges move when the times of targets change.
+   */
   double secondsPerRequest(long nowNanos) {
+    return secondsPerRequest(nowNanos, PRIOR_SECONDS_PER_REQUEST);
+  }
+
+  private double secondsPerRequest(long nowNanos, double priorSecondsPerRequest) {
     double steadySeconds =
-        steady.secondsPerRequest(nowNanos, PRIOR_REQUESTS, PRIOR_SECONDS_PER_REQUEST);
+        steady.secondsPerRequest(nowNanos, PRIOR_REQUESTS, priorSecondsPerRequest);
     double recentSeconds = recent.secondsPerRequest(nowNanos, RECENT_PRIOR_REQUESTS, steadySeconds);
     double requests = recent.completed(nowNanos) + RECENT_PRIOR_REQUESTS;
     double significantDeviation =
--- a/src/test/java/io/coltsfootwheel/keyspace/TargetLoadTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/TargetLoadTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.TargetId;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -36,12 +37,16 @@
         endMillis.add(nowMillis + meanServiceMillis * (0.5 + random.nextDouble()));
       }
       if ((long) nowMillis % 100 == 0) {
-        load.add(nanos(), ENTRY, SLOTS, endMillis.size(), completed);
+        load.add(nanos(), ENTRY, SLOTS, observation(endMillis.size(), completed));
         completed = 0;
       }
     }
   }
 
+  private static LoadReport.TargetObservation observation(int inFlight, int completed) {
+    return new LoadReport.TargetObservation(TargetId.of("t"), inFlight, completed);
+  }
+
   private int finish() {
     int before = endMillis.size();
     endMillis.removeIf(e -> e <= nowMillis);
@@ -83,7 +88,7 @@
   /** Guards against counting the load of an entry that no longer reports. */
   @Test
   void loadOfUnresponsiveEntryExpires() {
-    load.add(1, ENTRY, SLOTS, 5, 0);
+    load.add(1, ENTRY, SLOTS, observation(5, 0));
     assertThat(load.inFlight(1)).isEqualTo(5);
     assertThat(load.inFlight(1 + TimeUnit.SECONDS.toNanos(3))).isZero();
   }
