Test the new components of observations and load estimates with the earlier version

Cause: entries and leaders of two versions run at the same time during a deployment. Change: observations and estimates of either version are read by the other; a lower limit is published at once, and the drift of the time per request of idle targets is not.

--- a/src/test/java/io/coltsfootwheel/keyspace/PublishedLoadEstimatesTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/PublishedLoadEstimatesTest.java
@@ -44,6 +44,28 @@
         .isEqualTo(Map.of(TARGET, new TargetLoadEstimate(inFlightAfter, millisAfter)));
   }
 
+  /** Guards against a limit that falls without the entries being told at once. */
+  @Test
+  void lowerLimitIsPublishedAtOnce() {
+    published.update(nowNanos, Map.of(TARGET, new TargetLoadEstimate(3, 120, 10)));
+    long received = published.sequence();
+    pause(ROUND_MILLIS);
+    published.update(nowNanos, Map.of(TARGET, new TargetLoadEstimate(3, 120, 8)));
+    assertThat(published.changedSince(received)).containsKey(TARGET);
+  }
+
+  /** Guards against the estimates of all idle targets in each message, which drift for seconds. */
+  @Test
+  void driftOfTheTimePerRequestIsNotPublished() {
+    update(0, 120);
+    long received = published.sequence();
+    pause(2_000);
+    update(0, 130);
+    assertThat(published.changedSince(received)).isEmpty();
+    update(0, 131);
+    assertThat(published.changedSince(received)).containsKey(TARGET);
+  }
+
   /** Guards against small changes that are sent all the time, and against ones never sent. */
   @Test
   void smallChangeIsPublishedAfterAWhile() {
--- a/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
+++ b/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
@@ -118,6 +118,34 @@
     assertThat(read).isEqualTo(new NodeMessage.Subscribe(ADDRESS, 1, 2, 3, NO_LOAD, 4, 0, false));
   }
 
+  /** Observation and estimate without response times, overload signals and limit. */
+  private record EarlierObservation(TargetId target, int inFlight, int completed) {}
+
+  private record EarlierEstimate(int inFlight, int millisPerRequest) {}
+
+  /** Guards against observations and estimates that one of two versions cannot read. */
+  @Test
+  void observationsAndEstimatesOfBothVersionsAreRead() {
+    EarlierObservation observation = new EarlierObservation(TargetId.of("t"), 3, 4);
+    assertThat(
+            ControlCodec.decode(
+                ControlCodec.encode(observation), LoadReport.TargetObservation.class))
+        .isEqualTo(new LoadReport.TargetObservation(TargetId.of("t"), 3, 4, 0, 0, 0));
+    assertThat(
+            ControlCodec.decode(
+                ControlCodec.encode(
+                    new LoadReport.TargetObservation(TargetId.of("t"), 3, 4, 5, 6, 7)),
+                EarlierObservation.class))
+        .isEqualTo(observation);
+    EarlierEstimate estimate = new EarlierEstimate(3, 120);
+    assertThat(ControlCodec.decode(ControlCodec.encode(estimate), TargetLoadEstimate.class))
+        .isEqualTo(new TargetLoadEstimate(3, 120, 0));
+    assertThat(
+            ControlCodec.decode(
+                ControlCodec.encode(new TargetLoadEstimate(3, 120, 9)), EarlierEstimate.class))
+        .isEqualTo(estimate);
+  }
+
   /** Guards against entries of the earlier version that fail on updates of this version. */
   @Test
   void updateIsReadByTheEarlierVersion() {
