Admit requests by the concurrency limit of their target

Cause: an entry admitted requests up to slots plus 8 in flight, and had no use for the load header. Change: admission by the published limit, lowered by the entry's own overload signals until the leader has followed; while a limit is lowered, an entry sends only its share of it. Entries report response times, signals and the self-reported load (TargetLoadReader; invalid fields ignored, counted, logged). A new target is first estimated like the others of its service.

--- a/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
+++ b/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
@@ -13,9 +13,6 @@
  * answer in time.
  */
 final class AdmissionPolicy {
-  /** Requests that a target queues beyond its slots; it rejects further requests. */
-  private static final int TARGET_QUEUE_CAPACITY = 8;
-
   /**
    * Fraction of the expected response time that must remain until the deadline. It is below 1
    * because the expected time is an average, so that some requests take less.
@@ -65,12 +62,15 @@
    */
   static RoutingDecision admit(
       TargetStats target, RequestConstraints constraints, double othersWeight) {
-    if (target.estimatedInFlight(othersWeight) >= target.slots() + TARGET_QUEUE_CAPACITY) {
+    target.recordRequest(constraints.nowNanos());
+    if (target.estimatedInFlight(othersWeight) >= target.concurrencyLimit(constraints.nowNanos())) {
       return refuse("target queue is full", target, constraints);
     }
     if (target.expectedResponseMillis(othersWeight) <= maxExpectedResponseMillis(constraints)
         || fitsLateQueue(target, constraints, othersWeight)) {
-      return new RoutingDecision.Send(target);
+      return target.tryUseShare(constraints.nowNanos(), othersWeight)
+          ? new RoutingDecision.Send(target)
+          : refuse("share of the target's limit is used", target, constraints);
     }
     return refuse("not enough time left", target, constraints);
   }
--- a/src/main/java/io/coltsfootwheel/relay/CallFailure.java
+++ b/src/main/java/io/coltsfootwheel/relay/CallFailure.java
@@ -10,7 +10,9 @@
    */
   NO_CONNECTION(false),
   /** The connection closed before the response was complete. */
-  BROKEN(true),
+  BROKEN(true, true),
+  /** No response arrived in several times the expected time, or by the deadline. */
+  OVERDUE(true, true),
   /** The received bytes are not a valid response to this request. */
   GARBLED(true),
   /**
@@ -22,9 +24,20 @@
   OVERSIZED(true);
 
   private final boolean mayHaveExecuted;
+  private final boolean isSignOfFullTarget;
 
   CallFailure(boolean mayHaveExecuted) {
+    this(mayHaveExecuted, false);
+  }
+
+  CallFailure(boolean mayHaveExecuted, boolean isSignOfFullTarget) {
     this.mayHaveExecuted = mayHaveExecuted;
+    this.isSignOfFullTarget = isSignOfFullTarget;
+  }
+
+  /** Returns whether a target near its concurrency limit fails like this because it is full. */
+  boolean isSignOfFullTarget() {
+    return isSignOfFullTarget;
   }
 
   /** Returns whether the target may have executed the request. */
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -71,6 +71,8 @@
   private final Set<RelayExchange> exchanges = new HashSet<>();
   private final RelayStop stop;
   private final TargetNoticeReader noticeReader;
+  private final TargetLoadReader loadReader;
+  private final TargetOverloadRecorder overload;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
   private final RoutingFreshness freshness = new RoutingFreshness(System.nanoTime());
   private long lastLeaderContactNanos = System.nanoTime();
@@ -95,6 +97,8 @@
     this.connections =
         new TargetConnections(loopResources, eventLoop, settings.headerNames(), bodyBudget, log);
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
+    this.loadReader = new TargetLoadReader(settings.headerNames(), log, meters);
+    this.overload = new TargetOverloadRecorder(log, meters);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
   }
@@ -362,9 +366,7 @@
     List<LoadReport.TargetObservation> observations = new ArrayList<>();
     for (TargetStats target : routing.targets()) {
       if (target.needsReport()) {
-        observations.add(
-            new LoadReport.TargetObservation(
-                target.spec().id(), target.inFlight(), target.takeCompletedCount()));
+        observations.add(target.takeObservation());
       }
     }
     return new LoadReport(requestCounts, observations);
@@ -410,6 +412,16 @@
     return noticeReader;
   }
 
+  @Override
+  public TargetLoadReader loadReader() {
+    return loadReader;
+  }
+
+  @Override
+  public TargetOverloadRecorder overload() {
+    return overload;
+  }
+
   @Override
   public double nextRandom() {
     return random.nextDouble();
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -20,6 +20,10 @@
 
   TargetNoticeReader noticeReader();
 
+  TargetLoadReader loadReader();
+
+  TargetOverloadRecorder overload();
+
   /** Returns a random number, uniformly distributed in [0, 1). */
   double nextRandom();
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -42,6 +42,8 @@
     registerAge("coltsfootwheel.owners.age", freshness, RoutingFreshness::ownershipAgeMillis);
     Gauge.builder("coltsfootwheel.entries", routing, RoutingState::entryCount).register(meters);
     Gauge.builder("coltsfootwheel.targets", routing, r -> r.targets().size()).register(meters);
+    Gauge.builder("coltsfootwheel.targets.limited", routing, RoutingState::limitedTargetCount)
+        .register(meters);
     FunctionCounter.builder(
             "coltsfootwheel.target.connections", connections, TargetConnections::openedCount)
         .register(meters);
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -58,8 +58,7 @@
         continue;
       }
       removed.remove(target.id());
-      TargetStats stats =
-          targets.computeIfAbsent(target.id(), id -> new TargetStats(target, changeNanos));
+      TargetStats stats = targets.computeIfAbsent(target.id(), id -> newStats(target, changeNanos));
       stats.updateSpec(target, changeNanos);
       byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(stats);
     }
@@ -76,11 +75,25 @@
     return removed;
   }
 
+  /** Until its first estimate arrives, a new target counts as one of the others of its service. */
+  private TargetStats newStats(OwnershipView.Target target, long changeNanos) {
+    TargetStats stats = new TargetStats(target, changeNanos);
+    stats.updateEntryCount(entryCount);
+    targetsOf(target.service()).stream()
+        .mapToInt(TargetStats::millisPerRequest)
+        .average()
+        .ifPresent(
+            millis ->
+                stats.updateLoadEstimate(new TargetLoadEstimate(0, (int) Math.round(millis))));
+    return stats;
+  }
+
   /** Updates the estimates that changed; the leader confirms all others by its message. */
   void updateLoadEstimates(
       long nowNanos, Map<TargetId, TargetLoadEstimate> loadEstimates, int newEntryCount) {
     estimatesConfirmedNanos = OptionalLong.of(nowNanos);
     entryCount = Math.max(1, newEntryCount);
+    targets.values().forEach(t -> t.updateEntryCount(entryCount));
     loadEstimates.forEach(
         (id, loadEstimate) -> {
           TargetStats stats = targets.get(id);
@@ -122,6 +135,12 @@
     return entryCount;
   }
 
+  /** Returns the number of targets that get less than the initial limit. */
+  long limitedTargetCount() {
+    long nowNanos = System.nanoTime();
+    return targets.values().stream().filter(t -> t.isLimited(nowNanos)).count();
+  }
+
   Collection<TargetStats> targets() {
     return targets.values();
   }
--- /dev/null
+++ b/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
@@ -0,0 +1,78 @@
+package io.coltsfootwheel.relay;
+
+import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.eventlog.LogEvent;
+import io.micrometer.core.instrument.MeterRegistry;
+
+/** Records the signs of full targets in their state, in metrics and in the log. */
+final class TargetOverloadRecorder {
+  /** Sign of a full target. */
+  enum Sign {
+    REFUSAL("refusal"),
+    RESET("reset"),
+    MISSING_RESPONSE("missing_response");
+
+    private final String tag;
+
+    Sign(String tag) {
+      this.tag = tag;
+    }
+
+    static Sign of(CallFailure failure) {
+      return failure == CallFailure.OVERDUE ? MISSING_RESPONSE : RESET;
+    }
+  }
+
+  private final EventLog log;
+  private final MeterRegistry meters;
+
+  TargetOverloadRecorder(EventLog log, MeterRegistry meters) {
+    this.log = log;
+    this.meters = meters;
+  }
+
+  /** Lowers the limit of a target; a line is written only when it was not lowered before. */
+  void record(long nowNanos, TargetStats target, Sign sign) {
+    boolean wasLimited = target.isLimited(nowNanos);
+    int limitBefore = target.concurrencyLimit(nowNanos);
+    int inFlight = target.estimatedInFlight();
+    target.recordOverload(nowNanos);
+    meters.counter("coltsfootwheel.target.overload", "sign", sign.tag).increment();
+    if (!wasLimited) {
+      log.write(
+          LogEvent.of("target.full")
+              .with("target", target.spec().id())
+              .with("sign", sign.tag)
+              .with("in_flight", inFlight)
+              .with("limit_before", limitBefore)
+              .with("limit", target.concurrencyLimit(nowNanos)));
+    }
+  }
+
+  /**
+   * Records a refusal, which is a sign of a full target if the target has no free slot and names no
+   * time for which it wants no requests.
+   *
+   * @param inFlightWhenSent estimated requests in flight when the request was sent
+   */
+  void recordRefusal(long nowNanos, TargetStats target, int inFlightWhenSent) {
+    target.recordRejection();
+    if (target.remainingPauseMillis(nowNanos) == 0 && target.isBusy(nowNanos, inFlightWhenSent)) {
+      record(nowNanos, target, Sign.REFUSAL);
+    }
+  }
+
+  /**
+   * Records a call without a usable response, as a sign of a full target or as a failure of it.
+   *
+   * @param inFlightWhenSent estimated requests in flight when the request was sent
+   */
+  void recordFailure(long nowNanos, TargetStats target, CallFailure failure, int inFlightWhenSent) {
+    if (failure.isSignOfFullTarget() && target.isNearLimit(nowNanos, inFlightWhenSent)) {
+      record(nowNanos, target, Sign.of(failure));
+      target.recordCancellation();
+    } else {
+      target.recordFailure(nowNanos);
+    }
+  }
+}
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -1,8 +1,11 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.loadcontrol.AdmissionShare;
+import io.coltsfootwheel.loadcontrol.TargetConcurrencyLimit;
 import io.coltsfootwheel.model.TargetNotices;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +14,21 @@
 final class TargetStats {
   private static final TargetLoadEstimate INITIAL_LOAD_ESTIMATE = new TargetLoadEstimate(0, 120);
 
+  /** Factor by which an overload signal that this entry received lowers the limit for it. */
+  private static final double OWN_DECREASE_FACTOR = 0.8;
+
+  /** Time in which own signals lower the limit once: they come from requests sent together. */
+  private static final long OWN_DECREASE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Time without own signals after which the own limit rises by one request. */
+  private static final long OWN_INCREASE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /**
+   * Requests in flight, relative to the limit, from which a reset or missing response is a sign of
+   * a full target. The difference is for requests of other entries that are not yet known here.
+   */
+  private static final double NEAR_LIMIT_RATIO = 0.6;
+
   /** Consecutive failures, without a response in between, after which a target is suspect. */
   private static final int SUSPECT_FAILURE_COUNT = 2;
 
@@ -34,6 +52,13 @@
   private OwnershipView.Target spec;
   private TargetNotices notices = new TargetNotices();
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
+  private final AdmissionShare share = new AdmissionShare();
+  private int otherEntries;
+  private int ownLimit = Integer.MAX_VALUE;
+  private long ownSignalNanos;
+  private long responseMillisSinceReport;
+  private int overloadSignalsSinceReport;
+  private int selfReportedLoad;
   private int reportedInFlight;
   private int inFlight;
   private int completedSinceReport;
@@ -63,6 +88,7 @@
     }
     if (spec != null && spec.incarnationMillis() != newSpec.incarnationMillis()) {
       notices = new TargetNotices();
+      ownLimit = Integer.MAX_VALUE;
     }
     spec = newSpec;
   }
@@ -83,9 +109,94 @@
   }
 
   void updateLoadEstimate(TargetLoadEstimate newLoadEstimate) {
+    boolean followsOwnSignals =
+        newLoadEstimate.concurrencyLimit() > 0 && newLoadEstimate.concurrencyLimit() <= ownLimit;
+    if (followsOwnSignals) {
+      ownLimit = Integer.MAX_VALUE;
+    }
     loadEstimate = newLoadEstimate;
   }
 
+  void updateEntryCount(int entryCount) {
+    otherEntries = entryCount - 1;
+  }
+
+  /**
+   * Returns the requests in flight of all entries up to which the target receives more: the limit
+   * of the leader, lowered by own overload signals until the leader has followed them. Without a
+   * leader, it rises again by one request each second.
+   */
+  int concurrencyLimit(long nowNanos) {
+    int published =
+        loadEstimate.concurrencyLimit() > 0
+            ? loadEstimate.concurrencyLimit()
+            : TargetConcurrencyLimit.initial(slots());
+    if (ownLimit == Integer.MAX_VALUE) {
+      return published;
+    }
+    long risen = Math.max(0, nowNanos - ownSignalNanos) / OWN_INCREASE_NANOS;
+    return (int) Math.min(published, ownLimit + risen);
+  }
+
+  /** Returns whether the target gets less than one that has signalled no overload. */
+  boolean isLimited(long nowNanos) {
+    return concurrencyLimit(nowNanos) < TargetConcurrencyLimit.initial(slots());
+  }
+
+  /** Counts a request for the target, whether it is admitted or not. */
+  void recordRequest(long nowNanos) {
+    share.recordRequest(nowNanos);
+  }
+
+  /**
+   * Returns whether the request that was counted last is within this entry's share of a lowered
+   * limit; if so, it counts as sent.
+   */
+  boolean tryUseShare(long nowNanos, double othersWeight) {
+    if (!isLimited(nowNanos)) {
+      return true;
+    }
+    double completedPerSecond =
+        (double) TimeUnit.SECONDS.toMillis(1) * slots() / Math.max(1, millisPerRequest());
+    int room = concurrencyLimit(nowNanos) - estimatedInFlight(othersWeight);
+    return share.tryAdmit(room, completedPerSecond, otherEntries);
+  }
+
+  /**
+   * Returns whether a reset or a missing response is a sign that the target is full.
+   *
+   * @param inFlightWhenSent estimated requests in flight when the request was sent
+   */
+  boolean isNearLimit(long nowNanos, int inFlightWhenSent) {
+    return Math.max(inFlightWhenSent, estimatedInFlight())
+        >= NEAR_LIMIT_RATIO * concurrencyLimit(nowNanos);
+  }
+
+  /** Returns whether a refusal is a sign that the target is full: it has no free slot. */
+  boolean isBusy(long nowNanos, int inFlightWhenSent) {
+    return Math.max(inFlightWhenSent, estimatedInFlight()) >= slots()
+        || isNearLimit(nowNanos, inFlightWhenSent);
+  }
+
+  /** Records that the target is full; the request that showed it is recorded apart from this. */
+  void recordOverload(long nowNanos) {
+    overloadSignalsSinceReport++;
+    boolean isSameOverload =
+        ownLimit != Integer.MAX_VALUE && nowNanos - ownSignalNanos < OWN_DECREASE_INTERVAL_NANOS;
+    if (isSameOverload) {
+      return;
+    }
+    int limit = concurrencyLimit(nowNanos);
+    int lowest = Math.max(1, Math.min(slots(), estimatedInFlight()));
+    ownLimit = Math.min(limit, Math.max(lowest, (int) (OWN_DECREASE_FACTOR * limit)));
+    ownSignalNanos = nowNanos;
+  }
+
+  /** Records the requests running and waiting by the target's own word. */
+  void recordSelfReportedLoad(int requests) {
+    selfReportedLoad = requests;
+  }
+
   OwnershipView.Target spec() {
     return spec;
   }
@@ -166,6 +277,11 @@
   }
 
   void recordResponse() {
+    recordResponse(0);
+  }
+
+  void recordResponse(long responseMillis) {
+    responseMillisSinceReport += responseMillis;
     inFlight--;
     completedSinceReport++;
     consecutiveFailures = 0;
@@ -203,7 +319,26 @@
    * report.
    */
   boolean needsReport() {
-    return completedSinceReport > 0 || inFlight > 0 || reportedInFlight > 0;
+    return completedSinceReport > 0
+        || inFlight > 0
+        || reportedInFlight > 0
+        || overloadSignalsSinceReport > 0;
+  }
+
+  /** Returns what was observed since the last call, and resets the counts. */
+  LoadReport.TargetObservation takeObservation() {
+    LoadReport.TargetObservation observation =
+        new LoadReport.TargetObservation(
+            spec.id(),
+            inFlight,
+            takeCompletedCount(),
+            responseMillisSinceReport,
+            overloadSignalsSinceReport,
+            selfReportedLoad);
+    responseMillisSinceReport = 0;
+    overloadSignalsSinceReport = 0;
+    selfReportedLoad = 0;
+    return observation;
   }
 
   /**
