Tell full targets from lost ones

Cause: a full target resets connections or never answers on them again. Each such request counted as a failure, made the target suspect, and stayed in flight in the reports until its deadline. A response overdue by four times the expected time, at least 1 s, no longer counts as in flight; an idempotent request is sent again within the budget and its connection closed, any other waits for its deadline and ends with 502 or 504. Entries read the load header.

--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -36,6 +36,17 @@
    */
   private static final long OWNERSHIP_WAIT_MILLIS = 60;
 
+  /**
+   * Multiple of the expected response time at which a response is overdue. The work of a request
+   * varies; one in a thousand takes four times the mean or longer.
+   */
+  private static final int OVERDUE_FACTOR = 4;
+
+  /** Shortest time at which a response is overdue; a key whose state is not loaded is slow. */
+  private static final long MIN_OVERDUE_MILLIS = 1_000;
+
+  private static final long MIN_RECHECK_MILLIS = 10;
+
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
   private static final String STOPPING = "the entry is stopping";
   private static final String OUTDATED = "changes of routes and targets arrive too late";
@@ -62,6 +73,16 @@
   private long calledIncarnationMillis;
 
   private Optional<TargetConnections.Call> call = Optional.empty();
+  private long sentNanos;
+  private int inFlightWhenSent;
+  private long expectedMillisWhenSent;
+
+  /** Whether the response is overdue, so that the request no longer counts as in flight. */
+  private boolean isOverdue;
+
+  /** Whether the overdue response was recorded as a sign of a full target. */
+  private boolean isOverdueSign;
+
   private String lastFailure = "";
 
   /** Target whose load caused the refusal, empty if the refusal had another cause. */
@@ -131,6 +152,7 @@
     boolean idempotent = route.map(r -> r.kind().isIdempotent()).orElse(true);
     if (call.isPresent() && idempotent) {
       call.get().cancel();
+      target.ifPresent(this::countAgain);
       target.ifPresent(TargetStats::recordCancellation);
       call = Optional.empty();
     }
@@ -179,12 +201,7 @@
       return;
     }
     RequestConstraints constraints = constraints(nowNanos);
-    RoutingDecision decision =
-        service.orElseThrow().keyed()
-            ? context
-                .chooser()
-                .chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
-            : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
+    RoutingDecision decision = choose(constraints);
     if (decision instanceof RoutingDecision.Send send) {
       send(send.target(), constraints.remainingMillis());
     } else if (decision instanceof RoutingDecision.Wait wait) {
@@ -195,6 +212,12 @@
     }
   }
 
+  private RoutingDecision choose(RequestConstraints constraints) {
+    return service.orElseThrow().keyed()
+        ? context.chooser().chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
+        : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
+  }
+
   private RequestConstraints constraints(long nowNanos) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
@@ -228,6 +251,11 @@
     if (sendCount > 1) {
       context.countRetry();
     }
+    sentNanos = System.nanoTime();
+    inFlightWhenSent = chosenTarget.estimatedInFlight();
+    expectedMillisWhenSent = chosenTarget.expectedResponseMillis();
+    isOverdue = false;
+    isOverdueSign = false;
     chosenTarget.recordSent();
     int maxConnections =
         ConnectionShare.of(service.orElseThrow().maxConnections(), context.routing().entryCount());
@@ -242,6 +270,84 @@
                         context.headerNames(), chosenTarget.spec().id(), remainingMillis),
                     request.id(),
                     new CallOutcome()));
+    int send = sendCount;
+    context.schedule(() -> checkOverdue(send), overdueMillis(chosenTarget));
+  }
+
+  /** Returns the time after which the response is overdue, longer if the target became slower. */
+  private long overdueMillis(TargetStats calledTarget) {
+    long expectedMillis = Math.max(expectedMillisWhenSent, calledTarget.expectedResponseMillis());
+    return Math.max(MIN_OVERDUE_MILLIS, OVERDUE_FACTOR * expectedMillis);
+  }
+
+  /**
+   * Handles a response that is overdue. The request may have been executed, so it is sent again
+   * only if it is idempotent; its connection is closed then. Otherwise it waits for its deadline,
+   * since a late response is better than none, but no longer counts as in flight.
+   */
+  private void checkOverdue(int send) {
+    if (send != sendCount || call.isEmpty() || isOverdue) {
+      return;
+    }
+    TargetStats calledTarget = target.orElseThrow();
+    long nowNanos = System.nanoTime();
+    long missingMillis =
+        overdueMillis(calledTarget) - TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+    if (missingMillis > 0 || !isForwarded()) {
+      context.schedule(() -> checkOverdue(send), Math.max(MIN_RECHECK_MILLIS, missingMillis));
+      return;
+    }
+    boolean isSentAgain = !completed && sendAgain(calledTarget, nowNanos);
+    if (!isSentAgain) {
+      isOverdue = true;
+      isOverdueSign = calledTarget.isNearLimit(nowNanos, inFlightWhenSent);
+      if (isOverdueSign) {
+        recordFailure(calledTarget, CallFailure.OVERDUE);
+      } else {
+        calledTarget.recordCancellation();
+      }
+    }
+  }
+
+  /** Gives the call up and sends the request again if that is allowed and possible now. */
+  private boolean sendAgain(TargetStats calledTarget, long nowNanos) {
+    boolean mayBeSent =
+        route.orElseThrow().kind().isIdempotent() && !context.freshness().isOutdated(nowNanos);
+    if (!mayBeSent) {
+      return false;
+    }
+    RequestConstraints constraints = constraints(nowNanos);
+    if (!(choose(constraints) instanceof RoutingDecision.Send again) || !mayRetry(true)) {
+      return false;
+    }
+    call.get().cancel();
+    recordFailure(calledTarget, CallFailure.OVERDUE);
+    mayHaveExecuted = true;
+    lastFailure = "response is overdue";
+    send(again.target(), constraints.remainingMillis());
+    return true;
+  }
+
+  /** Records the end of a call without a usable response. */
+  private void recordFailure(TargetStats calledTarget, CallFailure failure) {
+    context.overload().recordFailure(System.nanoTime(), calledTarget, failure, inFlightWhenSent);
+  }
+
+  /** Records the end of a call that may have been recorded as overdue before. */
+  private void recordEnd(TargetStats calledTarget, CallFailure failure) {
+    if (isOverdueSign) {
+      calledTarget.recordCancellation();
+    } else {
+      recordFailure(calledTarget, failure);
+    }
+  }
+
+  /** Counts an overdue request as in flight again, whose end is about to be recorded. */
+  private void countAgain(TargetStats calledTarget) {
+    if (isOverdue) {
+      isOverdue = false;
+      calledTarget.recordSent();
+    }
   }
 
   /** Handles the outcome of the call in progress. */
@@ -258,10 +364,13 @@
     public void onResponse(FullHttpResponse response, ResponseCheck check) {
       TargetStats calledTarget = endCall();
       readNotices(calledTarget, response, check);
-      if (check.isRefusal()) {
+      long nowNanos = System.nanoTime();
+      if (check == ResponseCheck.NOT_EXECUTED) {
+        context.overload().recordRefusal(nowNanos, calledTarget, inFlightWhenSent);
+      } else if (check.isRefusal()) {
         calledTarget.recordRejection();
       } else {
-        calledTarget.recordResponse();
+        calledTarget.recordResponse(TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos));
       }
       if (completed) {
         request.body().release();
@@ -282,7 +391,7 @@
       if (failure == CallFailure.NO_CONNECTION) {
         calledTarget.recordCancellation();
       } else {
-        calledTarget.recordFailure(System.nanoTime());
+        recordEnd(calledTarget, failure);
       }
       if (completed) {
         request.body().release();
@@ -300,10 +409,14 @@
                   context
                       .noticeReader()
                       .read(System.nanoTime(), calledTarget.spec().id(), notices, response, check));
+      if (check == ResponseCheck.VALID || check == ResponseCheck.NOT_EXECUTED) {
+        context.loadReader().read(calledTarget, response);
+      }
     }
 
     private TargetStats endCall() {
       TargetStats calledTarget = target.orElseThrow();
+      countAgain(calledTarget);
       target = Optional.empty();
       call = Optional.empty();
       return calledTarget;
@@ -376,7 +489,8 @@
     }
     call.get().cancel();
     call = Optional.empty();
-    target.ifPresent(t -> t.recordFailure(System.nanoTime()));
+    target.ifPresent(this::countAgain);
+    target.ifPresent(t -> recordEnd(t, CallFailure.OVERDUE));
     if (completed) {
       request.body().release();
     } else {
