--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -563,6 +563,7 @@
                 .with("considered", refusalTarget.map(t -> t.spec().id().value()).orElse(""))
                 .with("in_flight", refusalTarget.map(TargetStats::estimatedInFlight).orElse(0))
                 .with("ms_per_request", refusalTarget.map(TargetStats::millisPerRequest).orElse(0))
+                .with("limit", refusalTarget.map(t -> t.concurrencyLimit(nowNanos)).orElse(0))
                 .with("detail", detail)
                 .with("last_failure", lastFailure)
                 .with("configuration", context.routing().routes().version())
--- a/src/main/java/io/coltsfootwheel/tool/RequestCause.java
+++ b/src/main/java/io/coltsfootwheel/tool/RequestCause.java
@@ -45,7 +45,11 @@
           + " did not hold the key; not run.";
     }
   },
-  OVERLOAD("not enough time left", "target queue is full", "target rejected the request") {
+  OVERLOAD(
+      "not enough time left",
+      "target queue is full",
+      "share of the target's limit is used",
+      "target rejected the request") {
     @Override
     String sentence(EventLine lastEvent) {
       String load =
