Send only a share beyond the initial limit, and raise limits only while responses are short

Cause: a raised limit was filled by all entries at once (15 of 2,972 requests lost at a queue of 24), and the limit of a target that slows down at half of its slots rose although its responses took four times as long as usual. Change: beyond slots + 8 an entry sends its share as with a lowered limit; the limit rises beyond slots + 8 only while the mean response time is within 3.5 times the usual time per request.

--- a/src/main/java/io/coltsfootwheel/loadcontrol/TargetConcurrencyLimit.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/TargetConcurrencyLimit.java
@@ -272,6 +272,6 @@
     return windowPeak >= USED_RATIO * adaptiveLimit
         && windowCompleted > 0
         && responseSeconds
-            <= windowCompleted * ACCEPTED_RESPONSE_RATIO * capacity.usualSecondsPerRequest();
+            <= windowCompleted * (1 + MAX_QUEUE_RATIO) * capacity.usualSecondsPerRequest();
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -150,10 +150,12 @@
 
   /**
    * Returns whether the request that was counted last is within this entry's share of a lowered
-   * limit; if so, it counts as sent.
+   * limit, or of what a raised limit allows beyond the initial one; if so, it counts as sent.
    */
   boolean tryUseShare(long nowNanos, double othersWeight) {
-    if (!isLimited(nowNanos)) {
+    boolean isWithinInitialLimit =
+        estimatedInFlight(othersWeight) < TargetConcurrencyLimit.initial(slots());
+    if (!isLimited(nowNanos) && isWithinInitialLimit) {
       return true;
     }
     double completedPerSecond =
