--- a/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
+++ b/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
@@ -13,9 +13,6 @@
  * answer in time.
  */
 final class AdmissionPolicy {
-  /** Requests that a target queues beyond its slots; it rejects further requests. */
-  private static final int TARGET_QUEUE_CAPACITY = 8;
-
   /**
    * Longest expected response time, as a fraction of the time until the deadline. It applies to
    * routes whose timeout is shorter than their latency objective. Most of the expected time is the
@@ -74,12 +71,15 @@
    */
   static RoutingDecision admit(
       TargetStats target, RequestConstraints constraints, double othersWeight) {
-    if (target.estimatedInFlight(othersWeight) >= target.slots() + TARGET_QUEUE_CAPACITY) {
+    target.recordRequest(constraints.nowNanos());
+    if (target.estimatedInFlight(othersWeight) >= target.concurrencyLimit(constraints.nowNanos())) {
       return refuse("target queue is full", target, constraints);
     }
     if (target.expectedResponseMillis(othersWeight) <= maxExpectedResponseMillis(constraints)
         || fitsLateQueue(target, constraints, othersWeight)) {
-      return new RoutingDecision.Send(target);
+      return target.tryUseShare(constraints.nowNanos(), othersWeight)
+          ? new RoutingDecision.Send(target)
+          : refuse("share of the target's limit is used", target, constraints);
     }
     return refuse("not enough time left", target, constraints);
   }
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -37,6 +37,17 @@
    */
   private static final long OWNERSHIP_WAIT_MILLIS = 60;
 
+  /**
+   * Multiple of the expected response time at which a response is overdue. The work of a request
+   * varies; one in a thousand takes four times the mean or longer.
+   */
+  private static final int OVERDUE_FACTOR = 4;
+
+  /** Shortest time at which a response is overdue; a key whose state is not loaded is slow. */
+  private static final long MIN_OVERDUE_MILLIS = 1_000;
+
+  private static final long MIN_RECHECK_MILLIS = 10;
+
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
   private static final String STOPPING = "the entry is stopping";
   private static final String DEADLINE_PASSED = "deadline passed before the request could be sent";
@@ -70,9 +81,19 @@
   private long calledIncarnationMillis;
 
   /** Time of the last call, when its target had a free slot. */
-  private OptionalLong sentToFreeSlotNanos = OptionalLong.empty();
+  private boolean wasSentToFreeSlot;
 
   private Optional<TargetConnections.Call> call = Optional.empty();
+  private long sentNanos;
+  private int inFlightWhenSent;
+  private long expectedMillisWhenSent;
+
+  /** Whether the response is overdue, so that the request no longer counts as in flight. */
+  private boolean isOverdue;
+
+  /** Whether the overdue response was recorded as a sign of a full target. */
+  private boolean isOverdueSign;
+
   private String lastFailure = "";
 
   /** Target whose load caused the refusal, empty if the refusal had another cause. */
@@ -156,6 +177,7 @@
     context.removeExchange(this);
     if (call.isPresent() && isIdempotent()) {
       call.get().cancel();
+      target.ifPresent(this::countAgain);
       target.ifPresent(TargetStats::recordCancellation);
       call = Optional.empty();
     }
@@ -246,12 +268,7 @@
       return;
     }
     RequestConstraints constraints = constraints(nowNanos, awaitsPermit);
-    RoutingDecision decision =
-        service.orElseThrow().keyed()
-            ? context
-                .chooser()
-                .chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
-            : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
+    RoutingDecision decision = choose(constraints);
     if (decision instanceof RoutingDecision.Send send) {
       send(send.target(), constraints.remainingMillis(), nowNanos);
     } else if (decision instanceof RoutingDecision.Wait wait) {
@@ -262,6 +279,12 @@
     }
   }
 
+  private RoutingDecision choose(RequestConstraints constraints) {
+    return service.orElseThrow().keyed()
+        ? context.chooser().chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
+        : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
+  }
+
   private RequestConstraints constraints(long nowNanos, boolean awaitsPermit) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
@@ -298,8 +321,12 @@
     if (sendCount > 1) {
       context.countRetry();
     }
-    sentToFreeSlotNanos =
-        chosenTarget.hasFreeSlot() ? OptionalLong.of(System.nanoTime()) : OptionalLong.empty();
+    sentNanos = System.nanoTime();
+    inFlightWhenSent = chosenTarget.estimatedInFlight();
+    expectedMillisWhenSent = chosenTarget.expectedResponseMillis();
+    isOverdue = false;
+    isOverdueSign = false;
+    wasSentToFreeSlot = chosenTarget.hasFreeSlot();
     permitEndNanos = OptionalLong.empty();
     if (chosenTarget.isCold()) {
       takePermit(chosenTarget, nowNanos);
@@ -318,6 +345,84 @@
                         context.headerNames(), chosenTarget.spec().id(), remainingMillis),
                     request.id(),
                     new CallOutcome()));
+    int send = sendCount;
+    context.schedule(() -> checkOverdue(send), overdueMillis(chosenTarget));
+  }
+
+  /** Returns the time after which the response is overdue, longer if the target became slower. */
+  private long overdueMillis(TargetStats calledTarget) {
+    long expectedMillis = Math.max(expectedMillisWhenSent, calledTarget.expectedResponseMillis());
+    return Math.max(MIN_OVERDUE_MILLIS, OVERDUE_FACTOR * expectedMillis);
+  }
+
+  /**
+   * Handles a response that is overdue. The request may have been executed, so it is sent again
+   * only if it is idempotent; its connection is closed then. Otherwise it waits for its deadline,
+   * since a late response is better than none, but no longer counts as in flight.
+   */
+  private void checkOverdue(int send) {
+    if (send != sendCount || call.isEmpty() || isOverdue) {
+      return;
+    }
+    TargetStats calledTarget = target.orElseThrow();
+    long nowNanos = System.nanoTime();
+    long missingMillis =
+        overdueMillis(calledTarget) - TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+    if (missingMillis > 0 || !isForwarded()) {
+      context.schedule(() -> checkOverdue(send), Math.max(MIN_RECHECK_MILLIS, missingMillis));
+      return;
+    }
+    boolean isSentAgain = !completed && sendAgain(calledTarget, nowNanos);
+    if (!isSentAgain) {
+      isOverdue = true;
+      isOverdueSign = calledTarget.isNearLimit(nowNanos, inFlightWhenSent);
+      if (isOverdueSign) {
+        recordFailure(calledTarget, CallFailure.OVERDUE);
+      } else {
+        calledTarget.recordCancellation();
+      }
+    }
+  }
+
+  /** Gives the call up and sends the request again if that is allowed and possible now. */
+  private boolean sendAgain(TargetStats calledTarget, long nowNanos) {
+    boolean mayBeSent =
+        route.orElseThrow().kind().isIdempotent() && !context.freshness().isOutdated(nowNanos);
+    if (!mayBeSent) {
+      return false;
+    }
+    RequestConstraints constraints = constraints(nowNanos, false);
+    if (!(choose(constraints) instanceof RoutingDecision.Send again) || !mayRetry(true)) {
+      return false;
+    }
+    call.get().cancel();
+    recordFailure(calledTarget, CallFailure.OVERDUE);
+    mayHaveExecuted = true;
+    lastFailure = "response is overdue";
+    send(again.target(), constraints.remainingMillis(), nowNanos);
+    return true;
+  }
+
+  /** Records the end of a call without a usable response. */
+  private void recordFailure(TargetStats calledTarget, CallFailure failure) {
+    context.overload().recordFailure(System.nanoTime(), calledTarget, failure, inFlightWhenSent);
+  }
+
+  /** Records the end of a call that may have been recorded as overdue before. */
+  private void recordEnd(TargetStats calledTarget, CallFailure failure) {
+    if (isOverdueSign) {
+      calledTarget.recordCancellation();
+    } else {
+      recordFailure(calledTarget, failure);
+    }
+  }
+
+  /** Counts an overdue request as in flight again, whose end is about to be recorded. */
+  private void countAgain(TargetStats calledTarget) {
+    if (isOverdue) {
+      isOverdue = false;
+      calledTarget.recordSent();
+    }
   }
 
   private void takePermit(TargetStats coldTarget, long nowNanos) {
@@ -357,11 +462,17 @@
     public void onResponse(FullHttpResponse response, ResponseCheck check) {
       TargetStats calledTarget = endCall();
       readNotices(calledTarget, response, check);
-      if (check.isRefusal()) {
+      long nowNanos = System.nanoTime();
+      if (check == ResponseCheck.NOT_EXECUTED) {
+        context.overload().recordRefusal(nowNanos, calledTarget, inFlightWhenSent);
+      } else if (check.isRefusal()) {
         calledTarget.recordRejection();
       } else {
-        calledTarget.recordResponse();
-        sentToFreeSlotNanos.ifPresent(this::recordTime);
+        long responseMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+        calledTarget.recordResponse(responseMillis);
+        if (wasSentToFreeSlot) {
+          recordTime(responseMillis);
+        }
       }
       if (completed) {
         context.releaseBody(request);
@@ -382,7 +493,7 @@
       if (failure == CallFailure.NO_CONNECTION) {
         calledTarget.recordCancellation();
       } else {
-        calledTarget.recordFailure(System.nanoTime());
+        recordEnd(calledTarget, failure);
       }
       if (completed) {
         context.releaseBody(request);
@@ -391,13 +502,10 @@
       retryFailed(failure);
     }
 
-    private void recordTime(long sentNanos) {
+    private void recordTime(long responseMillis) {
       context
           .priorityReserve()
-          .recordTime(
-              service.orElseThrow().name(),
-              route.orElseThrow().priority(),
-              TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos));
+          .recordTime(service.orElseThrow().name(), route.orElseThrow().priority(), responseMillis);
     }
 
     private void readNotices(
@@ -409,10 +517,14 @@
                   context
                       .noticeReader()
                       .read(System.nanoTime(), calledTarget.spec().id(), notices, response, check));
+      if (check == ResponseCheck.VALID || check == ResponseCheck.NOT_EXECUTED) {
+        context.loadReader().read(calledTarget, response);
+      }
     }
 
     private TargetStats endCall() {
       TargetStats calledTarget = target.orElseThrow();
+      countAgain(calledTarget);
       target = Optional.empty();
       call = Optional.empty();
       return calledTarget;
@@ -485,7 +597,8 @@
     }
     call.get().cancel();
     call = Optional.empty();
-    target.ifPresent(t -> t.recordFailure(System.nanoTime()));
+    target.ifPresent(this::countAgain);
+    target.ifPresent(t -> recordEnd(t, CallFailure.OVERDUE));
     if (completed) {
       context.releaseBody(request);
     } else {
@@ -559,6 +672,7 @@
                 .with("considered", refusalTarget.map(t -> t.spec().id().value()).orElse(""))
                 .with("in_flight", refusalTarget.map(TargetStats::estimatedInFlight).orElse(0))
                 .with("ms_per_request", refusalTarget.map(TargetStats::millisPerRequest).orElse(0))
+                .with("limit", refusalTarget.map(t -> t.concurrencyLimit(nowNanos)).orElse(0))
                 .with("detail", detail)
                 .with("last_failure", lastFailure)
                 .with("configuration", context.routing().routes().version())
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -62,6 +62,8 @@
     Gauge.builder("coltsfootwheel.targets", routing, r -> r.targets().size()).register(meters);
     Gauge.builder("coltsfootwheel.evacuated.zones", routing, r -> r.evacuatedZones().size())
         .register(meters);
+    Gauge.builder("coltsfootwheel.targets.limited", routing, RoutingState::limitedTargetCount)
+        .register(meters);
     FunctionCounter.builder(
             "coltsfootwheel.target.connections", connections, TargetConnections::openedCount)
         .register(meters);
