Split the exchange and the relay: one call to a target, and the handlers of a client connection

Change: TargetAttempt holds what belongs to one call and records its end; ClientChannel adds the handlers of a connection; a shorter simulation. No behaviour changes.

--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -13,16 +13,12 @@
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
-import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -50,8 +46,6 @@
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
 public final class Relay implements RelayContext, AutoCloseable {
-  private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
-
   /**
    * Requests in progress behind another one of their connection: a third of the 3,075 descriptors
    * of the smallest entry, because each can need a connection to a target.
@@ -95,6 +89,7 @@
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
+  private final ClientChannel clientChannel;
   private final RelayStop stop;
   private final TargetNoticeReader noticeReader;
   private final TargetLoadReader loadReader;
@@ -131,6 +126,7 @@
             settings.evacuationMillis(),
             connections::hasIdle,
             priorityReserve::slotsAgainst);
+    this.clientChannel = new ClientChannel(this, bodyBudget, log);
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.loadReader = new TargetLoadReader(settings.headerNames(), log, meters);
     this.overload = new TargetOverloadRecorder(log, meters);
@@ -359,42 +355,7 @@
   }
 
   private void onConnection(Connection connection) {
-    ClientLimits limits = routing.routes().limits().applicable();
-    int maxBodyBytes = (int) limits.maxBodyBytes();
-    ClientRequestDecoder decoder =
-        new ClientRequestDecoder(
-            new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.maxHeaderBytes()));
-    RequestReadProgress progress = new RequestReadProgress(decoder);
-    InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent());
-    ClientHandler client = new ClientHandler(this, progress, gate, limits.idleTimeoutMillis());
-    connection.addHandlerLast(gate);
-    connection.addHandlerLast(decoder);
-    connection.addHandlerLast(new HttpResponseEncoder());
-    connection.addHandlerLast("received-messages", progress.messageHandler());
-    connection.addHandlerLast(
-        new BufferedBodyLimiter(
-            bodyBudget,
-            () -> {
-              log.write(LogEvent.of("client.closed").with("reason", "bodies use too much memory"));
-              connection.channel().close();
-            }));
-    connection.addHandlerLast(
-        new RequestAggregator(
-            maxBodyBytes,
-            () -> !client.hasUnansweredRequests(),
-            status -> {
-              log.write(
-                  LogEvent.of("request.rejected")
-                      .with("reason", status.reasonPhrase())
-                      .with("max_bytes", maxBodyBytes));
-              client.reject(status);
-            }));
-    connection.addHandlerLast(
-        new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
-    connection.addHandlerLast(client);
-    connection.channel().config().setAutoRead(true);
+    clientChannel.addHandlers(connection, routing.routes().limits().applicable());
   }
 
   void clientConnected(ClientHandler client) {
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -13,7 +13,6 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -37,15 +36,6 @@
    */
   private static final long OWNERSHIP_WAIT_MILLIS = 60;
 
-  /**
-   * Multiple of the expected response time at which a response is overdue. The work of a request
-   * varies; one in a thousand takes four times the mean or longer.
-   */
-  private static final int OVERDUE_FACTOR = 4;
-
-  /** Shortest time at which a response is overdue; a key whose state is not loaded is slow. */
-  private static final long MIN_OVERDUE_MILLIS = 1_000;
-
   private static final long MIN_RECHECK_MILLIS = 10;
 
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
@@ -69,31 +59,12 @@
   private boolean completed;
   private boolean mayHaveExecuted;
   private int sendCount;
-  private Optional<TargetStats> target = Optional.empty();
+  private Optional<TargetAttempt> attempt = Optional.empty();
 
   /** Cold target for which the request waits for a permit. */
   private Optional<TargetStats> awaitedTarget = Optional.empty();
 
-  /** End of the permit with which the request was or will be written; empty for a warm target. */
-  private OptionalLong permitEndNanos = OptionalLong.empty();
-
-  /** Incarnation of the target that was called last. */
-  private long calledIncarnationMillis;
-
-  /** Time of the last call, when its target had a free slot. */
-  private boolean wasSentToFreeSlot;
-
   private Optional<TargetConnections.Call> call = Optional.empty();
-  private long sentNanos;
-  private int inFlightWhenSent;
-  private long expectedMillisWhenSent;
-
-  /** Whether the response is overdue, so that the request no longer counts as in flight. */
-  private boolean isOverdue;
-
-  /** Whether the overdue response was recorded as a sign of a full target. */
-  private boolean isOverdueSign;
-
   private String lastFailure = "";
 
   /** Target whose load caused the refusal, empty if the refusal had another cause. */
@@ -177,8 +148,7 @@
     context.removeExchange(this);
     if (call.isPresent() && isIdempotent()) {
       call.get().cancel();
-      target.ifPresent(this::countAgain);
-      target.ifPresent(TargetStats::recordCancellation);
+      attempt.ifPresent(TargetAttempt::recordCancellation);
       call = Optional.empty();
     }
     if (call.isEmpty()) {
@@ -246,8 +216,8 @@
     }
     call.ifPresent(TargetConnections.Call::cancel);
     call = Optional.empty();
-    target.ifPresent(TargetStats::recordCancellation);
-    target = Optional.empty();
+    attempt.ifPresent(TargetAttempt::recordCancellation);
+    attempt = Optional.empty();
     refuse(STOPPING, RetryAfter.ENTRY_STOPPING.millis());
   }
 
@@ -314,24 +284,13 @@
   }
 
   private void send(TargetStats chosenTarget, long remainingMillis, long nowNanos) {
-    target = Optional.of(chosenTarget);
-    calledIncarnationMillis = chosenTarget.spec().incarnationMillis();
     triedTargets.add(chosenTarget.spec().id());
     sendCount++;
     if (sendCount > 1) {
       context.countRetry();
     }
-    sentNanos = System.nanoTime();
-    inFlightWhenSent = chosenTarget.estimatedInFlight();
-    expectedMillisWhenSent = chosenTarget.expectedResponseMillis();
-    isOverdue = false;
-    isOverdueSign = false;
-    wasSentToFreeSlot = chosenTarget.hasFreeSlot();
-    permitEndNanos = OptionalLong.empty();
-    if (chosenTarget.isCold()) {
-      takePermit(chosenTarget, nowNanos);
-    }
-    chosenTarget.recordSent();
+    TargetAttempt newAttempt = new TargetAttempt(context, chosenTarget, nowNanos);
+    attempt = Optional.of(newAttempt);
     int maxConnections =
         ConnectionShare.of(service.orElseThrow().maxConnections(), context.routing().entryCount());
     call =
@@ -346,13 +305,7 @@
                     request.id(),
                     new CallOutcome()));
     int send = sendCount;
-    context.schedule(() -> checkOverdue(send), overdueMillis(chosenTarget));
-  }
-
-  /** Returns the time after which the response is overdue, longer if the target became slower. */
-  private long overdueMillis(TargetStats calledTarget) {
-    long expectedMillis = Math.max(expectedMillisWhenSent, calledTarget.expectedResponseMillis());
-    return Math.max(MIN_OVERDUE_MILLIS, OVERDUE_FACTOR * expectedMillis);
+    context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos));
   }
 
   /**
@@ -361,31 +314,23 @@
    * since a late response is better than none, but no longer counts as in flight.
    */
   private void checkOverdue(int send) {
-    if (send != sendCount || call.isEmpty() || isOverdue) {
+    if (send != sendCount || call.isEmpty() || attempt.orElseThrow().isOverdue()) {
       return;
     }
-    TargetStats calledTarget = target.orElseThrow();
     long nowNanos = System.nanoTime();
-    long missingMillis =
-        overdueMillis(calledTarget) - TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+    long missingMillis = attempt.get().millisUntilOverdue(nowNanos);
     if (missingMillis > 0 || !isForwarded()) {
       context.schedule(() -> checkOverdue(send), Math.max(MIN_RECHECK_MILLIS, missingMillis));
       return;
     }
-    boolean isSentAgain = !completed && sendAgain(calledTarget, nowNanos);
+    boolean isSentAgain = !completed && sendAgain(nowNanos);
     if (!isSentAgain) {
-      isOverdue = true;
-      isOverdueSign = calledTarget.isNearLimit(nowNanos, inFlightWhenSent);
-      if (isOverdueSign) {
-        recordFailure(calledTarget, CallFailure.OVERDUE);
-      } else {
-        calledTarget.recordCancellation();
-      }
+      attempt.get().recordOverdue(nowNanos);
     }
   }
 
   /** Gives the call up and sends the request again if that is allowed and possible now. */
-  private boolean sendAgain(TargetStats calledTarget, long nowNanos) {
+  private boolean sendAgain(long nowNanos) {
     boolean mayBeSent =
         route.orElseThrow().kind().isIdempotent() && !context.freshness().isOutdated(nowNanos);
     if (!mayBeSent) {
@@ -396,57 +341,13 @@
       return false;
     }
     call.get().cancel();
-    recordFailure(calledTarget, CallFailure.OVERDUE);
+    attempt.get().recordFailure(nowNanos, CallFailure.OVERDUE);
     mayHaveExecuted = true;
     lastFailure = "response is overdue";
     send(again.target(), constraints.remainingMillis(), nowNanos);
     return true;
   }
 
-  /** Records the end of a call without a usable response. */
-  private void recordFailure(TargetStats calledTarget, CallFailure failure) {
-    context.overload().recordFailure(System.nanoTime(), calledTarget, failure, inFlightWhenSent);
-  }
-
-  /** Records the end of a call that may have been recorded as overdue before. */
-  private void recordEnd(TargetStats calledTarget, CallFailure failure) {
-    if (isOverdueSign) {
-      calledTarget.recordCancellation();
-    } else {
-      recordFailure(calledTarget, failure);
-    }
-  }
-
-  /** Counts an overdue request as in flight again, whose end is about to be recorded. */
-  private void countAgain(TargetStats calledTarget) {
-    if (isOverdue) {
-      isOverdue = false;
-      calledTarget.recordSent();
-    }
-  }
-
-  private void takePermit(TargetStats coldTarget, long nowNanos) {
-    permitEndNanos = coldTarget.permits().take(nowNanos);
-    if (permitEndNanos.isPresent()) {
-      context.countUsedPermit();
-    }
-  }
-
-  /**
-   * Returns whether the request may be written to its target now. If the target has become cold or
-   * the permit has expired while the request waited for a connection, it needs another permit.
-   */
-  private boolean isPermitted(TargetStats chosenTarget, long nowNanos) {
-    if (!chosenTarget.isCold()) {
-      return true;
-    }
-    boolean isValid = permitEndNanos.isPresent() && nowNanos - permitEndNanos.getAsLong() < 0;
-    if (!isValid) {
-      takePermit(chosenTarget, nowNanos);
-    }
-    return permitEndNanos.isPresent();
-  }
-
   /** Handles the outcome of the call in progress. */
   private final class CallOutcome implements CallListener {
     @Override
@@ -454,26 +355,17 @@
       long nowNanos = System.nanoTime();
       return !completed
           && !context.freshness().isOutdated(nowNanos)
-          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos)
-          && isPermitted(target.orElseThrow(), nowNanos);
+          && context.chooser().maySend(context.routing(), attempt.orElseThrow().target(), nowNanos)
+          && attempt.get().isPermitted(nowNanos);
     }
 
     @Override
     public void onResponse(FullHttpResponse response, ResponseCheck check) {
-      TargetStats calledTarget = endCall();
-      readNotices(calledTarget, response, check);
-      long nowNanos = System.nanoTime();
-      if (check == ResponseCheck.NOT_EXECUTED) {
-        context.overload().recordRefusal(nowNanos, calledTarget, inFlightWhenSent);
-      } else if (check.isRefusal()) {
-        calledTarget.recordRejection();
-      } else {
-        long responseMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
-        calledTarget.recordResponse(responseMillis);
-        if (wasSentToFreeSlot) {
-          recordTime(responseMillis);
-        }
-      }
+      TargetAttempt ended = endCall();
+      TargetStats calledTarget = ended.target();
+      readNotices(ended, response, check);
+      ended.recordResponse(
+          System.nanoTime(), check, service.orElseThrow().name(), route.orElseThrow().priority());
       if (completed) {
         context.releaseBody(request);
         return;
@@ -489,12 +381,7 @@
 
     @Override
     public void onFailure(CallFailure failure) {
-      TargetStats calledTarget = endCall();
-      if (failure == CallFailure.NO_CONNECTION) {
-        calledTarget.recordCancellation();
-      } else {
-        recordEnd(calledTarget, failure);
-      }
+      endCall().recordFailure(System.nanoTime(), failure);
       if (completed) {
         context.releaseBody(request);
         return;
@@ -502,16 +389,10 @@
       retryFailed(failure);
     }
 
-    private void recordTime(long responseMillis) {
-      context
-          .priorityReserve()
-          .recordTime(service.orElseThrow().name(), route.orElseThrow().priority(), responseMillis);
-    }
-
-    private void readNotices(
-        TargetStats calledTarget, FullHttpResponse response, ResponseCheck check) {
+    private void readNotices(TargetAttempt ended, FullHttpResponse response, ResponseCheck check) {
+      TargetStats calledTarget = ended.target();
       calledTarget
-          .notices(calledIncarnationMillis)
+          .notices(ended.incarnationMillis())
           .ifPresent(
               notices ->
                   context
@@ -522,12 +403,11 @@
       }
     }
 
-    private TargetStats endCall() {
-      TargetStats calledTarget = target.orElseThrow();
-      countAgain(calledTarget);
-      target = Optional.empty();
+    private TargetAttempt endCall() {
+      TargetAttempt ended = attempt.orElseThrow();
+      attempt = Optional.empty();
       call = Optional.empty();
-      return calledTarget;
+      return ended;
     }
   }
 
@@ -597,8 +477,7 @@
     }
     call.get().cancel();
     call = Optional.empty();
-    target.ifPresent(this::countAgain);
-    target.ifPresent(t -> recordEnd(t, CallFailure.OVERDUE));
+    attempt.ifPresent(a -> a.recordFailure(System.nanoTime(), CallFailure.OVERDUE));
     if (completed) {
       context.releaseBody(request);
     } else {
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -19,6 +19,7 @@
 import java.util.TreeMap;
 import java.util.function.IntToDoubleFunction;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 
 /** Simulates targets that report to a leader and hold the keys that it grants, with its log. */
 final class OwnershipSimulation {
@@ -161,9 +162,7 @@
   }
 
   void start(int count) {
-    for (int i = 0; i < count; i++) {
-      add();
-    }
+    IntStream.range(0, count).forEach(i -> add());
   }
 
   void add() {
@@ -254,12 +253,10 @@
   }
 
   int heldKeys() {
-    int count = 0;
-    for (int key = 0; key <= KeyRange.MAX_KEY; key++) {
-      int currentKey = key;
-      count += targets.values().stream().anyMatch(t -> t.holds(currentKey)) ? 1 : 0;
-    }
-    return count;
+    return (int)
+        IntStream.rangeClosed(0, KeyRange.MAX_KEY)
+            .filter(key -> targets.values().stream().anyMatch(t -> t.holds(key)))
+            .count();
   }
 
   Map<TargetId, Double> shares(KeyRange range) {
@@ -590,11 +587,10 @@
 
   private void recordOverlaps(SimulatedTarget one, SimulatedTarget other) {
     for (KeyRange a : one.heldRanges()) {
-      for (KeyRange b : other.heldRanges()) {
-        if (a.overlaps(b)) {
-          violations.add(nowMillis + ": " + one.id + " " + a + " and " + other.id + " " + b);
-        }
-      }
+      other.heldRanges().stream()
+          .filter(a::overlaps)
+          .map(b -> nowMillis + ": " + one.id + " " + a + " and " + other.id + " " + b)
+          .forEach(violations::add);
     }
   }
 
