Reword what the reviewers stumbled on

Change: wording only, but for the names of one record and one component. Result: compiles; not measured.

--- a/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
@@ -87,9 +87,10 @@
    *
    * @param load load of its targets
    * @param idleTargets targets that report and have no keys
-   * @param idleColdLimit load that an idle target sustains when all idle targets are cold
+   * @param coldLimitPerSecond requests per second that an idle target sustains when all idle
+   *     targets are cold
    */
-  private record RoundLoad(ServiceLoad load, long idleTargets, OptionalDouble idleColdLimit) {}
+  private record RoundLoad(ServiceLoad load, long idleTargets, OptionalDouble coldLimitPerSecond) {}
 
   /** Returns whether a move was started since the last call, and resets the flag. */
   boolean takeHasStarted() {
@@ -136,7 +137,7 @@
               grantedRanges(nowNanos, target, heartbeat),
               load,
               keys,
-              round.idleColdLimit())
+              round.coldLimitPerSecond())
           .ifPresent(r -> startMove(target, heartbeat, r, "another target has no keys"));
     }
   }
@@ -161,12 +162,12 @@
             .filter(t -> isEstablished(nowNanos, t.id()))
             .toList();
     boolean allCold = idleTargets.stream().allMatch(t -> load.coldLimitPerSecond(t).isPresent());
-    OptionalDouble idleColdLimit =
+    OptionalDouble coldLimitPerSecond =
         idleTargets.stream()
             .flatMapToDouble(t -> load.coldLimitPerSecond(t).stream())
             .filter(limit -> allCold)
             .min();
-    return new RoundLoad(load, idleTargets.size(), idleColdLimit);
+    return new RoundLoad(load, idleTargets.size(), coldLimitPerSecond);
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/loadcontrol/RequestPipeline.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/RequestPipeline.java
@@ -20,13 +20,19 @@
  * @param <T> request of the caller
  */
 public final class RequestPipeline<T> {
-  /** Requests of a connection that are started and unanswered. */
+  /**
+   * Requests of a connection that are started and unanswered; more would let one client occupy the
+   * slots of several targets.
+   */
   public static final int MAX_STARTED = 16;
 
   /** Unanswered requests of a connection beyond which no further ones should be read. */
   public static final int MAX_UNANSWERED = 2 * MAX_STARTED;
 
-  /** Bytes of a connection beyond which only its first request starts. */
+  /**
+   * Bytes of a connection beyond which only its first request starts: a sixteenth of the memory for
+   * complete bodies.
+   */
   public static final long MAX_BYTES = 1024 * 1024;
 
   private final PipelineBudget budget;
--- a/src/main/java/io/coltsfootwheel/loadcontrol/SelectionStep.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/SelectionStep.java
@@ -10,6 +10,6 @@
   OTHER_ZONE,
   /** Examination of all targets; the response is expected within the objective. */
   EXAMINED,
-  /** No target meets the objective, or none is usable without reservation. */
+  /** No target meets the objective, or all are suspect, leaving or already tried. */
   LAST_RESORT
 }
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -40,6 +40,7 @@
   /** Port on which every process serves its metrics. */
   static final int METRICS_PORT = 9464;
 
+  /** Longer than an entry on a small machine needs until it serves requests. */
   private static final long METRICS_DELAY_MILLIS = 3_000;
 
   private static final String ARCHIVE_ROLE = "archive";
--- a/src/main/java/io/coltsfootwheel/relay/InputGate.java
+++ b/src/main/java/io/coltsfootwheel/relay/InputGate.java
@@ -54,7 +54,7 @@
   }
 
   /**
-   * Opens the gate and passes the held bytes on.
+   * Resumes the input and passes the held bytes on.
    *
    * @return whether any bytes were passed on
    */
--- a/src/main/java/io/coltsfootwheel/relay/PermitDemand.java
+++ b/src/main/java/io/coltsfootwheel/relay/PermitDemand.java
@@ -24,7 +24,7 @@
 
   private int rotation;
 
-  private record Wish(TargetId target, int permits, int waiting) {}
+  private record PermitRequest(TargetId target, int permits, int waiting) {}
 
   /**
    * Records a request of an unkeyed service. One permit is asked for each cold target of it, since
@@ -38,7 +38,7 @@
   Map<TargetId, Integer> take(long nowNanos, RoutingState routing) {
     List<TargetStats> cold =
         routing.targets().stream().filter(t -> t.isCold() && !t.isLeaving()).toList();
-    List<Wish> wishes = new ArrayList<>();
+    List<PermitRequest> requests = new ArrayList<>();
     for (TargetStats target : cold) {
       ServiceName service = target.spec().service();
       int waiting = target.permits().waitingRequests();
@@ -46,22 +46,22 @@
       int wanted = Math.max(waiting, takesUnkeyed ? 1 : 0);
       int missing = wanted - target.permits().available(nowNanos);
       if (missing > 0) {
-        wishes.add(new Wish(target.spec().id(), missing, waiting));
+        requests.add(new PermitRequest(target.spec().id(), missing, waiting));
       }
     }
     unkeyedServices.clear();
-    return selected(wishes);
+    return selected(requests);
   }
 
-  /** Returns the wishes with the most waiting requests; equal ones take turns. */
-  private Map<TargetId, Integer> selected(List<Wish> wishes) {
-    if (wishes.size() > MAX_TARGETS) {
-      Collections.rotate(wishes, rotation);
+  /** Returns the requests with the most waiting requests; equal ones take turns. */
+  private Map<TargetId, Integer> selected(List<PermitRequest> requests) {
+    if (requests.size() > MAX_TARGETS) {
+      Collections.rotate(requests, rotation);
       rotation += MAX_TARGETS;
-      wishes.sort(Comparator.comparingInt(Wish::waiting).reversed());
+      requests.sort(Comparator.comparingInt(PermitRequest::waiting).reversed());
     }
     Map<TargetId, Integer> permits = new LinkedHashMap<>();
-    wishes.stream().limit(MAX_TARGETS).forEach(w -> permits.put(w.target(), w.permits()));
+    requests.stream().limit(MAX_TARGETS).forEach(w -> permits.put(w.target(), w.permits()));
     return permits;
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -58,7 +58,7 @@
   /**
    * Unwritten bytes of a client from which on it is not read and no further response is written,
    * and those at which that ends. The high mark holds four responses of 60 kB; 64 clients that read
-   * nothing hold as much as {@link BufferedBodyBudget} allows.
+   * nothing and pipeline no requests hold as much as {@link BufferedBodyBudget} allows.
    */
   private static final WriteBufferWaterMark CLIENT_WATER_MARK =
       new WriteBufferWaterMark(64 * 1024, 256 * 1024);
@@ -225,8 +225,8 @@
 
   /**
    * Adds permits for cold targets, and decides again on the requests that wait for them. Permits
-   * that no question of this process can have asked for belong to an earlier process at the same
-   * address and are ignored.
+   * that no subscription of this process can have asked for belong to an earlier process at the
+   * same address and are ignored.
    *
    * @param askedNanos time of {@link System#nanoTime} at which the permits were asked for
    * @param grants grants by target
