Observe concurrency limits by default, and enforce them only where the settings ask

Targets that refuse requests at any load have their limits lowered for nothing. Change: setting concurrencyLimits, observe or enforce; in both cases the leader determines the limits, and entries log and count them.

--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -10,6 +10,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNodeSettings;
 import io.coltsfootwheel.node.EntryNodeSettings;
+import io.coltsfootwheel.relay.LimitMode;
 import io.coltsfootwheel.relay.RelaySettings;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -65,6 +66,10 @@
       FIELDS.optional("heartbeatIntervalMs", ValueType.integer(1, MAX_HEARTBEAT_MILLIS));
   private static final OptionalField<List<JsonValue>> BOUNDS =
       FIELDS.optional("bounds", ValueType.list());
+  private static final OptionalField<LimitMode> LIMIT_MODE =
+      FIELDS.optional(
+          "concurrencyLimits",
+          ValueType.choice(Map.of("observe", LimitMode.OBSERVE, "enforce", LimitMode.ENFORCE)));
   private static final RequiredField<JsonValue> LISTEN_ADDRESSES =
       FIELDS.required("listenAddrs", ValueType.object());
   private static final OptionalField<JsonValue> ZONES =
@@ -214,7 +219,8 @@
         bounds.get(PlatformBound.RETRY_BUDGET_RATIO),
         bounds.get(PlatformBound.RETRY_BUDGET_SLACK),
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
-        ip().hashCode() ^ System.nanoTime());
+        ip().hashCode() ^ System.nanoTime(),
+        root.read(LIMIT_MODE).orElse(LimitMode.OBSERVE));
   }
 
   private int memberPort() {
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -77,9 +77,9 @@
   private final LoopResources loopResources = LoopResources.create("relay", 1, true);
 
   private final EventLoop eventLoop = (EventLoop) loopResources.onServer(false).next();
-  private final RoutingState routing = new RoutingState();
+  private final RoutingState routing;
   private final UniformRandomProvider random;
-  private final PriorityReserve priorityReserve = new PriorityReserve(routing);
+  private final PriorityReserve priorityReserve;
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
@@ -112,6 +112,8 @@
   public Relay(RelaySettings settings, EventLog log, MeterRegistry meters) {
     this.settings = settings;
     this.log = log;
+    this.routing = new RoutingState(settings.limitMode());
+    this.priorityReserve = new PriorityReserve(routing);
     this.random = RandomSource.SPLIT_MIX_64.create(settings.seed());
     this.retryBudget =
         new FleetRetryBudget(
--- a/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
@@ -16,6 +16,7 @@
  * @param retryAllowance additional retries that all entries together may make within a window
  * @param retryWindowMillis length of the sliding window in which retries are counted
  * @param seed seed of the random number generator
+ * @param limitMode what is done with the concurrency limits of targets
  */
 public record RelaySettings(
     Address listen,
@@ -26,9 +27,11 @@
     double retryRatio,
     double retryAllowance,
     long retryWindowMillis,
-    long seed) {
+    long seed,
+    LimitMode limitMode) {
   /**
-   * Creates settings without an evacuation time; the drain time limits evacuations too.
+   * Creates settings that enforce limits and have no evacuation time; the drain time limits
+   * evacuations too.
    *
    * @param listen address on which clients connect
    * @param zone availability zone of this entry
@@ -57,6 +60,7 @@
         retryRatio,
         retryAllowance,
         retryWindowMillis,
-        seed);
+        seed,
+        LimitMode.ENFORCE);
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -39,10 +39,20 @@
   /** Cold targets of the last view; read by metrics on other threads. */
   private volatile int coldTargetCount;
 
+  private final LimitMode limitMode;
   private boolean hasOwnership;
   private int entryCount = 1;
   private OptionalLong estimatesConfirmedNanos = OptionalLong.empty();
 
+  /** Creates a state that enforces the concurrency limits of targets. */
+  RoutingState() {
+    this(LimitMode.ENFORCE);
+  }
+
+  RoutingState(LimitMode limitMode) {
+    this.limitMode = limitMode;
+  }
+
   void updateConfiguration(Configuration configuration) {
     routes = RouteTable.of(configuration);
     targets.values().forEach(this::updateWarmupLimit);
@@ -105,7 +115,7 @@
 
   /** Until its first estimate arrives, a new target counts as one of the others of its service. */
   private TargetStats newStats(OwnershipView.Target target, long changeNanos) {
-    TargetStats stats = new TargetStats(target, changeNanos);
+    TargetStats stats = new TargetStats(target, changeNanos, limitMode);
     stats.updateEntryCount(entryCount);
     targetsOf(target.service()).stream()
         .mapToInt(TargetStats::millisPerRequest)
--- a/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
@@ -34,7 +34,7 @@
   /** Lowers the limit of a target; a line is written only when it was not lowered before. */
   void record(long nowNanos, TargetStats target, Sign sign) {
     boolean wasLimited = target.isLimited(nowNanos);
-    int limitBefore = target.concurrencyLimit(nowNanos);
+    int limitBefore = target.determinedLimit(nowNanos);
     int inFlight = target.estimatedInFlight();
     target.recordOverload(nowNanos);
     meters.counter("coltsfootwheel.target.overload", "sign", sign.tag).increment();
@@ -45,7 +45,7 @@
               .with("sign", sign.tag)
               .with("in_flight", inFlight)
               .with("limit_before", limitBefore)
-              .with("limit", target.concurrencyLimit(nowNanos)));
+              .with("limit", target.determinedLimit(nowNanos)));
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -57,6 +57,7 @@
   private TargetNotices notices = new TargetNotices();
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
   private final AdmissionShare share = new AdmissionShare();
+  private final LimitMode limitMode;
   private int otherEntries;
   private int ownLimit = Integer.MAX_VALUE;
   private long ownSignalNanos;
@@ -84,7 +85,13 @@
   /** Whether the service limits the requests to cold targets, so that permits are granted. */
   private boolean isWarmupLimited;
 
+  /** Creates the state of a target whose concurrency limit is enforced. */
   TargetStats(OwnershipView.Target spec, long changeNanos) {
+    this(spec, changeNanos, LimitMode.ENFORCE);
+  }
+
+  TargetStats(OwnershipView.Target spec, long changeNanos, LimitMode limitMode) {
+    this.limitMode = limitMode;
     updateSpec(spec, changeNanos);
   }
 
@@ -190,12 +197,18 @@
     otherEntries = entryCount - 1;
   }
 
+  /** Returns the requests in flight of all entries up to which the target receives more. */
+  int concurrencyLimit(long nowNanos) {
+    return limitMode.admissionLimit(
+        determinedLimit(nowNanos), TargetConcurrencyLimit.initial(slots()));
+  }
+
   /**
-   * Returns the requests in flight of all entries up to which the target receives more: the limit
-   * of the leader, lowered by own overload signals until the leader has followed them. Without a
-   * leader, it rises again by one request each second.
+   * Returns the limit that follows from what was observed of the target: the limit of the leader,
+   * lowered by own overload signals until the leader has followed them. Without a leader, it rises
+   * again by one request each second.
    */
-  int concurrencyLimit(long nowNanos) {
+  int determinedLimit(long nowNanos) {
     int published =
         loadEstimate.concurrencyLimit() > 0
             ? loadEstimate.concurrencyLimit()
@@ -209,7 +222,7 @@
 
   /** Returns whether the target gets less than one that has signalled no overload. */
   boolean isLimited(long nowNanos) {
-    return concurrencyLimit(nowNanos) < TargetConcurrencyLimit.initial(slots());
+    return determinedLimit(nowNanos) < TargetConcurrencyLimit.initial(slots());
   }
 
   /** Counts a request for the target, whether it is admitted or not. */
@@ -224,7 +237,8 @@
   boolean tryUseShare(long nowNanos, double othersWeight) {
     boolean isWithinInitialLimit =
         estimatedInFlight(othersWeight) < TargetConcurrencyLimit.initial(slots());
-    if (!isLimited(nowNanos) && isWithinInitialLimit) {
+    boolean isLowered = concurrencyLimit(nowNanos) < TargetConcurrencyLimit.initial(slots());
+    if (!isLowered && isWithinInitialLimit) {
       return true;
     }
     double completedPerSecond =
@@ -257,7 +271,7 @@
     if (isSameOverload) {
       return;
     }
-    int limit = concurrencyLimit(nowNanos);
+    int limit = determinedLimit(nowNanos);
     int lowest = Math.max(1, Math.min(slots(), estimatedInFlight()));
     ownLimit = Math.min(limit, Math.max(lowest, (int) (OWN_DECREASE_FACTOR * limit)));
     ownSignalNanos = nowNanos;
--- a/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
@@ -139,6 +139,7 @@
         "\"graceS=6\"|\"evacuationMs=-1\"|bounds[3]",
         "future = {x = [1]}|zones = [\"z\"]|zones",
         "machines = 2|machines = -1|faultTolerance.machines",
+        "future = {x = [1]}|concurrencyLimits = \"some\"|concurrencyLimits",
         "machines = 2|machines = \"2\"|faultTolerance.machines",
         "[faultTolerance]|[[faultTolerance]]|faultTolerance",
       })
