--- a/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/MoveStarter.java
@@ -8,12 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Starts the moves of ranges during the term of one leader: away from targets that are busy, leave,
- * are lost or cannot be granted keys, and to targets that have none.
+ * are lost, are in an evacuated zone or cannot be granted keys, and to targets that have none.
  */
 final class MoveStarter {
   /**
@@ -22,6 +23,9 @@
    */
   private static final long REBALANCE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /** Reason of moves that bring keys out of an evacuated zone. */
+  static final String ZONE_EVACUATED = "zone is evacuated";
+
   private final HeartbeatMonitor heartbeats;
   private final RangeMoves moves;
   private final LoadStatistics loadStatistics;
@@ -83,8 +87,10 @@
    *
    * @param load load of its targets
    * @param idleTargets targets that report and have no keys
+   * @param coldLimitPerSecond requests per second that an idle target sustains when all idle
+   *     targets are cold
    */
-  private record RoundLoad(ServiceLoad load, long idleTargets) {}
+  private record RoundLoad(ServiceLoad load, long idleTargets, OptionalDouble coldLimitPerSecond) {}
 
   /** Returns whether a move was started since the last call, and resets the flag. */
   boolean takeHasStarted() {
@@ -107,6 +113,12 @@
       owned.forEach(r -> startMove(target, heartbeat, r.range(), "target is leaving"));
       return;
     }
+    if (state.isEvacuated(target)) {
+      if (keyedServices.grantMethod(target.service()) == GrantMethod.HEARTBEAT) {
+        owned.forEach(r -> startMove(target, heartbeat, r.range(), ZONE_EVACUATED));
+      }
+      return;
+    }
     KeyLoad keys = loadStatistics.keyLoad(target.service());
     List<KeyRange> parts =
         RangePlanner.rangesToOffload(
@@ -120,7 +132,12 @@
         .ifPresent(r -> startMove(target, heartbeat, r, "ranges can be joined"));
     if (parts.isEmpty() && isAmongBusiest(target, round)) {
       RangePlanner.halfOfLoad(
-              nowNanos, target, grantedRanges(nowNanos, target, heartbeat), load, keys)
+              nowNanos,
+              target,
+              grantedRanges(nowNanos, target, heartbeat),
+              load,
+              keys,
+              round.coldLimitPerSecond())
           .ifPresent(r -> startMove(target, heartbeat, r, "another target has no keys"));
     }
   }
@@ -139,40 +156,52 @@
 
   private RoundLoad computeLoad(long nowNanos, ServiceName service) {
     ServiceLoad load = placement.load(nowNanos, service, state);
-    long idleTargets =
+    List<TargetRecord> idleTargets =
         load.receivers().stream()
             .filter(t -> state.table(t.service()).rangesOf(t.id()).isEmpty())
             .filter(t -> isEstablished(nowNanos, t.id()))
-            .count();
-    return new RoundLoad(load, idleTargets);
+            .toList();
+    boolean allCold = idleTargets.stream().allMatch(t -> load.coldLimitPerSecond(t).isPresent());
+    OptionalDouble coldLimitPerSecond =
+        idleTargets.stream()
+            .flatMapToDouble(t -> load.coldLimitPerSecond(t).stream())
+            .filter(limit -> allCold)
+            .min();
+    return new RoundLoad(load, idleTargets.size(), coldLimitPerSecond);
   }
 
   /**
-   * Starts moves of the ranges whose owner stopped to report before it was granted them. No answer
-   * of this term contains such a range, and the new term took all ranges of its start as granted,
-   * so there is no lease whose end must be awaited.
+   * Starts moves of the ranges that their owner was never granted, when it stopped to report or its
+   * zone is evacuated: its assignment may have been proposed before the evacuation. No answer of
+   * this term contains such a range, and the new term took all ranges of its start as granted, so
+   * there is no lease whose end must be awaited.
    */
   List<RangeMove> startUngrantedMoves(long nowNanos) {
     List<RangeMove> started = new ArrayList<>();
     for (TargetRecord target : state.targets()) {
-      boolean isLost =
-          keyedServices.contains(target.service())
-              && !heartbeats.isReporting(nowNanos, target.id());
-      if (isLost && !pendingRemovals.contains(target.id())) {
-        started.addAll(startUngrantedMoves(nowNanos, target));
+      if (!keyedServices.contains(target.service()) || pendingRemovals.contains(target.id())) {
+        continue;
+      }
+      if (!heartbeats.isReporting(nowNanos, target.id())) {
+        started.addAll(startUngrantedMoves(nowNanos, target, "owner was lost"));
+      } else if (state.isEvacuated(target)) {
+        started.addAll(startUngrantedMoves(nowNanos, target, ZONE_EVACUATED));
       }
     }
     return started;
   }
 
-  private List<RangeMove> startUngrantedMoves(long nowNanos, TargetRecord owner) {
+  private List<RangeMove> startUngrantedMoves(long nowNanos, TargetRecord owner, String reason) {
     Optional<TargetHeartbeat> heartbeat =
         heartbeats.find(owner.id()).filter(h -> h.incarnationMillis() == owner.incarnationMillis());
     List<OwnedRange> whole = state.table(owner.service()).rangesOf(owner.id());
+    // A call to the earlier incarnation may have reached this one.
+    boolean isCalled = keyedServices.grantMethod(owner.service()) == GrantMethod.CALL;
     List<OwnedRange> ungranted =
         stableRanges(owner).stream()
             .filter(whole::contains)
             .filter(r -> heartbeat.filter(h -> !h.mayHaveBeenGranted(r)).isPresent())
+            .filter(r -> !isCalled || !heartbeat.get().isAnsweredLeaseInForce(nowNanos))
             .toList();
     if (ungranted.isEmpty()
         || placement.receivers(nowNanos, owner.service(), owner.id(), state).isEmpty()) {
@@ -181,7 +210,7 @@
     loadsOfRound.clear();
     hasStarted = true;
     return ungranted.stream()
-        .map(r -> moves.startUngranted(owner, heartbeat.orElseThrow(), r, "owner was lost"))
+        .map(r -> moves.startUngranted(owner, heartbeat.orElseThrow(), r, reason))
         .toList();
   }
 
@@ -230,8 +259,9 @@
   }
 
   /**
-   * Starts moves of the keys of called targets that have left or that do not answer calls. Targets
-   * of other services release all keys of which an answer to their reports says nothing.
+   * Starts moves of the keys of called targets that have left, that do not answer calls, or whose
+   * zone is evacuated. Targets of other services release all keys of which an answer to their
+   * reports says nothing.
    */
   void startMovesOfCalledTargets(long nowNanos) {
     for (TargetRecord target : state.targets()) {
@@ -240,23 +270,43 @@
         continue;
       }
       boolean hasLeft = target.phase() == TargetPhase.LEFT;
-      Optional<TargetHeartbeat> heartbeat =
-          heartbeats.find(target.id()).filter(h -> hasLeft || h.callLeases().isFailing(nowNanos));
-      if (heartbeat.isPresent()) {
+      Optional<TargetHeartbeat> heartbeat = heartbeats.find(target.id());
+      if (heartbeat.filter(h -> hasLeft || h.callLeases().isFailing(nowNanos)).isPresent()) {
         String reason = hasLeft ? "target has left" : "target does not answer calls";
-        startMovesOfAllRanges(nowNanos, target, heartbeat.get(), reason);
+        startMovesOf(stableRanges(target), target, heartbeat.get(), nowNanos, reason);
+      } else if (state.isEvacuated(target)) {
+        heartbeat
+            .filter(h -> h.incarnationMillis() == target.incarnationMillis())
+            .ifPresent(
+                h ->
+                    startMovesOf(
+                        certainRanges(nowNanos, target, h), target, h, nowNanos, ZONE_EVACUATED));
       }
     }
   }
 
-  private void startMovesOfAllRanges(
-      long nowNanos, TargetRecord target, TargetHeartbeat heartbeat, String reason) {
-    List<OwnedRange> owned = stableRanges(target);
+  /**
+   * Returns the ranges of a called target of which no late grant can follow. Any other range would
+   * have no holder from its release until the end of the lease that such a grant may begin.
+   */
+  private List<OwnedRange> certainRanges(
+      long nowNanos, TargetRecord target, TargetHeartbeat heartbeat) {
+    return stableRanges(target).stream()
+        .filter(r -> !GrantCalls.isArrivalUncertain(nowNanos, heartbeat, r.range()))
+        .toList();
+  }
+
+  private void startMovesOf(
+      List<OwnedRange> ranges,
+      TargetRecord target,
+      TargetHeartbeat heartbeat,
+      long nowNanos,
+      String reason) {
     boolean hasReceiver =
-        !owned.isEmpty()
+        !ranges.isEmpty()
             && !placement.receivers(nowNanos, target.service(), target.id(), state).isEmpty();
     if (hasReceiver) {
-      owned.forEach(r -> startMove(target, heartbeat, r.range(), reason));
+      ranges.forEach(r -> startMove(target, heartbeat, r.range(), reason));
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/keyspace/RangePlacement.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlacement.java
@@ -3,7 +3,9 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -13,6 +15,7 @@
   private final LoadStatistics loadStatistics;
   private final RangeMoves moves;
   private final Set<TargetId> pendingRemovals;
+  private final ColdTargets coldTargets;
 
   /**
    * Creates a placement that reads the mutable state of the leader.
@@ -21,26 +24,38 @@
    * @param loadStatistics load of keys and targets
    * @param moves moves in progress
    * @param pendingRemovals targets whose removal is proposed and not yet applied
+   * @param coldTargets targets that are warming up
    */
   RangePlacement(
       HeartbeatMonitor heartbeats,
       LoadStatistics loadStatistics,
       RangeMoves moves,
-      Set<TargetId> pendingRemovals) {
+      Set<TargetId> pendingRemovals,
+      ColdTargets coldTargets) {
     this.heartbeats = heartbeats;
     this.loadStatistics = loadStatistics;
     this.moves = moves;
     this.pendingRemovals = pendingRemovals;
+    this.coldTargets = coldTargets;
   }
 
   /** Returns the load of the targets that can receive ranges of a service. */
   ServiceLoad load(long nowNanos, ServiceName service, FleetState state) {
     List<TargetRecord> receivers = receivers(nowNanos, service, null, state);
-    return new ServiceLoad(nowNanos, loadStatistics, service, state, moves.all(), receivers);
+    Map<TargetId, Double> coldLimits = new HashMap<>();
+    state.targets().stream()
+        .filter(t -> t.service().equals(service))
+        .forEach(
+            t ->
+                coldTargets
+                    .requestsPerSecond(nowNanos, t)
+                    .ifPresent(rate -> coldLimits.put(t.id(), rate)));
+    return new ServiceLoad(
+        nowNanos, loadStatistics, service, state, moves.all(), receivers, coldLimits);
   }
 
   /**
-   * Returns the targets of a service that can receive ranges.
+   * Returns the targets of a service that can receive ranges; none of them is in an evacuated zone.
    *
    * @param excluded target that is left out, or null
    */
@@ -48,6 +63,7 @@
       long nowNanos, ServiceName service, TargetId excluded, FleetState state) {
     return state.targets().stream()
         .filter(t -> t.service().equals(service) && t.phase() == TargetPhase.READY)
+        .filter(t -> !state.isEvacuated(t))
         .filter(t -> !t.id().equals(excluded) && !pendingRemovals.contains(t.id()))
         .filter(t -> heartbeats.canReceiveKeys(nowNanos, t.id()))
         .toList();
@@ -67,15 +83,28 @@
       if (to.isPresent()) {
         assignments.addAll(RangeMoves.splitByHandoverToken(move, to.get()));
         moves.markAssignmentProposed(move);
+      } else if (mayReturn(move, load)) {
+        assignments.add(
+            new FleetCommand.Assignment(move.range(), Optional.of(move.from()), move.from(), ""));
+        moves.markAssignmentProposed(move);
       }
     }
     return assignments;
   }
 
+  /**
+   * Returns whether a range that no other target can receive goes back to its owner: the evacuation
+   * because of which the owner released it has ended.
+   */
+  private static boolean mayReturn(RangeMove move, ServiceLoad load) {
+    return move.reason().equals(MoveStarter.ZONE_EVACUATED)
+        && load.receivers().stream().anyMatch(t -> t.id().equals(move.from()));
+  }
+
   /** Divides all keys of a service evenly among its targets. */
   List<FleetCommand.Assignment> assignInitial(
       long nowNanos, ServiceName service, FleetState state) {
-    List<TargetRecord> receivers = receivers(nowNanos, service, null, state);
+    List<TargetRecord> receivers = withoutCold(nowNanos, receivers(nowNanos, service, null, state));
     List<FleetCommand.Assignment> result = new ArrayList<>();
     int keys = KeyRange.MAX_KEY + 1;
     for (int i = 0; i < receivers.size(); i++) {
@@ -88,6 +117,13 @@
     return result;
   }
 
+  /** Returns the targets that are not cold, or all when there are no others. */
+  private List<TargetRecord> withoutCold(long nowNanos, List<TargetRecord> targets) {
+    List<TargetRecord> warm =
+        targets.stream().filter(t -> coldTargets.requestsPerSecond(nowNanos, t).isEmpty()).toList();
+    return warm.isEmpty() ? targets : warm;
+  }
+
   /** Chooses owners for ranges that have none. */
   List<FleetCommand.Assignment> fillGaps(
       long nowNanos, ServiceName service, List<KeyRange> gaps, FleetState state) {
--- a/src/main/java/io/coltsfootwheel/node/EntryNode.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNode.java
@@ -171,9 +171,14 @@
       log.write(LogEvent.of("leader.found").with("leader", from).with("term", update.term()));
     }
     relay.heard(update.loadEstimates(), update.entries());
-    use(routing.apply(update), update.configurationVersion());
+    update.reserves().ifPresent(relay::updateReserves);
+    EntryRouting.News news = routing.apply(update);
+    // Also before the news: requests that wait for them are decided while they are applied.
+    relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
+    use(news, update.configurationVersion());
     relay.recordNewest(routing.hasConfigurationOf(update), !routing.lacksChangeOf(update));
     routing.confirmation().ifPresent(this::confirmRouting);
+    update.permits().ifPresent(p -> relay.grantPermits(p.askedNanos(), p.byTarget()));
   }
 
   /** Passes news to the relay; when that fails, all is requested again from the leader. */
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -15,7 +15,11 @@
 import io.coltsfootwheel.keyspace.TargetCallResult;
 import io.coltsfootwheel.keyspace.TargetLeave;
 import io.coltsfootwheel.keyspace.TargetRecord;
+import io.coltsfootwheel.keyspace.WarmupChange;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.InstanceId;
+import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.ChangeOutcome;
 import io.coltsfootwheel.routing.Configuration;
 import io.coltsfootwheel.routing.ConfigurationChange;
@@ -26,6 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -46,6 +51,7 @@
   private final OwnershipLeader ownership;
   private final GroupMembership membership;
   private final EntryUpdates entryUpdates;
+  private final EvacuationOrders evacuationOrders;
   private final LeadershipConfirmations confirmations = new LeadershipConfirmations();
   private final Map<Long, Consumer<Boolean>> proposals = new HashMap<>();
   private final Deque<PendingChange> queuedChanges = new ArrayDeque<>();
@@ -66,6 +72,7 @@
       OwnershipSettings settings,
       GroupMembership membership,
       FleetState state,
+      Set<AvailabilityZone> zones,
       long nowNanos) {
     this.self = self;
     this.term = term;
@@ -74,6 +81,7 @@
     this.ownership = new OwnershipLeader(settings, state, nowNanos);
     this.entryUpdates = new EntryUpdates(nowNanos, term, actions, ownership.view(nowNanos));
     this.membership = membership;
+    this.evacuationOrders = new EvacuationOrders(zones, actions, this::propose, () -> this.state);
   }
 
   void report(long nowNanos, long requestId, HeartbeatReport report) {
@@ -146,6 +154,20 @@
         });
   }
 
+  void evacuate(long requestId, FleetCommand.SetZoneEvacuation order) {
+    confirmations.add(
+        confirmed -> {
+          if (confirmed) {
+            evacuationOrders.add(requestId, order);
+          } else {
+            actions.answer(
+                requestId,
+                new ControlAnswer.Unavailable(
+                    "no quorum confirmed the leadership of this process"));
+          }
+        });
+  }
+
   void read(long requestId) {
     confirmations.add(
         confirmed ->
@@ -203,15 +225,24 @@
 
   void subscribe(long nowNanos, InstanceId from, NodeMessage.Subscribe subscribe) {
     recordLoad(nowNanos, from, subscribe.load());
+    Map<TargetId, PermitGrant> permits =
+        ownership.takePermits(nowNanos, from, subscribe.load().permitRequests());
     confirmations.add(
         confirmed -> {
           if (confirmed) {
             entryUpdates.subscriptionConfirmed(from, subscribe.sentNanos());
+            sendPermits(from, new NodeMessage.Permits(subscribe.sentNanos(), permits));
           }
         });
     entryUpdates.subscribe(nowNanos, from, subscribe, groupFacts());
   }
 
+  private void sendPermits(InstanceId to, NodeMessage.Permits permits) {
+    if (!permits.byTarget().isEmpty()) {
+      entryUpdates.sendPermits(to, permits, groupFacts());
+    }
+  }
+
   private EntryUpdates.GroupFacts groupFacts() {
     return new EntryUpdates.GroupFacts(state.configuration(), groupProgress);
   }
@@ -228,6 +259,7 @@
   void tick(long nowNanos, List<MemberProgress> progress) {
     groupProgress = progress;
     entryUpdates.updateLoadEstimates(nowNanos, ownership::loadEstimates);
+    entryUpdates.setReserves(ownership.reservedSlots(nowNanos));
     for (FleetCommand command : ownership.tick(nowNanos)) {
       propose(command, committed -> {});
     }
@@ -242,6 +274,7 @@
               actions.changeMembership(step.change(), step.member());
             });
     ownership.takeStartedMoves().forEach(this::logMove);
+    ownership.takeWarmupChanges().forEach(this::logWarmup);
     if (entryUpdates.isChangeDue(nowNanos)) {
       if (ownership.takeViewChanged()) {
         entryUpdates.sendView(nowNanos, ownership.view(eventNanos), groupFacts());
@@ -300,9 +333,13 @@
 
   void onApplied(FleetCommand command, FleetState newState) {
     Configuration before = state.configuration();
+    boolean changesEvacuation = !state.evacuatedZones().equals(newState.evacuatedZones());
     state = newState;
     ownership.applied(command, newState);
     logApplied(command);
+    if (changesEvacuation) {
+      logEvacuation((FleetCommand.SetZoneEvacuation) command);
+    }
     if (before.version() != newState.configuration().version()) {
       entryUpdates.sendConfiguration(eventNanos, groupFacts());
     }
@@ -322,6 +359,7 @@
   /** Rejects all waiting calls, because another process may lead now. */
   void rejectPending() {
     confirmations.rejectAll();
+    evacuationOrders.rejectQueued();
     List<Consumer<Boolean>> openProposals = List.copyOf(proposals.values());
     proposals.clear();
     openProposals.forEach(p -> p.accept(false));
@@ -350,6 +388,20 @@
             .with("reason", move.reason()));
   }
 
+  private void logEvacuation(FleetCommand.SetZoneEvacuation order) {
+    long targets = state.targets().stream().filter(t -> order.zone().equals(t.zone())).count();
+    actions.log(
+        LogEvent.of(order.evacuated() ? "evacuation.started" : "evacuation.ended")
+            .with("zone", order.zone())
+            .with("targets", targets)
+            .with("index", state.index()));
+  }
+
+  private void logWarmup(WarmupChange change) {
+    actions.log(
+        LogEvent.of("target.warmup").with("target", change.target()).with("state", change.state()));
+  }
+
   private void logApplied(FleetCommand command) {
     if (command instanceof FleetCommand.RegisterTarget register) {
       actions.log(
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -10,6 +10,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.node.ControlNodeSettings;
 import io.coltsfootwheel.node.EntryNodeSettings;
+import io.coltsfootwheel.relay.LimitMode;
 import io.coltsfootwheel.relay.RelaySettings;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -19,6 +20,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -63,8 +66,14 @@
       FIELDS.optional("heartbeatIntervalMs", ValueType.integer(1, MAX_HEARTBEAT_MILLIS));
   private static final OptionalField<List<JsonValue>> BOUNDS =
       FIELDS.optional("bounds", ValueType.list());
+  private static final OptionalField<LimitMode> LIMIT_MODE =
+      FIELDS.optional(
+          "concurrencyLimits",
+          ValueType.choice(Map.of("observe", LimitMode.OBSERVE, "enforce", LimitMode.ENFORCE)));
   private static final RequiredField<JsonValue> LISTEN_ADDRESSES =
       FIELDS.required("listenAddrs", ValueType.object());
+  private static final OptionalField<JsonValue> ZONES =
+      FIELDS.optional("zones", ValueType.object());
   private static final OptionalField<JsonValue> FAULT_TOLERANCE =
       FIELDS.optional("faultTolerance", ValueType.object());
 
@@ -166,8 +175,32 @@
         millis(bounds, PlatformBound.CATCH_UP_SECONDS),
         OwnershipSettings.of(
             root.read(HEARTBEAT_MILLIS).orElse(DEFAULT_HEARTBEAT_MILLIS),
-            bounds.get(PlatformBound.MAX_HOLD_MILLIS).longValue()),
-        Path.of(root.read(DATA_FOLDER)));
+            bounds.get(PlatformBound.MAX_HOLD_MILLIS).longValue(),
+            bounds.get(PlatformBound.WARMUP_OVERSHOOT),
+            bounds.get(PlatformBound.WARMUP_SLACK)),
+        Path.of(root.read(DATA_FOLDER)),
+        zones());
+  }
+
+  /** Returns the zones that the settings name; a name that no target can have is left out. */
+  private Set<AvailabilityZone> zones() {
+    Set<AvailabilityZone> zones = new TreeSet<>();
+    root.read(ZONES)
+        .ifPresent(
+            table ->
+                table
+                    .node()
+                    .fieldNames()
+                    .forEachRemaining(name -> parseZone(name).ifPresent(zones::add)));
+    return zones;
+  }
+
+  private static Optional<AvailabilityZone> parseZone(String name) {
+    try {
+      return Optional.of(AvailabilityZone.of(name));
+    } catch (ColtsfootwheelException e) {
+      return Optional.empty();
+    }
   }
 
   EntryNodeSettings entry() {
@@ -182,10 +215,12 @@
         root.read(ZONE),
         PlatformNames.HEADERS,
         bounds.get(PlatformBound.DRAIN_MILLIS).longValue(),
+        bounds.get(PlatformBound.EVACUATION_MILLIS).longValue(),
         bounds.get(PlatformBound.RETRY_BUDGET_RATIO),
         bounds.get(PlatformBound.RETRY_BUDGET_SLACK),
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
-        ip().hashCode() ^ System.nanoTime());
+        ip().hashCode() ^ System.nanoTime(),
+        root.read(LIMIT_MODE).orElse(LimitMode.OBSERVE));
   }
 
   private int memberPort() {
@@ -199,9 +234,6 @@
   /** Returns each bound that the processes use; reads them all, so that a fault ends the start. */
   private Map<PlatformBound, Double> bounds() {
     Map<PlatformBound, Double> bounds = new EnumMap<>(PlatformBound.class);
-    for (PlatformBound bound : PlatformBound.values()) {
-      bounds.put(bound, bound.defaultValue());
-    }
     for (JsonValue value : root.read(BOUNDS).orElse(List.of())) {
       String text = value.as(ValueType.text());
       PlatformBound.named(text)
@@ -211,6 +243,12 @@
                       bound,
                       bound.parse(text).orElseThrow(() -> value.unexpected(bound.expectedText()))));
     }
+    if (bounds.containsKey(PlatformBound.DRAIN_MILLIS)) {
+      bounds.putIfAbsent(PlatformBound.EVACUATION_MILLIS, bounds.get(PlatformBound.DRAIN_MILLIS));
+    }
+    for (PlatformBound bound : PlatformBound.values()) {
+      bounds.putIfAbsent(bound, bound.defaultValue());
+    }
     return bounds;
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -4,21 +4,24 @@
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.ReservedSlots;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.listener.ListenerBinder;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
+import io.coltsfootwheel.loadcontrol.PermitLimit;
+import io.coltsfootwheel.loadcontrol.PipelineBudget;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
-import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -43,7 +46,22 @@
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
 public final class Relay implements RelayContext, AutoCloseable {
-  private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
+  /**
+   * Requests in progress behind another one of their connection: a third of the 3,075 descriptors
+   * of the smallest entry, because each can need a connection to a target.
+   */
+  private static final int MAX_PIPELINED_REQUESTS = 1_024;
+
+  /** An eighth of the direct memory that the deploy file grants. */
+  private static final long MAX_WAITING_RESPONSE_BYTES = 4L * 1024 * 1024;
+
+  /**
+   * Unwritten bytes of a client from which on it is not read and no further response is written,
+   * and those at which that ends. The high mark holds four responses of 60 kB; 64 clients that read
+   * nothing and pipeline no requests hold as much as {@link BufferedBodyBudget} allows.
+   */
+  private static final WriteBufferWaterMark CLIENT_WATER_MARK =
+      new WriteBufferWaterMark(64 * 1024, 256 * 1024);
 
   private static final int LISTEN_BACKLOG = 1_024;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
@@ -59,20 +77,27 @@
   private final LoopResources loopResources = LoopResources.create("relay", 1, true);
 
   private final EventLoop eventLoop = (EventLoop) loopResources.onServer(false).next();
-  private final RoutingState routing = new RoutingState();
+  private final RoutingState routing;
   private final UniformRandomProvider random;
+  private final PriorityReserve priorityReserve;
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
-  private final BufferedBodyBudget bodyBudget =
-      new BufferedBodyBudget(BufferedBodyBudget.MAX_BODY_BYTES);
+  private final BufferedBodyBudget bodyBudget = BufferedBodyBudget.ofProcess();
+  private final PipelineBudget pipelineBudget =
+      new PipelineBudget(MAX_PIPELINED_REQUESTS, MAX_WAITING_RESPONSE_BYTES);
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
+  private final ClientChannel clientChannel;
   private final RelayStop stop;
   private final TargetNoticeReader noticeReader;
+  private final TargetLoadReader loadReader;
+  private final TargetOverloadRecorder overload;
   private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
-  private final RoutingFreshness freshness = new RoutingFreshness(System.nanoTime());
+  private final PermitDemand permitDemand = new PermitDemand();
+  private final long startNanos = System.nanoTime();
+  private final RoutingFreshness freshness = new RoutingFreshness(startNanos);
   private long lastLeaderContactNanos = System.nanoTime();
   private long answeredCount;
   private volatile boolean routingComplete;
@@ -87,16 +112,29 @@
   public Relay(RelaySettings settings, EventLog log, MeterRegistry meters) {
     this.settings = settings;
     this.log = log;
+    this.routing = new RoutingState(settings.limitMode());
+    this.priorityReserve = new PriorityReserve(routing);
     this.random = RandomSource.SPLIT_MIX_64.create(settings.seed());
-    this.chooser = new TargetChooser(random, settings.zone(), settings.drainMillis());
     this.retryBudget =
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
     this.connections =
         new TargetConnections(loopResources, eventLoop, settings.headerNames(), bodyBudget, log);
+    this.chooser =
+        new TargetChooser(
+            random,
+            settings.zone(),
+            settings.drainMillis(),
+            settings.evacuationMillis(),
+            connections::hasIdle,
+            priorityReserve::slotsAgainst);
+    this.clientChannel = new ClientChannel(this, bodyBudget, log);
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
+    this.loadReader = new TargetLoadReader(settings.headerNames(), log, meters);
+    this.overload = new TargetOverloadRecorder(log, meters);
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
-    this.metrics = new RelayMetrics(meters, routing, freshness, connections, log);
+    this.metrics = new RelayMetrics(meters, routing, freshness, connections, chooser, log);
+    this.metrics.registerPipeline(pipelineBudget, bodyBudget);
   }
 
   /** Binds the client address at the first try and accepts connections. */
@@ -117,6 +155,7 @@
             .port(settings.listen().port())
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK)
             .doOnConnection(this::onConnection)
             .handle((in, out) -> Mono.never());
     DisposableServer server =
@@ -133,9 +172,8 @@
     runOnEventLoop(
         () -> {
           routing.updateConfiguration(configuration);
-          routingComplete = routing.isComplete();
           log.write(LogEvent.of("configuration.applied").with("version", configuration.version()));
-          notifyRoutingChanged();
+          routingApplied();
         });
   }
 
@@ -148,6 +186,7 @@
     runOnEventLoop(
         () -> {
           Set<TargetId> unusableBefore = routing.unusableTargets();
+          Set<AvailabilityZone> evacuatedBefore = routing.evacuatedZones();
           long changeNanos = freshness.earliestChangeNanos(System.nanoTime());
           routing.updateOwnership(view, changeNanos).forEach(connections::close);
           if (!routing.unusableTargets().equals(unusableBefore)) {
@@ -156,8 +195,10 @@
                     .with("targets", routing.unusableTargets())
                     .with("reason", "the address is no IP address"));
           }
-          routingComplete = routing.isComplete();
-          notifyRoutingChanged();
+          if (!routing.evacuatedZones().equals(evacuatedBefore)) {
+            log.write(LogEvent.of("zones.evacuated").with("zones", routing.evacuatedZones()));
+          }
+          routingApplied();
         });
   }
 
@@ -175,6 +216,41 @@
         });
   }
 
+  /**
+   * Applies the slots that the leader reserves for more urgent requests.
+   *
+   * @param reserves reserved slots by service and priority
+   */
+  public void updateReserves(List<ReservedSlots> reserves) {
+    runOnEventLoop(() -> priorityReserve.update(System.nanoTime(), reserves));
+  }
+
+  /**
+   * Adds permits for cold targets, and decides again on the requests that wait for them. Permits
+   * that no subscription of this process can have asked for belong to an earlier process at the
+   * same address and are ignored.
+   *
+   * @param askedNanos time of {@link System#nanoTime} at which the permits were asked for
+   * @param grants grants by target
+   */
+  public void grantPermits(long askedNanos, Map<TargetId, PermitGrant> grants) {
+    runOnEventLoop(
+        () -> {
+          long nowNanos = System.nanoTime();
+          if (askedNanos - startNanos < 0 || nowNanos - askedNanos < 0) {
+            return;
+          }
+          long endNanos = askedNanos + TimeUnit.MILLISECONDS.toNanos(PermitLimit.VALID_MILLIS);
+          boolean inTime = nowNanos - endNanos < 0;
+          grants.forEach(
+              (id, grant) -> {
+                metrics.countPermits(grant.permits(), inTime);
+                routing.target(id).ifPresent(t -> t.permits().record(nowNanos, grant, endNanos));
+              });
+          List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::permitsArrived));
+        });
+  }
+
   /**
    * Records that routes, or targets and owners, in use were the newest at an earlier time.
    *
@@ -281,35 +357,7 @@
   }
 
   private void onConnection(Connection connection) {
-    ClientLimits limits = routing.routes().limits().applicable();
-    int maxBodyBytes = (int) limits.maxBodyBytes();
-    RequestReadProgress progress = new RequestReadProgress();
-    connection.addHandlerLast("received-bytes", progress.bytesHandler());
-    connection.addHandlerLast(
-        new HttpServerCodec(
-            new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.maxHeaderBytes())));
-    connection.addHandlerLast("received-messages", progress.messageHandler());
-    connection.addHandlerLast(
-        new BufferedBodyLimiter(
-            bodyBudget,
-            () -> {
-              log.write(LogEvent.of("client.closed").with("reason", "bodies use too much memory"));
-              connection.channel().close();
-            }));
-    connection.addHandlerLast(
-        new RequestAggregator(
-            maxBodyBytes,
-            () ->
-                log.write(
-                    LogEvent.of("request.rejected")
-                        .with("reason", "body too large")
-                        .with("max_bytes", maxBodyBytes))));
-    connection.addHandlerLast(
-        new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
-    connection.addHandlerLast(new ClientHandler(this, progress));
-    connection.channel().config().setAutoRead(true);
+    clientChannel.addHandlers(connection, routing.routes().limits().applicable());
   }
 
   void clientConnected(ClientHandler client) {
@@ -330,7 +378,54 @@
                 .with("detail", "503 the entry is stopping and the body is incomplete"));
   }
 
+  PipelineBudget pipelineBudget() {
+    return pipelineBudget;
+  }
+
+  BufferedBodyBudget bodyBudget() {
+    return bodyBudget;
+  }
+
+  /**
+   * Records that a request is refused because complete bodies use too much memory, and disconnects
+   * the client that holds most of it without taking any.
+   */
+  void recordMemoryRefusal(HttpHeaders headers) {
+    record(
+        "refused",
+        0,
+        () ->
+            LogEvent.of("request.refused")
+                .with("request", headers.get(settings.headerNames().requestId(), ""))
+                .with("detail", "503 bodies use too much memory"));
+    clients.stream()
+        .filter(ClientHandler::isStalled)
+        .max(Comparator.comparingLong(ClientHandler::unwrittenBytes))
+        .ifPresent(ClientHandler::closeStalled);
+  }
+
+  void recordStalledClient(long unwrittenBytes) {
+    metrics.countStalledClient();
+    log.write(
+        LogEvent.of("client.closed")
+            .with("reason", "the client does not read its responses")
+            .with("unwritten_bytes", unwrittenBytes));
+  }
+
+  /**
+   * Returns whether a request may be executed more than once; not known before the first routes.
+   * One without a route is not sent.
+   */
+  boolean isIdempotent(RelayRequest request) {
+    return routing
+        .routes()
+        .find(request.host(), request.uri())
+        .map(route -> route.kind().isIdempotent())
+        .orElse(routing.isComplete());
+  }
+
   void recordDiscarded(HttpHeaders headers) {
+    metrics.countDiscarded();
     log.write(
         LogEvent.of("request.discarded")
             .with("request", headers.get(settings.headerNames().requestId(), ""))
@@ -343,31 +438,47 @@
     return exchange;
   }
 
+  /** Decides again on waiting requests, and with the first routes on those queued behind them. */
+  private void routingApplied() {
+    boolean becomesComplete = !routingComplete && routing.isComplete();
+    routingComplete = routing.isComplete();
+    notifyRoutingChanged();
+    if (becomesComplete) {
+      List.copyOf(clients).forEach(ClientHandler::proceed);
+    }
+  }
+
   private void notifyRoutingChanged() {
-    List.copyOf(exchanges).forEach(this::notifyRoutingChanged);
+    List.copyOf(exchanges).forEach(e -> decideAgain(e, RelayExchange::routingChanged));
   }
 
   /** A request whose decision fails keeps no other one from its own. */
-  private void notifyRoutingChanged(RelayExchange exchange) {
+  private void decideAgain(RelayExchange exchange, Consumer<RelayExchange> decision) {
     try {
-      exchange.routingChanged();
+      decision.accept(exchange);
     } catch (RuntimeException e) {
-      log.write(LogEvent.of("request.decision_failed").with("error", e));
+      recordDecisionFailure(e);
     }
   }
 
+  void recordDecisionFailure(RuntimeException error) {
+    log.write(LogEvent.of("request.decision_failed").with("error", error));
+  }
+
   private LoadReport createLoadReport() {
     Map<ServiceName, Map<Integer, Integer>> requestCounts = new HashMap<>(requestCountsByKey);
     requestCountsByKey.clear();
     List<LoadReport.TargetObservation> observations = new ArrayList<>();
     for (TargetStats target : routing.targets()) {
       if (target.needsReport()) {
-        observations.add(
-            new LoadReport.TargetObservation(
-                target.spec().id(), target.inFlight(), target.takeCompletedCount()));
+        observations.add(target.takeObservation());
       }
     }
-    return new LoadReport(requestCounts, observations);
+    return new LoadReport(
+        requestCounts,
+        observations,
+        priorityReserve.takeReport(System.nanoTime()),
+        permitDemand.take(System.nanoTime(), routing));
   }
 
   @Override
@@ -390,6 +501,11 @@
     return retryBudget;
   }
 
+  @Override
+  public PriorityReserve priorityReserve() {
+    return priorityReserve;
+  }
+
   @Override
   public ClientDeadlineTracker deadlineTracker() {
     return deadlineTracker;
@@ -410,6 +526,16 @@
     return noticeReader;
   }
 
+  @Override
+  public TargetLoadReader loadReader() {
+    return loadReader;
+  }
+
+  @Override
+  public TargetOverloadRecorder overload() {
+    return overload;
+  }
+
   @Override
   public double nextRandom() {
     return random.nextDouble();
@@ -425,6 +551,16 @@
     requestCountsByKey.computeIfAbsent(service, s -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
+  @Override
+  public PermitDemand permitDemand() {
+    return permitDemand;
+  }
+
+  @Override
+  public void countUsedPermit() {
+    metrics.countUsedPermit();
+  }
+
   @Override
   public long leaderContactAgeMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastLeaderContactNanos);
@@ -451,6 +587,12 @@
     }
   }
 
+  @Override
+  public void releaseBody(RelayRequest request) {
+    bodyBudget.removeComplete(request.body().readableBytes());
+    request.body().release();
+  }
+
   @Override
   public void removeExchange(RelayExchange exchange) {
     exchanges.remove(exchange);
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -12,6 +12,9 @@
 
   FleetRetryBudget retryBudget();
 
+  /** Returns the demand by priority and what is reserved for more urgent requests. */
+  PriorityReserve priorityReserve();
+
   ClientDeadlineTracker deadlineTracker();
 
   TargetConnections connections();
@@ -20,6 +23,10 @@
 
   TargetNoticeReader noticeReader();
 
+  TargetLoadReader loadReader();
+
+  TargetOverloadRecorder overload();
+
   /** Returns a random number, uniformly distributed in [0, 1). */
   double nextRandom();
 
@@ -29,6 +36,12 @@
   /** Counts a request for a key in the next load report to the leader. */
   void countKey(ServiceName service, int key);
 
+  /** Returns the permits for cold targets that the next load report asks for. */
+  PermitDemand permitDemand();
+
+  /** Counts a permit that was used for a request. */
+  void countUsedPermit();
+
   /** Returns the time since the last contact with the leader. */
   long leaderContactAgeMillis();
 
@@ -41,6 +54,9 @@
   /** Records the outcome of a request; the log event is created only if it is written. */
   void record(String outcome, long durationNanos, Supplier<LogEvent> event);
 
+  /** Releases the body of a request, and stops counting its memory. */
+  void releaseBody(RelayRequest request);
+
   /** Removes a completed exchange. */
   void removeExchange(RelayExchange exchange);
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -36,8 +36,11 @@
    */
   private static final long OWNERSHIP_WAIT_MILLIS = 60;
 
+  private static final long MIN_RECHECK_MILLIS = 10;
+
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 300;
   private static final String STOPPING = "the entry is stopping";
+  private static final String DEADLINE_PASSED = "deadline passed before the request could be sent";
   private static final String OUTDATED = "changes of routes and targets arrive too late";
 
   private final RelayContext context;
@@ -56,10 +59,10 @@
   private boolean completed;
   private boolean mayHaveExecuted;
   private int sendCount;
-  private Optional<TargetStats> target = Optional.empty();
+  private Optional<TargetAttempt> attempt = Optional.empty();
 
-  /** Incarnation of the target that was called last. */
-  private long calledIncarnationMillis;
+  /** Cold target for which the request waits for a permit. */
+  private Optional<TargetStats> awaitedTarget = Optional.empty();
 
   private Optional<TargetConnections.Call> call = Optional.empty();
   private String lastFailure = "";
@@ -81,11 +84,15 @@
       return;
     }
     if (!context.routing().isComplete()) {
-      refuse("no routing information yet", DEFAULT_RETRY_AFTER_MILLIS);
+      awaitFirstRouting();
       return;
     }
     if (context.freshness().isOutdated(System.nanoTime())) {
-      refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      if (awaitsRouting) {
+        awaitFirstRouting();
+      } else {
+        refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
+      }
       return;
     }
     route = context.routing().routes().find(request.host(), request.uri());
@@ -103,18 +110,28 @@
       respond(HttpResponseStatus.BAD_REQUEST, "the request has no valid key", RetryAfter.NONE);
       return;
     }
+    awaitsRouting = false;
+    routingWaitEndNanos = 0;
     long timeoutMillis =
         Math.min(
             request.deadlineMillis().orElse(route.get().timeoutMillis()),
             route.get().timeoutMillis());
     deadlineNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    context.schedule(this::onDeadline, timeoutMillis);
+    if (remainingMillis() <= 0) {
+      refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
+      return;
+    }
+    context.schedule(this::onDeadline, remainingMillis());
     clientWaitedMillis =
         context
             .deadlineTracker()
             .waitedMillis(request.receivedNanos(), route.get().name(), request.deadlineMillis());
     context.retryBudget().recordRequest(request.receivedNanos(), name);
+    context.priorityReserve().recordRequest(name, route.get().priority());
     request.key().ifPresent(key -> context.countKey(name, key));
+    if (!service.get().keyed()) {
+      context.permitDemand().recordUnkeyed(name);
+    }
     decide();
   }
 
@@ -127,26 +144,66 @@
       return;
     }
     completed = true;
+    stopWaitingForPermit();
     context.removeExchange(this);
-    boolean idempotent = route.map(r -> r.kind().isIdempotent()).orElse(true);
-    if (call.isPresent() && idempotent) {
+    if (call.isPresent() && isIdempotent()) {
       call.get().cancel();
-      target.ifPresent(TargetStats::recordCancellation);
+      attempt.ifPresent(TargetAttempt::recordCancellation);
       call = Optional.empty();
     }
     if (call.isEmpty()) {
-      request.body().release();
+      context.releaseBody(request);
     }
     log("client_left", "");
   }
 
+  /**
+   * Returns whether the request may be executed more than once. Without a route it is not known
+   * while the request waits for the first routes, and does not matter once it is refused.
+   */
+  boolean isIdempotent() {
+    return route.map(r -> r.kind().isIdempotent()).orElse(completed);
+  }
+
   /** Decides again on a request that waits for a change of routes, targets or ownership. */
   void routingChanged() {
-    if (awaitsRouting && !completed) {
+    if (!awaitsRouting || completed) {
+      return;
+    }
+    if (service.isPresent()) {
       decide();
+    } else {
+      start();
+    }
+  }
+
+  private void awaitFirstRouting() {
+    long nowNanos = System.nanoTime();
+    if (routingWaitEndNanos == 0) {
+      // From the arrival: requests of one connection wait at the same time.
+      long maxWaitMillis = StartupWait.maxWaitMillis(request.deadlineMillis());
+      routingWaitEndNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
+      long leftMillis = TimeUnit.NANOSECONDS.toMillis(routingWaitEndNanos - nowNanos);
+      context.schedule(this::routingChanged, Math.max(0, leftMillis) + 1);
+    }
+    awaitsRouting = nowNanos - routingWaitEndNanos < 0;
+    if (!awaitsRouting) {
+      refuse("no routing information yet", DEFAULT_RETRY_AFTER_MILLIS);
+    }
+  }
+
+  /** Decides again on a request that waits for a permit to be sent to a cold target. */
+  void permitsArrived() {
+    if (awaitedTarget.isPresent()) {
+      routingChanged();
     }
   }
 
+  private void stopWaitingForPermit() {
+    awaitedTarget.ifPresent(t -> t.permits().stopWaiting());
+    awaitedTarget = Optional.empty();
+  }
+
   /** Returns whether a target may be working on the request. */
   boolean isForwarded() {
     return call.isPresent() && call.get().isSent();
@@ -159,8 +216,8 @@
     }
     call.ifPresent(TargetConnections.Call::cancel);
     call = Optional.empty();
-    target.ifPresent(TargetStats::recordCancellation);
-    target = Optional.empty();
+    attempt.ifPresent(TargetAttempt::recordCancellation);
+    attempt = Optional.empty();
     refuse(STOPPING, RetryAfter.ENTRY_STOPPING.millis());
   }
 
@@ -173,20 +230,17 @@
       return;
     }
     awaitsRouting = false;
+    boolean awaitsPermit = awaitedTarget.isPresent();
+    stopWaitingForPermit();
     long nowNanos = System.nanoTime();
     if (context.freshness().isOutdated(nowNanos)) {
       refuse(OUTDATED, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
-    RequestConstraints constraints = constraints(nowNanos);
-    RoutingDecision decision =
-        service.orElseThrow().keyed()
-            ? context
-                .chooser()
-                .chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
-            : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
+    RequestConstraints constraints = constraints(nowNanos, awaitsPermit);
+    RoutingDecision decision = choose(constraints);
     if (decision instanceof RoutingDecision.Send send) {
-      send(send.target(), constraints.remainingMillis());
+      send(send.target(), constraints.remainingMillis(), nowNanos);
     } else if (decision instanceof RoutingDecision.Wait wait) {
       awaitRouting(wait, nowNanos);
     } else if (decision instanceof RoutingDecision.Refuse refusal) {
@@ -195,7 +249,13 @@
     }
   }
 
-  private RequestConstraints constraints(long nowNanos) {
+  private RoutingDecision choose(RequestConstraints constraints) {
+    return service.orElseThrow().keyed()
+        ? context.chooser().chooseOwner(context.routing(), request.key().orElseThrow(), constraints)
+        : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
+  }
+
+  private RequestConstraints constraints(long nowNanos, boolean awaitsPermit) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
     return new RequestConstraints(
@@ -204,12 +264,14 @@
         currentRoute.priority(),
         nowNanos,
         remainingMillis(),
-        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis);
+        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis,
+        awaitsPermit);
   }
 
   private void awaitRouting(RoutingDecision.Wait wait, long nowNanos) {
     if (routingWaitEndNanos == 0) {
       routingWaitEndNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(wait.maxWaitMillis());
+      context.schedule(this::routingChanged, wait.maxWaitMillis() + 1);
     }
     long remainingWaitMillis = TimeUnit.NANOSECONDS.toMillis(routingWaitEndNanos - nowNanos);
     if (remainingWaitMillis <= 0) {
@@ -217,18 +279,18 @@
       return;
     }
     awaitsRouting = true;
-    context.schedule(this::routingChanged, remainingWaitMillis + 1);
+    awaitedTarget = wait.coldTarget();
+    awaitedTarget.ifPresent(t -> t.permits().startWaiting());
   }
 
-  private void send(TargetStats chosenTarget, long remainingMillis) {
-    target = Optional.of(chosenTarget);
-    calledIncarnationMillis = chosenTarget.spec().incarnationMillis();
+  private void send(TargetStats chosenTarget, long remainingMillis, long nowNanos) {
     triedTargets.add(chosenTarget.spec().id());
     sendCount++;
     if (sendCount > 1) {
       context.countRetry();
     }
-    chosenTarget.recordSent();
+    TargetAttempt newAttempt = new TargetAttempt(context, chosenTarget, nowNanos);
+    attempt = Optional.of(newAttempt);
     int maxConnections =
         ConnectionShare.of(service.orElseThrow().maxConnections(), context.routing().entryCount());
     call =
@@ -242,6 +304,48 @@
                         context.headerNames(), chosenTarget.spec().id(), remainingMillis),
                     request.id(),
                     new CallOutcome()));
+    int send = sendCount;
+    context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos));
+  }
+
+  /**
+   * Handles a response that is overdue. The request may have been executed, so it is sent again
+   * only if it is idempotent; its connection is closed then. Otherwise it waits for its deadline,
+   * since a late response is better than none, but no longer counts as in flight.
+   */
+  private void checkOverdue(int send) {
+    if (send != sendCount || call.isEmpty() || attempt.orElseThrow().isOverdue()) {
+      return;
+    }
+    long nowNanos = System.nanoTime();
+    long missingMillis = attempt.get().millisUntilOverdue(nowNanos);
+    if (missingMillis > 0 || !isForwarded()) {
+      context.schedule(() -> checkOverdue(send), Math.max(MIN_RECHECK_MILLIS, missingMillis));
+      return;
+    }
+    boolean isSentAgain = !completed && sendAgain(nowNanos);
+    if (!isSentAgain) {
+      attempt.get().recordOverdue(nowNanos);
+    }
+  }
+
+  /** Gives the call up and sends the request again if that is allowed and possible now. */
+  private boolean sendAgain(long nowNanos) {
+    boolean mayBeSent =
+        route.orElseThrow().kind().isIdempotent() && !context.freshness().isOutdated(nowNanos);
+    if (!mayBeSent) {
+      return false;
+    }
+    RequestConstraints constraints = constraints(nowNanos, false);
+    if (!(choose(constraints) instanceof RoutingDecision.Send again) || !mayRetry(true)) {
+      return false;
+    }
+    call.get().cancel();
+    attempt.get().recordFailure(nowNanos, CallFailure.OVERDUE);
+    mayHaveExecuted = true;
+    lastFailure = "response is overdue";
+    send(again.target(), constraints.remainingMillis(), nowNanos);
+    return true;
   }
 
   /** Handles the outcome of the call in progress. */
@@ -251,20 +355,19 @@
       long nowNanos = System.nanoTime();
       return !completed
           && !context.freshness().isOutdated(nowNanos)
-          && context.chooser().maySend(context.routing(), target.orElseThrow(), nowNanos);
+          && context.chooser().maySend(context.routing(), attempt.orElseThrow().target(), nowNanos)
+          && attempt.get().isPermitted(nowNanos);
     }
 
     @Override
     public void onResponse(FullHttpResponse response, ResponseCheck check) {
-      TargetStats calledTarget = endCall();
-      readNotices(calledTarget, response, check);
-      if (check.isRefusal()) {
-        calledTarget.recordRejection();
-      } else {
-        calledTarget.recordResponse();
-      }
+      TargetAttempt ended = endCall();
+      TargetStats calledTarget = ended.target();
+      readNotices(ended, response, check);
+      ended.recordResponse(
+          System.nanoTime(), check, service.orElseThrow().name(), route.orElseThrow().priority());
       if (completed) {
-        request.body().release();
+        context.releaseBody(request);
         return;
       }
       switch (check) {
@@ -278,35 +381,33 @@
 
     @Override
     public void onFailure(CallFailure failure) {
-      TargetStats calledTarget = endCall();
-      if (failure == CallFailure.NO_CONNECTION) {
-        calledTarget.recordCancellation();
-      } else {
-        calledTarget.recordFailure(System.nanoTime());
-      }
+      endCall().recordFailure(System.nanoTime(), failure);
       if (completed) {
-        request.body().release();
+        context.releaseBody(request);
         return;
       }
       retryFailed(failure);
     }
 
-    private void readNotices(
-        TargetStats calledTarget, FullHttpResponse response, ResponseCheck check) {
+    private void readNotices(TargetAttempt ended, FullHttpResponse response, ResponseCheck check) {
+      TargetStats calledTarget = ended.target();
       calledTarget
-          .notices(calledIncarnationMillis)
+          .notices(ended.incarnationMillis())
           .ifPresent(
               notices ->
                   context
                       .noticeReader()
                       .read(System.nanoTime(), calledTarget.spec().id(), notices, response, check));
+      if (check == ResponseCheck.VALID || check == ResponseCheck.NOT_EXECUTED) {
+        context.loadReader().read(calledTarget, response);
+      }
     }
 
-    private TargetStats endCall() {
-      TargetStats calledTarget = target.orElseThrow();
-      target = Optional.empty();
+    private TargetAttempt endCall() {
+      TargetAttempt ended = attempt.orElseThrow();
+      attempt = Optional.empty();
       call = Optional.empty();
-      return calledTarget;
+      return ended;
     }
   }
 
@@ -366,7 +467,7 @@
     } else if (!completed && mayHaveExecuted) {
       respond(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline passed", RetryAfter.NONE);
     } else if (!completed) {
-      refuse("deadline passed before the request could be sent", DEFAULT_RETRY_AFTER_MILLIS);
+      refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
     }
   }
 
@@ -376,9 +477,9 @@
     }
     call.get().cancel();
     call = Optional.empty();
-    target.ifPresent(t -> t.recordFailure(System.nanoTime()));
+    attempt.ifPresent(a -> a.recordFailure(System.nanoTime(), CallFailure.OVERDUE));
     if (completed) {
-      request.body().release();
+      context.releaseBody(request);
     } else {
       respond(HttpResponseStatus.GATEWAY_TIMEOUT, "target did not answer in time", RetryAfter.NONE);
     }
@@ -424,8 +525,9 @@
 
   private void complete(RelayResponse response) {
     completed = true;
+    stopWaitingForPermit();
     context.removeExchange(this);
-    request.body().release();
+    context.releaseBody(request);
     responder.accept(response);
   }
 
@@ -449,6 +551,7 @@
                 .with("considered", refusalTarget.map(t -> t.spec().id().value()).orElse(""))
                 .with("in_flight", refusalTarget.map(TargetStats::estimatedInFlight).orElse(0))
                 .with("ms_per_request", refusalTarget.map(TargetStats::millisPerRequest).orElse(0))
+                .with("limit", refusalTarget.map(t -> t.concurrencyLimit(nowNanos)).orElse(0))
                 .with("detail", detail)
                 .with("last_failure", lastFailure)
                 .with("configuration", context.routing().routes().version())
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -1,16 +1,21 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.eventlog.EventLog;
+import io.coltsfootwheel.loadcontrol.PipelineBudget;
+import io.coltsfootwheel.loadcontrol.SelectionStep;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.TimeGauge;
 import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.BaseUnits;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongBiFunction;
 
 /** Metrics of an entry; all tags have a small, fixed set of values. */
@@ -26,6 +31,11 @@
 
   private final MeterRegistry meters;
   private final Counter retries;
+  private final Counter discarded;
+  private final Counter stalledClients;
+  private final Counter grantedPermits;
+  private final Counter usedPermits;
+  private final Counter latePermits;
   private final Map<String, Timer> timerByOutcome = new HashMap<>();
 
   RelayMetrics(
@@ -33,21 +43,60 @@
       RoutingState routing,
       RoutingFreshness freshness,
       TargetConnections connections,
+      TargetChooser chooser,
       EventLog log) {
     this.meters = meters;
     this.retries = meters.counter("coltsfootwheel.retries");
+    this.discarded = meters.counter("coltsfootwheel.requests.discarded");
+    this.stalledClients = meters.counter("coltsfootwheel.clients.stalled");
+    this.grantedPermits = meters.counter("coltsfootwheel.permits", "kind", "granted");
+    this.usedPermits = meters.counter("coltsfootwheel.permits", "kind", "used");
+    this.latePermits = meters.counter("coltsfootwheel.permits", "kind", "late");
+    Gauge.builder("coltsfootwheel.targets.cold", routing, RoutingState::coldTargetCount)
+        .register(meters);
     Gauge.builder("coltsfootwheel.configuration.version", routing, r -> r.routes().version())
         .register(meters);
     registerAge("coltsfootwheel.routes.age", freshness, RoutingFreshness::configurationAgeMillis);
     registerAge("coltsfootwheel.owners.age", freshness, RoutingFreshness::ownershipAgeMillis);
     Gauge.builder("coltsfootwheel.entries", routing, RoutingState::entryCount).register(meters);
     Gauge.builder("coltsfootwheel.targets", routing, r -> r.targets().size()).register(meters);
+    Gauge.builder("coltsfootwheel.evacuated.zones", routing, r -> r.evacuatedZones().size())
+        .register(meters);
+    Gauge.builder("coltsfootwheel.targets.limited", routing, RoutingState::limitedTargetCount)
+        .register(meters);
     FunctionCounter.builder(
             "coltsfootwheel.target.connections", connections, TargetConnections::openedCount)
         .register(meters);
+    for (SelectionStep step : SelectionStep.values()) {
+      FunctionCounter.builder(
+              "coltsfootwheel.target.selections", chooser, c -> c.selectionCount(step))
+          .tag("step", step.name().toLowerCase(Locale.ROOT))
+          .register(meters);
+    }
+    FunctionCounter.builder("coltsfootwheel.target.withheld", chooser, TargetChooser::withheldCount)
+        .register(meters);
     FunctionCounter.builder("coltsfootwheel.log.dropped", log, EventLog::dropped).register(meters);
   }
 
+  /** Registers the gauges of pipelined requests and of the memory for bodies. */
+  void registerPipeline(PipelineBudget budget, BufferedBodyBudget bodies) {
+    registerBodies("incomplete", bodies, BufferedBodyBudget::incompleteBytes);
+    registerBodies("complete", bodies, BufferedBodyBudget::completeBytes);
+    Gauge.builder("coltsfootwheel.pipeline.requests", budget, PipelineBudget::inProgress)
+        .register(meters);
+    Gauge.builder("coltsfootwheel.pipeline.waiting", budget, PipelineBudget::waitingBytes)
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
+  }
+
+  private void registerBodies(
+      String state, BufferedBodyBudget bodies, ToDoubleFunction<BufferedBodyBudget> bytes) {
+    Gauge.builder("coltsfootwheel.bodies", bodies, bytes)
+        .tag("state", state)
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
+  }
+
   private void registerAge(
       String name, RoutingFreshness freshness, ToLongBiFunction<RoutingFreshness, Long> ageMillis) {
     TimeGauge.builder(
@@ -69,6 +118,23 @@
     retries.increment();
   }
 
+  void countDiscarded() {
+    discarded.increment();
+  }
+
+  void countStalledClient() {
+    stalledClients.increment();
+  }
+
+  /** Counts permits for cold targets that arrived in time to be used, or too late. */
+  void countPermits(int count, boolean inTime) {
+    (inTime ? grantedPermits : latePermits).increment(count);
+  }
+
+  void countUsedPermit() {
+    usedPermits.increment();
+  }
+
   private Timer timer(String outcome) {
     return Timer.builder("coltsfootwheel.request")
         .tag("outcome", outcome)
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
+import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
@@ -31,39 +32,75 @@
   private Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> rangesByService = Map.of();
   private RouteTable routes = RouteTable.empty();
   private Set<TargetId> unusableTargets = Set.of();
+
+  /** Replaced as a whole; metrics read it on other threads. */
+  private volatile Set<AvailabilityZone> evacuatedZones = Set.of();
+
+  /** Cold targets of the last view; read by metrics on other threads. */
+  private volatile int coldTargetCount;
+
+  private final LimitMode limitMode;
   private boolean hasOwnership;
   private int entryCount = 1;
   private OptionalLong estimatesConfirmedNanos = OptionalLong.empty();
 
+  /** Creates a state that enforces the concurrency limits of targets. */
+  RoutingState() {
+    this(LimitMode.ENFORCE);
+  }
+
+  RoutingState(LimitMode limitMode) {
+    this.limitMode = limitMode;
+  }
+
   void updateConfiguration(Configuration configuration) {
     routes = RouteTable.of(configuration);
+    targets.values().forEach(this::updateWarmupLimit);
+  }
+
+  private void updateWarmupLimit(TargetStats target) {
+    routes
+        .service(target.spec().service())
+        .ifPresent(service -> target.setWarmupLimited(service.warmup().isPresent()));
   }
 
   /**
    * Replaces the targets and ranges by those of a view.
    *
    * @param view the view
-   * @param changeNanos earliest time at which a target can have begun to leave that the view shows
-   *     as leaving for the first time
+   * @param changeNanos earliest time at which a target can have begun to leave, or its zone to be
+   *     evacuated, that the view shows so for the first time
    * @return the targets that the view removed
    */
   List<TargetId> updateOwnership(OwnershipView view, long changeNanos) {
+    boolean isFirstView = !hasOwnership;
     hasOwnership = true;
     Map<ServiceName, List<TargetStats>> byService = new HashMap<>();
     List<TargetId> removed = new ArrayList<>(targets.keySet());
     Set<TargetId> unusable = new TreeSet<>();
+    Set<AvailabilityZone> evacuated = new TreeSet<>();
     for (OwnershipView.Target target : view.targets()) {
       if (!target.address().isNumeric()) {
         unusable.add(target.id());
         continue;
       }
+      if (target.evacuated()) {
+        evacuated.add(target.zone());
+      }
       removed.remove(target.id());
-      TargetStats stats =
-          targets.computeIfAbsent(target.id(), id -> new TargetStats(target, changeNanos));
+      boolean isJoining = !isFirstView && !targets.containsKey(target.id());
+      TargetStats stats = targets.computeIfAbsent(target.id(), id -> newStats(target, changeNanos));
+      updateWarmupLimit(stats);
       stats.updateSpec(target, changeNanos);
+      if (isJoining) {
+        stats.recordJoined(changeNanos);
+      }
       byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(stats);
     }
     unusableTargets = unusable;
+    evacuatedZones = evacuated;
+    coldTargetCount =
+        (int) byService.values().stream().flatMap(List::stream).filter(TargetStats::isCold).count();
     targets.keySet().removeAll(removed);
     Map<ServiceName, TreeMap<Integer, OwnershipView.Range>> ranges = new HashMap<>();
     for (OwnershipView.Range range : view.ranges()) {
@@ -76,11 +113,25 @@
     return removed;
   }
 
+  /** Until its first estimate arrives, a new target counts as one of the others of its service. */
+  private TargetStats newStats(OwnershipView.Target target, long changeNanos) {
+    TargetStats stats = new TargetStats(target, changeNanos, limitMode);
+    stats.updateEntryCount(entryCount);
+    targetsOf(target.service()).stream()
+        .mapToInt(TargetStats::millisPerRequest)
+        .average()
+        .ifPresent(
+            millis ->
+                stats.updateLoadEstimate(new TargetLoadEstimate(0, (int) Math.round(millis))));
+    return stats;
+  }
+
   /** Updates the estimates that changed; the leader confirms all others by its message. */
   void updateLoadEstimates(
       long nowNanos, Map<TargetId, TargetLoadEstimate> loadEstimates, int newEntryCount) {
     estimatesConfirmedNanos = OptionalLong.of(nowNanos);
     entryCount = Math.max(1, newEntryCount);
+    targets.values().forEach(t -> t.updateEntryCount(entryCount));
     loadEstimates.forEach(
         (id, loadEstimate) -> {
           TargetStats stats = targets.get(id);
@@ -90,6 +141,11 @@
         });
   }
 
+  /** Returns the evacuated zones that have targets. */
+  Set<AvailabilityZone> evacuatedZones() {
+    return evacuatedZones;
+  }
+
   /** Returns the targets whose address is no IP address; no request is sent to them. */
   Set<TargetId> unusableTargets() {
     return unusableTargets;
@@ -118,10 +174,20 @@
     return hasOwnership && routes.version() > 0;
   }
 
+  int coldTargetCount() {
+    return coldTargetCount;
+  }
+
   int entryCount() {
     return entryCount;
   }
 
+  /** Returns the number of targets that get less than the initial limit. */
+  long limitedTargetCount() {
+    long nowNanos = System.nanoTime();
+    return targets.values().stream().filter(t -> t.isLimited(nowNanos)).count();
+  }
+
   Collection<TargetStats> targets() {
     return targets.values();
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -1,37 +1,37 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.loadcontrol.FirstRequest;
+import io.coltsfootwheel.loadcontrol.SelectionNeed;
+import io.coltsfootwheel.loadcontrol.SelectionStep;
+import io.coltsfootwheel.loadcontrol.SlotReserve;
+import io.coltsfootwheel.loadcontrol.TargetCandidate;
+import io.coltsfootwheel.loadcontrol.TargetSelection;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * Chooses the target of a request, or refuses a request that cannot be served in time.
  *
  * <p>A keyed request goes to the owner of its key. While the key moves, the request waits if it can
- * still be served afterwards. An unkeyed request goes to the target with the lowest cost, which is
- * mainly its expected response time. {@link AdmissionPolicy} then admits or refuses the request.
+ * still be served afterwards. The target of an unkeyed request is selected by {@link
+ * TargetSelection}. {@link AdmissionPolicy} then admits or refuses the request.
  */
 final class TargetChooser {
-  /** Traffic between availability zones is expensive, and bulk requests transfer many bytes. */
-  private static final double CROSS_ZONE_BULK_PENALTY_MILLIS = 150;
-
-  private static final double CROSS_ZONE_PENALTY_MILLIS = 10;
-
   /** Longest wait for a key without a usable owner, as a fraction of the remaining time. */
   private static final double MAX_WAIT_RATIO = 0.6;
 
-  /**
-   * Largest relative random increase of an expected response time, so that entries with the same
-   * data choose different targets.
-   */
-  private static final double JITTER_RATIO = 0.3;
-
   private static final long MIN_RETRY_DELAY_MILLIS = 50;
   private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
 
@@ -41,24 +41,81 @@
   private static final long MIN_WAIT_MILLIS = 20;
 
   /**
-   * Penalties of targets that are used only as a last resort. Their sizes set the preference: first
-   * a target that is not ready, then a suspect one, then one that was already tried.
+   * Time until a permit can arrive: half of the interval between two reports, a tick of the leader,
+   * a quorum round, and the way there and back.
    */
-  private static final double NOT_READY_PENALTY_MILLIS = 1e5;
-
-  private static final double SUSPECT_PENALTY_MILLIS = 1e6;
-  private static final double TRIED_PENALTY_MILLIS = 1e7;
+  private static final long PERMIT_DELAY_MILLIS = 120;
 
   private static final String PAUSED = "target wants no requests for a time";
+  private static final String COLD = "target is cold and its permits are used";
 
   private final UniformRandomProvider random;
   private final AvailabilityZone zone;
   private final long drainMillis;
+  private final long evacuationMillis;
+  private final Predicate<OwnershipView.Target> hasIdleConnection;
+  private final SlotsReserved slotsReserved;
+
+  /** Distinguishes this entry from others in {@link FirstRequest}. */
+  private final long entrySalt;
 
+  private final Map<SelectionStep, Long> selections = new EnumMap<>(SelectionStep.class);
+
+  private long withheldCount;
+
+  /** Slots of a service that are reserved against the requests of a priority. */
+  @FunctionalInterface
+  interface SlotsReserved {
+    int against(ServiceName service, int priority, long nowNanos);
+  }
+
+  /**
+   * Creates a chooser for an entry without idle connections and reserved slots that sends to an
+   * evacuated zone for the drain time.
+   */
   TargetChooser(UniformRandomProvider random, AvailabilityZone zone, long drainMillis) {
+    this(random, zone, drainMillis, drainMillis);
+  }
+
+  /** Creates a chooser for an entry without idle connections and reserved slots. */
+  TargetChooser(
+      UniformRandomProvider random,
+      AvailabilityZone zone,
+      long drainMillis,
+      long evacuationMillis) {
+    this(
+        random,
+        zone,
+        drainMillis,
+        evacuationMillis,
+        target -> false,
+        (service, priority, nowNanos) -> 0);
+  }
+
+  TargetChooser(
+      UniformRandomProvider random,
+      AvailabilityZone zone,
+      long drainMillis,
+      long evacuationMillis,
+      Predicate<OwnershipView.Target> hasIdleConnection,
+      SlotsReserved slotsReserved) {
     this.random = random;
     this.zone = zone;
     this.drainMillis = drainMillis;
+    this.evacuationMillis = evacuationMillis;
+    this.hasIdleConnection = hasIdleConnection;
+    this.slotsReserved = slotsReserved;
+    this.entrySalt = random.nextLong();
+  }
+
+  /** Returns for how many unkeyed requests targets were withheld for more urgent ones. */
+  long withheldCount() {
+    return withheldCount;
+  }
+
+  /** Returns how many targets of unkeyed requests were found in a step of the selection. */
+  long selectionCount(SelectionStep step) {
+    return selections.getOrDefault(step, 0L);
   }
 
   /** Decides whether a keyed request is sent to the owner of its key, waits or is refused. */
@@ -78,13 +135,36 @@
     if (pauseMillis > 0) {
       return new RoutingDecision.Refuse(PAUSED, pauseMillis, owner);
     }
-    if (owner.isEmpty() || !owner.get().acceptsRequests(nowNanos, drainMillis)) {
-      return waitOrRefuse("owner is leaving", EXPECTED_REASSIGNMENT_MILLIS, remainingMillis);
+    if (owner.isEmpty()
+        || !owner.get().acceptsKeyedRequests(nowNanos, drainMillis, evacuationMillis)) {
+      boolean isEvacuated = owner.filter(TargetStats::isEvacuated).isPresent();
+      String reason = isEvacuated ? "zone of the owner is evacuated" : "owner is leaving";
+      return waitOrRefuse(reason, EXPECTED_REASSIGNMENT_MILLIS, remainingMillis);
     }
     if (owner.get().isSuspect(nowNanos)) {
       return new RoutingDecision.Refuse("owner does not answer", MAX_RETRY_DELAY_MILLIS);
     }
-    return AdmissionPolicy.admit(owner.get(), constraints);
+    return owner.get().isCold()
+        ? chooseCold(owner.get(), constraints)
+        : AdmissionPolicy.admit(owner.get(), constraints);
+  }
+
+  /**
+   * Decides on a request for a cold target: it is sent with a permit only. When entries wait for
+   * more permits than are granted within the longest wait, only a share of the requests waits.
+   */
+  private RoutingDecision chooseCold(TargetStats target, RequestConstraints constraints) {
+    if (target.permits().available(constraints.nowNanos()) > 0) {
+      return AdmissionPolicy.admit(target, constraints);
+    }
+    long maxWaitMillis = (long) (constraints.remainingMillis() * MAX_WAIT_RATIO);
+    long fleetWaitMillis = target.permits().waitMillis(constraints.nowNanos());
+    boolean waits =
+        constraints.awaitsPermit() || random.nextDouble() * fleetWaitMillis < maxWaitMillis;
+    if (maxWaitMillis < PERMIT_DELAY_MILLIS || !waits) {
+      return refuseFor(COLD, Math.max(PERMIT_DELAY_MILLIS, fleetWaitMillis));
+    }
+    return new RoutingDecision.Wait(maxWaitMillis, COLD, Optional.of(target));
   }
 
   /**
@@ -97,26 +177,102 @@
       RoutingState routing, Set<TargetId> triedTargets, RequestConstraints constraints) {
     double othersWeight = routing.loadEstimateWeight(constraints.nowNanos());
     List<TargetStats> targets = routing.targetsOf(constraints.service());
-    List<TargetStats> candidates =
+    List<TargetStats> usable =
         targets.stream()
             .filter(t -> t.acceptsRequests(constraints.nowNanos(), drainMillis))
             .toList();
+    List<TargetStats> cold =
+        usable.stream().filter(t -> t.isCold() && !t.isSuspect(constraints.nowNanos())).toList();
+    Optional<TargetStats> toWarmUp =
+        ColdTargetPolicy.targetToWarmUp(cold, triedTargets, constraints);
+    if (toWarmUp.isPresent()) {
+      return new RoutingDecision.Send(toWarmUp.get());
+    }
+    List<TargetStats> candidates = usable.stream().filter(t -> !t.isCold()).toList();
+    if (candidates.isEmpty() && !cold.isEmpty()) {
+      return chooseCold(ColdTargetPolicy.leastAwaited(cold, constraints), constraints);
+    }
     if (candidates.isEmpty()) {
       return refuseWithoutCandidates(targets, constraints.nowNanos());
     }
-    TargetStats cheapest = candidates.get(0);
-    double lowestCostMillis = Double.POSITIVE_INFINITY;
-    // The cost is random, so it is computed once for each candidate. A comparator would draw it
-    // anew for each comparison, which prefers the last candidates.
-    for (TargetStats candidate : candidates) {
-      boolean alreadyTried = triedTargets.contains(candidate.spec().id());
-      double costMillis = costMillis(candidate, alreadyTried, constraints, othersWeight);
-      if (costMillis < lowestCostMillis) {
-        lowestCostMillis = costMillis;
-        cheapest = candidate;
-      }
+    List<TargetStats> open = openTargets(candidates, triedTargets, constraints, othersWeight);
+    TargetSelection<TargetStats> selection =
+        new TargetSelection<>(
+            random,
+            target -> properties(target, triedTargets, constraints.nowNanos(), othersWeight),
+            new SelectionNeed(
+                Math.min(constraints.remainingObjectiveMillis(), constraints.remainingMillis()),
+                constraints.kind().isBulk()));
+    TargetSelection.Selected<TargetStats> selected =
+        selection.select(grouped(open, constraints.nowNanos(), routing.entryCount())).orElseThrow();
+    selections.merge(selected.step(), 1L, Long::sum);
+    return AdmissionPolicy.admit(selected.target(), constraints, othersWeight);
+  }
+
+  /** Returns the candidates without those that are reserved for more urgent requests now. */
+  private List<TargetStats> openTargets(
+      List<TargetStats> candidates,
+      Set<TargetId> triedTargets,
+      RequestConstraints constraints,
+      double othersWeight) {
+    long nowNanos = constraints.nowNanos();
+    int reserved = slotsReserved.against(constraints.service(), constraints.priority(), nowNanos);
+    if (reserved == 0) {
+      return candidates;
     }
-    return AdmissionPolicy.admit(cheapest, constraints, othersWeight);
+    List<SlotReserve.SlotUse<TargetStats>> uses =
+        candidates.stream()
+            .map(
+                t ->
+                    new SlotReserve.SlotUse<>(
+                        t,
+                        t.slots(),
+                        t.estimatedInFlight(othersWeight),
+                        t.millisPerRequest(),
+                        !triedTargets.contains(t.spec().id())
+                            && !t.isSuspect(nowNanos)
+                            && !t.isLeaving()))
+            .toList();
+    List<TargetStats> open = SlotReserve.openTargets(uses, reserved);
+    withheldCount += open.size() < candidates.size() ? 1 : 0;
+    return open;
+  }
+
+  private TargetSelection.Targets<TargetStats> grouped(
+      List<TargetStats> candidates, long nowNanos, int entryCount) {
+    Map<Boolean, List<TargetStats>> byOwnZone =
+        candidates.stream().collect(Collectors.partitioningBy(this::isInOwnZone));
+    return new TargetSelection.Targets<>(
+        byOwnZone.get(true),
+        byOwnZone.get(false),
+        candidates.stream().filter(t -> isFirstRequestDue(t, nowNanos, entryCount)).toList());
+  }
+
+  private boolean isInOwnZone(TargetStats target) {
+    return target.spec().zone().equals(zone);
+  }
+
+  private boolean isFirstRequestDue(TargetStats target, long nowNanos, int entryCount) {
+    if (target.joinedNanos().isEmpty()) {
+      return false;
+    }
+    long seed = entrySalt ^ target.spec().id().hashCode() ^ target.spec().incarnationMillis();
+    double entryShare = RandomSource.SPLIT_MIX_64.create(seed).nextDouble();
+    return FirstRequest.isDue(nowNanos, target.joinedNanos().getAsLong(), entryCount, entryShare);
+  }
+
+  private TargetCandidate properties(
+      TargetStats target, Set<TargetId> triedTargets, long nowNanos, double othersWeight) {
+    int millisPerRequest = target.millisPerRequest();
+    return new TargetCandidate(
+        target.slots(),
+        millisPerRequest,
+        target.expectedResponseMillis(othersWeight) - millisPerRequest,
+        isInOwnZone(target),
+        hasIdleConnection.test(target.spec()),
+        triedTargets.contains(target.spec().id()),
+        target.isSuspect(nowNanos),
+        target.isLeaving());
   }
 
   /** Refuses a request whose service has no usable target, until the first pause of one ends. */
@@ -133,38 +289,28 @@
 
   /**
    * Returns whether a request that waited for a connection to its chosen target may still be sent:
-   * the target has not been removed, and its drain time has not ended.
+   * the target has not been removed, and neither its drain time nor the evacuation time of its zone
+   * has ended.
    */
   boolean maySend(RoutingState routing, TargetStats chosenTarget, long nowNanos) {
     return routing
         .target(chosenTarget.spec().id())
-        .filter(t -> t == chosenTarget && t.isReachableInTime(nowNanos, drainMillis))
+        .filter(
+            t -> t == chosenTarget && t.isReachableInTime(nowNanos, drainMillis, evacuationMillis))
         .isPresent();
   }
 
-  private double costMillis(
-      TargetStats target,
-      boolean alreadyTried,
-      RequestConstraints constraints,
-      double othersWeight) {
-    double jitterFactor = 1 + JITTER_RATIO * random.nextDouble();
-    double crossZonePenaltyMillis =
-        constraints.kind().isBulk() ? CROSS_ZONE_BULK_PENALTY_MILLIS : CROSS_ZONE_PENALTY_MILLIS;
-    return target.expectedResponseMillis(othersWeight) * jitterFactor
-        + (target.spec().zone().equals(zone) ? 0 : crossZonePenaltyMillis)
-        + (alreadyTried ? TRIED_PENALTY_MILLIS : 0)
-        + (target.isSuspect(constraints.nowNanos()) ? SUSPECT_PENALTY_MILLIS : 0)
-        + (target.isLeaving() ? NOT_READY_PENALTY_MILLIS : 0);
-  }
-
   private static RoutingDecision waitOrRefuse(
       String reason, long readyInMillis, long remainingMillis) {
     if (readyInMillis > remainingMillis * MAX_WAIT_RATIO) {
-      return new RoutingDecision.Refuse(
-          reason,
-          Math.min(MAX_RETRY_DELAY_MILLIS, Math.max(MIN_RETRY_DELAY_MILLIS, readyInMillis)));
+      return refuseFor(reason, readyInMillis);
     }
     return new RoutingDecision.Wait(
         Math.max(MIN_WAIT_MILLIS, (long) (remainingMillis * MAX_WAIT_RATIO)), reason);
   }
+
+  private static RoutingDecision refuseFor(String reason, long readyInMillis) {
+    return new RoutingDecision.Refuse(
+        reason, Math.min(MAX_RETRY_DELAY_MILLIS, Math.max(MIN_RETRY_DELAY_MILLIS, readyInMillis)));
+  }
 }
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -1,16 +1,36 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.keyspace.WarmupState;
+import io.coltsfootwheel.loadcontrol.AdmissionShare;
+import io.coltsfootwheel.loadcontrol.TargetConcurrencyLimit;
 import io.coltsfootwheel.model.TargetNotices;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** State of a target as seen by one entry; confined to the relay's event loop. */
 final class TargetStats {
   private static final TargetLoadEstimate INITIAL_LOAD_ESTIMATE = new TargetLoadEstimate(0, 120);
 
+  /** Factor by which an overload signal that this entry received lowers the limit for it. */
+  private static final double OWN_DECREASE_FACTOR = 0.8;
+
+  /** Time in which own signals lower the limit once: they come from requests sent together. */
+  private static final long OWN_DECREASE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Time without own signals after which the own limit rises by one request. */
+  private static final long OWN_INCREASE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /**
+   * Requests in flight, relative to the limit, from which a reset or missing response is a sign of
+   * a full target. The difference is for requests of other entries that are not yet known here.
+   */
+  private static final double NEAR_LIMIT_RATIO = 0.6;
+
   /** Consecutive failures, without a response in between, after which a target is suspect. */
   private static final int SUSPECT_FAILURE_COUNT = 2;
 
@@ -31,9 +51,19 @@
   private static final long DRAIN_MARGIN_MILLIS =
       TargetConnections.CONNECT_TIMEOUT_MILLIS + TRANSIT_MARGIN_MILLIS;
 
+  private final TargetPermits permits = new TargetPermits();
   private OwnershipView.Target spec;
+  private boolean isCold;
   private TargetNotices notices = new TargetNotices();
   private TargetLoadEstimate loadEstimate = INITIAL_LOAD_ESTIMATE;
+  private final AdmissionShare share = new AdmissionShare();
+  private final LimitMode limitMode;
+  private int otherEntries;
+  private int ownLimit = Integer.MAX_VALUE;
+  private long ownSignalNanos;
+  private long responseMillisSinceReport;
+  private int overloadSignalsSinceReport;
+  private int selfReportedLoad;
   private int reportedInFlight;
   private int inFlight;
   private int completedSinceReport;
@@ -44,7 +74,24 @@
   /** False for a target that was already leaving when this entry first saw it. */
   private boolean isDrainStartKnown;
 
+  private long evacuatedSinceNanos;
+
+  /** False for a target whose zone was already evacuated when this entry first saw it there. */
+  private boolean isEvacuationStartKnown;
+
+  /** Time at which the target joined, until this entry sends it a request. */
+  private OptionalLong joinedNanos = OptionalLong.empty();
+
+  /** Whether the service limits the requests to cold targets, so that permits are granted. */
+  private boolean isWarmupLimited;
+
+  /** Creates the state of a target whose concurrency limit is enforced. */
   TargetStats(OwnershipView.Target spec, long changeNanos) {
+    this(spec, changeNanos, LimitMode.ENFORCE);
+  }
+
+  TargetStats(OwnershipView.Target spec, long changeNanos, LimitMode limitMode) {
+    this.limitMode = limitMode;
     updateSpec(spec, changeNanos);
   }
 
@@ -61,10 +108,45 @@
       notReadySinceNanos = changeNanos;
       isDrainStartKnown = spec != null;
     }
+    if (newSpec.evacuated() && (spec == null || !spec.evacuated())) {
+      evacuatedSinceNanos = changeNanos;
+      isEvacuationStartKnown = spec != null && newSpec.zone().equals(spec.zone());
+    }
     if (spec != null && spec.incarnationMillis() != newSpec.incarnationMillis()) {
       notices = new TargetNotices();
+      recordJoined(changeNanos);
+      ownLimit = Integer.MAX_VALUE;
     }
+    boolean wasUnusable = spec != null && (spec.evacuated() || isCold);
+    isCold = isColdBy(newSpec);
     spec = newSpec;
+    if (joinedNanos.isPresent() && wasUnusable && !spec.evacuated() && !isCold) {
+      // Entries send their first requests one after the other from the time at which they may.
+      recordJoined(changeNanos);
+    }
+  }
+
+  /**
+   * Returns whether the target is cold by new properties. A state that the leader does not know yet
+   * stays as it was, but a target whose evacuation ended may have become cold meanwhile.
+   */
+  private boolean isColdBy(OwnershipView.Target newSpec) {
+    if (newSpec.warmup() != WarmupState.UNKNOWN) {
+      return newSpec.warmup() == WarmupState.COLD;
+    }
+    boolean isKnown = spec != null && spec.incarnationMillis() == newSpec.incarnationMillis();
+    boolean evacuationEnds = isKnown && spec.evacuated() && !newSpec.evacuated();
+    return evacuationEnds && isWarmupLimited || isKnown && isCold;
+  }
+
+  /** Records that the target joined while this entry knew the others of its service. */
+  void recordJoined(long nowNanos) {
+    joinedNanos = OptionalLong.of(nowNanos);
+  }
+
+  /** Returns when the target joined, if this entry has sent it no request since then. */
+  OptionalLong joinedNanos() {
+    return joinedNanos;
   }
 
   /** Returns what an incarnation of the target has said of itself, or empty for a former one. */
@@ -77,15 +159,129 @@
     return spec.phase() != TargetPhase.READY || notices.isLeaving();
   }
 
+  /** Returns whether the zone of the target is evacuated; this is neither a fault nor leaving. */
+  boolean isEvacuated() {
+    return spec.evacuated();
+  }
+
+  /** Returns whether requests may be sent to the target only with a permit. */
+  boolean isCold() {
+    return isCold;
+  }
+
+  /** Sets whether the service limits the requests to cold targets. */
+  void setWarmupLimited(boolean limited) {
+    isWarmupLimited = limited;
+  }
+
+  /** Returns the permits for the time in which the target is cold. */
+  TargetPermits permits() {
+    return permits;
+  }
+
   /** Returns the time for which the target has asked to receive no requests, 0 for none. */
   long remainingPauseMillis(long nowNanos) {
     return notices.remainingPauseMillis(nowNanos);
   }
 
   void updateLoadEstimate(TargetLoadEstimate newLoadEstimate) {
+    boolean followsOwnSignals =
+        newLoadEstimate.concurrencyLimit() > 0 && newLoadEstimate.concurrencyLimit() <= ownLimit;
+    if (followsOwnSignals) {
+      ownLimit = Integer.MAX_VALUE;
+    }
     loadEstimate = newLoadEstimate;
   }
 
+  void updateEntryCount(int entryCount) {
+    otherEntries = entryCount - 1;
+  }
+
+  /** Returns the requests in flight of all entries up to which the target receives more. */
+  int concurrencyLimit(long nowNanos) {
+    return limitMode.admissionLimit(
+        determinedLimit(nowNanos), TargetConcurrencyLimit.initial(slots()));
+  }
+
+  /**
+   * Returns the limit that follows from what was observed of the target: the limit of the leader,
+   * lowered by own overload signals until the leader has followed them. Without a leader, it rises
+   * again by one request each second.
+   */
+  int determinedLimit(long nowNanos) {
+    int published =
+        loadEstimate.concurrencyLimit() > 0
+            ? loadEstimate.concurrencyLimit()
+            : TargetConcurrencyLimit.initial(slots());
+    if (ownLimit == Integer.MAX_VALUE) {
+      return published;
+    }
+    long risen = Math.max(0, nowNanos - ownSignalNanos) / OWN_INCREASE_NANOS;
+    return (int) Math.min(published, ownLimit + risen);
+  }
+
+  /** Returns whether the target gets less than one that has signalled no overload. */
+  boolean isLimited(long nowNanos) {
+    return determinedLimit(nowNanos) < TargetConcurrencyLimit.initial(slots());
+  }
+
+  /** Counts a request for the target, whether it is admitted or not. */
+  void recordRequest(long nowNanos) {
+    share.recordRequest(nowNanos);
+  }
+
+  /**
+   * Returns whether the request that was counted last is within this entry's share of a lowered
+   * limit, or of what a raised limit allows beyond the initial one; if so, it counts as sent.
+   */
+  boolean tryUseShare(long nowNanos, double othersWeight) {
+    boolean isWithinInitialLimit =
+        estimatedInFlight(othersWeight) < TargetConcurrencyLimit.initial(slots());
+    boolean isLowered = concurrencyLimit(nowNanos) < TargetConcurrencyLimit.initial(slots());
+    if (!isLowered && isWithinInitialLimit) {
+      return true;
+    }
+    double completedPerSecond =
+        (double) TimeUnit.SECONDS.toMillis(1) * slots() / Math.max(1, millisPerRequest());
+    int room = concurrencyLimit(nowNanos) - estimatedInFlight(othersWeight);
+    return share.tryAdmit(room, completedPerSecond, otherEntries);
+  }
+
+  /**
+   * Returns whether a reset or a missing response is a sign that the target is full.
+   *
+   * @param inFlightWhenSent estimated requests in flight when the request was sent
+   */
+  boolean isNearLimit(long nowNanos, int inFlightWhenSent) {
+    return Math.max(inFlightWhenSent, estimatedInFlight())
+        >= NEAR_LIMIT_RATIO * concurrencyLimit(nowNanos);
+  }
+
+  /** Returns whether a refusal is a sign that the target is full: it has no free slot. */
+  boolean isBusy(long nowNanos, int inFlightWhenSent) {
+    return Math.max(inFlightWhenSent, estimatedInFlight()) >= slots()
+        || isNearLimit(nowNanos, inFlightWhenSent);
+  }
+
+  /** Records that the target is full; the request that showed it is recorded apart from this. */
+  void recordOverload(long nowNanos) {
+    overloadSignalsSinceReport++;
+    boolean isSameOverload =
+        ownLimit != Integer.MAX_VALUE && nowNanos - ownSignalNanos < OWN_DECREASE_INTERVAL_NANOS;
+    if (isSameOverload) {
+      return;
+    }
+    int limit = determinedLimit(nowNanos);
+    int lowest = Math.max(1, Math.min(slots(), estimatedInFlight()));
+    ownLimit = Math.min(limit, Math.max(lowest, (int) (OWN_DECREASE_FACTOR * limit)));
+    ownSignalNanos = nowNanos;
+  }
+
+  /** Records the requests running and waiting by the target's own word. */
+  void recordSelfReportedLoad(int requests) {
+    selfReportedLoad = requests;
+  }
+
   OwnershipView.Target spec() {
     return spec;
   }
@@ -116,6 +312,11 @@
     return (int) Math.round(othersWeight * inFlightOfOthers) + inFlight;
   }
 
+  /** Returns whether a request that is sent now is expected to find a free slot. */
+  boolean hasFreeSlot() {
+    return estimatedInFlight() < slots();
+  }
+
   int millisPerRequest() {
     return loadEstimate.millisPerRequest();
   }
@@ -135,15 +336,35 @@
   /**
    * Returns whether the target wants requests and is ready, or has been leaving for so short a time
    * that a request reaches it within its drain time. Of the leader's view and the target's own word
-   * the one counts that is first; a view that is older than the word changes nothing.
+   * the one counts that is first; a view that is older than the word changes nothing. False for a
+   * target in an evacuated zone.
    */
   boolean acceptsRequests(long nowNanos, long drainMillis) {
-    return isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos);
+    return !spec.evacuated() && isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos);
   }
 
-  /** Returns whether a request that is written now reaches the target within its drain time. */
-  boolean isReachableInTime(long nowNanos, long drainMillis) {
-    return isUsableFor(drainMillis - TRANSIT_MARGIN_MILLIS, nowNanos);
+  /**
+   * Returns whether requests for keys that the target owns may be sent to it. Only the owner can
+   * serve them, so it is also used until shortly before the end of the evacuation time.
+   */
+  boolean acceptsKeyedRequests(long nowNanos, long drainMillis, long evacuationMillis) {
+    return isUsableFor(drainMillis - DRAIN_MARGIN_MILLIS, nowNanos)
+        && isUsableInEvacuation(evacuationMillis - DRAIN_MARGIN_MILLIS, nowNanos);
+  }
+
+  /**
+   * Returns whether a request that is written now reaches the target within its drain time, and
+   * within the evacuation time of its zone.
+   */
+  boolean isReachableInTime(long nowNanos, long drainMillis, long evacuationMillis) {
+    return isUsableFor(drainMillis - TRANSIT_MARGIN_MILLIS, nowNanos)
+        && isUsableInEvacuation(evacuationMillis - TRANSIT_MARGIN_MILLIS, nowNanos);
+  }
+
+  private boolean isUsableInEvacuation(long millisAfterStart, long nowNanos) {
+    return !spec.evacuated()
+        || isEvacuationStartKnown
+            && nowNanos - evacuatedSinceNanos < TimeUnit.MILLISECONDS.toNanos(millisAfterStart);
   }
 
   private boolean isUsableFor(long millisAfterLeaving, long nowNanos) {
@@ -163,9 +384,15 @@
 
   void recordSent() {
     inFlight++;
+    joinedNanos = OptionalLong.empty();
   }
 
   void recordResponse() {
+    recordResponse(0);
+  }
+
+  void recordResponse(long responseMillis) {
+    responseMillisSinceReport += responseMillis;
     inFlight--;
     completedSinceReport++;
     consecutiveFailures = 0;
@@ -203,7 +430,26 @@
    * report.
    */
   boolean needsReport() {
-    return completedSinceReport > 0 || inFlight > 0 || reportedInFlight > 0;
+    return completedSinceReport > 0
+        || inFlight > 0
+        || reportedInFlight > 0
+        || overloadSignalsSinceReport > 0;
+  }
+
+  /** Returns what was observed since the last call, and resets the counts. */
+  LoadReport.TargetObservation takeObservation() {
+    LoadReport.TargetObservation observation =
+        new LoadReport.TargetObservation(
+            spec.id(),
+            inFlight,
+            takeCompletedCount(),
+            responseMillisSinceReport,
+            overloadSignalsSinceReport,
+            selfReportedLoad);
+    responseMillisSinceReport = 0;
+    overloadSignalsSinceReport = 0;
+    selfReportedLoad = 0;
+    return observation;
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -8,10 +8,7 @@
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
-import io.coltsfootwheel.routing.ConfigurationChange;
-import io.coltsfootwheel.routing.ConfigurationItem;
 import io.coltsfootwheel.routing.GrantMethod;
-import io.coltsfootwheel.routing.ServicePolicy;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,14 +19,17 @@
 import java.util.TreeMap;
 import java.util.function.IntToDoubleFunction;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 
 /** Simulates targets that report to a leader and hold the keys that it grants, with its log. */
 final class OwnershipSimulation {
   private static final ServiceName LEDGER = ServiceName.of("ledger");
   private static final ServiceName UNKNOWN = ServiceName.of("unknown");
+  private static final double COLD_REQUESTS_PER_SECOND = 3.7;
   private static final long STEP_MILLIS = 10;
   private static final int REPORT_INTERVAL_MILLIS = 870;
   private static final int SLOTS = 2;
+  private static final int ZONES = 4;
   private static final int REPORTS_PER_SECOND = 10;
   private static final double SLOWEST_CLOCK_RATE = 0.98;
 
@@ -48,6 +48,7 @@
   private int holdingChanges;
   private int coldAssignments;
   private boolean faults;
+  private long warmupMillis;
   private OwnershipLeader leader;
   private boolean awaitsConfirmation;
 
@@ -64,6 +65,7 @@
     private TargetPhase phase = TargetPhase.READY;
     private long holdsUntilMillis;
     private long nextReportMillis;
+    private long coldUntilMillis;
     private Map<KeyRange, Long> held = new HashMap<>();
     private List<ReleasedRange> released = new ArrayList<>();
 
@@ -72,6 +74,7 @@
       this.holdings = new CalledTargetHoldings(id);
       this.port = port;
       this.incarnationMillis = nowMillis;
+      this.coldUntilMillis = nowMillis + warmupMillis;
       this.nextReportMillis = nowMillis + random.nextInt(REPORT_INTERVAL_MILLIS);
     }
 
@@ -95,7 +98,8 @@
         held.forEach((r, f) -> heldRanges.add(new HeldRange(r, Fence.of(f))));
       }
       TargetRecord self = recordAt(port, id, incarnationMillis, LEDGER, phase);
-      return new HeartbeatReport(self, ++sequence, 0, heldRanges, List.copyOf(released));
+      long leftMillis = Math.max(0, coldUntilMillis - nowMillis);
+      return new HeartbeatReport(self, ++sequence, leftMillis, heldRanges, List.copyOf(released));
     }
 
     private void send() {
@@ -153,28 +157,28 @@
   OwnershipSimulation(long seed, GrantMethod grantMethod) {
     this.grantMethod = grantMethod;
     random = new Random(seed);
-    ConfigurationChange change =
-        new ConfigurationChange(
-            0,
-            1,
-            "c",
-            true,
-            List.of(ConfigurationItem.of(new ServicePolicy(LEDGER, true, 100, grantMethod), "{}")),
-            List.of());
-    state = FleetState.empty().apply(index, new FleetCommand.ChangeConfiguration(change));
+    state = InitialStates.withService(LEDGER, grantMethod, COLD_REQUESTS_PER_SECOND);
     electLeader();
   }
 
   void start(int count) {
-    for (int i = 0; i < count; i++) {
-      add();
-    }
+    IntStream.range(0, count).forEach(i -> add());
   }
 
   void add() {
     addAt(1_001 + nextTargetNumber);
   }
 
+  /** Sets the time for which targets are cold that start from now on. */
+  void setWarmupMillis(long newWarmupMillis) {
+    warmupMillis = newWarmupMillis;
+  }
+
+  /** Restarts a target in a new incarnation, which still owns its ranges. */
+  void restart(TargetId target) {
+    restart(targets.get(target));
+  }
+
   private void addAt(int port) {
     TargetId id = TargetId.of("t" + nextTargetNumber++);
     targets.put(id, new SimulatedTarget(id, port));
@@ -183,13 +187,23 @@
   private static TargetRecord recordAt(
       int port, TargetId id, long incarnationMillis, ServiceName service, TargetPhase phase) {
     return new TargetRecord(
-        id,
-        incarnationMillis,
-        service,
-        new Address("10.0.0.1", port),
-        AvailabilityZone.of("z"),
-        SLOTS,
-        phase);
+        id, incarnationMillis, service, new Address("10.0.0.1", port), zone(id), SLOTS, phase);
+  }
+
+  private static AvailabilityZone zone(TargetId id) {
+    return AvailabilityZone.of("z" + Math.floorMod(id.hashCode(), ZONES));
+  }
+
+  /** Proposes the start or the end of the evacuation of a zone. */
+  void setEvacuation(AvailabilityZone zone, boolean evacuated) {
+    propose(new FleetCommand.SetZoneEvacuation(zone, evacuated));
+  }
+
+  /** Returns the number of targets in a zone that hold keys. */
+  long holdersIn(AvailabilityZone zone) {
+    return targets.values().stream()
+        .filter(t -> zone(t.id).equals(zone) && !t.heldRanges().isEmpty())
+        .count();
   }
 
   void setLoad(IntToDoubleFunction loadByKey) {
@@ -239,12 +253,10 @@
   }
 
   int heldKeys() {
-    int count = 0;
-    for (int key = 0; key <= KeyRange.MAX_KEY; key++) {
-      int currentKey = key;
-      count += targets.values().stream().anyMatch(t -> t.holds(currentKey)) ? 1 : 0;
-    }
-    return count;
+    return (int)
+        IntStream.rangeClosed(0, KeyRange.MAX_KEY)
+            .filter(key -> targets.values().stream().anyMatch(t -> t.holds(key)))
+            .count();
   }
 
   Map<TargetId, Double> shares(KeyRange range) {
@@ -548,6 +560,7 @@
     }
     target.running = true;
     target.incarnationMillis = nowMillis;
+    target.coldUntilMillis = nowMillis + warmupMillis;
     target.sequence = 0;
     target.phase = TargetPhase.READY;
     target.held = new HashMap<>();
@@ -557,7 +570,7 @@
     target.nextReportMillis = nowMillis + random.nextInt(200);
   }
 
-  private void electLeader() {
+  void electLeader() {
     awaitsConfirmation = false;
     leader = new OwnershipLeader(settings, state, nanos());
   }
@@ -574,11 +587,10 @@
 
   private void recordOverlaps(SimulatedTarget one, SimulatedTarget other) {
     for (KeyRange a : one.heldRanges()) {
-      for (KeyRange b : other.heldRanges()) {
-        if (a.overlaps(b)) {
-          violations.add(nowMillis + ": " + one.id + " " + a + " and " + other.id + " " + b);
-        }
-      }
+      other.heldRanges().stream()
+          .filter(a::overlaps)
+          .map(b -> nowMillis + ": " + one.id + " " + a + " and " + other.id + " " + b)
+          .forEach(violations::add);
     }
   }
 
--- a/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
+++ b/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
@@ -6,8 +6,10 @@
 import com.fasterxml.jackson.annotation.JsonTypeName;
 import io.coltsfootwheel.keyspace.LoadReport;
 import io.coltsfootwheel.keyspace.OwnershipView;
+import io.coltsfootwheel.keyspace.ReservedSlots;
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
+import io.coltsfootwheel.loadcontrol.PermitGrant;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ControlCodec;
@@ -15,11 +17,14 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests messages between processes of this version and of the one before it. */
 class NodeMessageTest {
@@ -88,6 +93,28 @@
         confirmedNanos);
   }
 
+  /** Load report without permits. */
+  private record EarlierLoadReport(
+      Map<ServiceName, Map<Integer, Integer>> requestsByKey,
+      List<LoadReport.TargetObservation> targets) {}
+
+  /** Guards against a report of an entry of the earlier version that cannot be read. */
+  @Test
+  void reportOfTheEarlierVersionAsksForNoPermits() {
+    byte[] earlier = ControlCodec.encode(new EarlierLoadReport(Map.of(), List.of()));
+    assertThat(ControlCodec.decode(earlier, LoadReport.class)).isEqualTo(NO_LOAD);
+  }
+
+  /** Guards against permits that are lost in the encoding. */
+  @Test
+  void permitsArriveAsTheyWereSent() {
+    NodeMessage sent =
+        routing(OptionalLong.empty())
+            .withPermits(
+                new NodeMessage.Permits(5, Map.of(TargetId.of("t"), new PermitGrant(2, 300))));
+    assertThat(NodeMessage.decode(sent.toFrame())).isEqualTo(sent);
+  }
+
   /** Guards against entries that fail on the updates of a leader of the earlier version. */
   @Test
   void updateOfTheEarlierVersionConfirmsNothing() {
@@ -106,6 +133,8 @@
     NodeMessage.Routing read =
         ControlCodec.decode(ControlCodec.encode(earlier), NodeMessage.Routing.class);
     assertThat(read.confirmedNanos()).isEmpty();
+    assertThat(read.reserves()).isEmpty();
+    assertThat(read.permits()).isEmpty();
     assertThat(read.view().orElseThrow().targets().get(0).incarnationMillis()).isZero();
   }
 
@@ -118,6 +147,34 @@
     assertThat(read).isEqualTo(new NodeMessage.Subscribe(ADDRESS, 1, 2, 3, NO_LOAD, 4, 0, false));
   }
 
+  /** Observation and estimate without response times, overload signals and limit. */
+  private record EarlierObservation(TargetId target, int inFlight, int completed) {}
+
+  private record EarlierEstimate(int inFlight, int millisPerRequest) {}
+
+  /** Guards against observations and estimates that one of two versions cannot read. */
+  @Test
+  void observationsAndEstimatesOfBothVersionsAreRead() {
+    EarlierObservation observation = new EarlierObservation(TargetId.of("t"), 3, 4);
+    assertThat(
+            ControlCodec.decode(
+                ControlCodec.encode(observation), LoadReport.TargetObservation.class))
+        .isEqualTo(new LoadReport.TargetObservation(TargetId.of("t"), 3, 4, 0, 0, 0));
+    assertThat(
+            ControlCodec.decode(
+                ControlCodec.encode(
+                    new LoadReport.TargetObservation(TargetId.of("t"), 3, 4, 5, 6, 7)),
+                EarlierObservation.class))
+        .isEqualTo(observation);
+    EarlierEstimate estimate = new EarlierEstimate(3, 120);
+    assertThat(ControlCodec.decode(ControlCodec.encode(estimate), TargetLoadEstimate.class))
+        .isEqualTo(new TargetLoadEstimate(3, 120, 0));
+    assertThat(
+            ControlCodec.decode(
+                ControlCodec.encode(new TargetLoadEstimate(3, 120, 9)), EarlierEstimate.class))
+        .isEqualTo(estimate);
+  }
+
   /** Guards against entries of the earlier version that fail on updates of this version. */
   @Test
   void updateIsReadByTheEarlierVersion() {
@@ -135,6 +192,40 @@
     assertThat(NodeMessage.decode(unconfirmed.toFrame())).isEqualTo(unconfirmed);
   }
 
+  /** Guards against reserves that are lost on their way, or taken for those of an older leader. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void reservesAreTransferred(int count) {
+    NodeMessage.Routing plain = routing(OptionalLong.empty());
+    NodeMessage sent =
+        new NodeMessage.Routing(
+            plain.term(),
+            plain.viewSequence(),
+            plain.configurationVersion(),
+            plain.configuration(),
+            plain.view(),
+            plain.change(),
+            plain.loadEstimates(),
+            plain.entries(),
+            plain.members(),
+            1,
+            plain.confirmedNanos(),
+            Optional.of(Collections.nCopies(count, new ReservedSlots(ServiceName.of("s"), 2, 10))),
+            Optional.empty());
+    assertThat(NodeMessage.decode(sent.toFrame())).isEqualTo(sent);
+  }
+
+  /** Guards against a leader that fails on the load report of an entry of the earlier version. */
+  @Test
+  void loadReportOfTheEarlierVersionHasNoDemand() {
+    record EarlierReport(
+        Map<ServiceName, Map<Integer, Integer>> requestsByKey,
+        List<LoadReport.TargetObservation> targets) {}
+
+    byte[] encoded = ControlCodec.encode(new EarlierReport(Map.of(), List.of()));
+    assertThat(ControlCodec.decode(encoded, LoadReport.class)).isEqualTo(NO_LOAD);
+  }
+
   /** Guards against an update that differs after it was encoded once for many entries. */
   @Test
   void encodedUpdateIsReadAsItWas() {
