Handle failures of full targets and overdue calls in a new way only where limits are enforced

Cause: deployments that do not ask for limits are to be served as before. Change: with observe, a reset near the limit is a failure as before, and no call is taken for overdue.

--- a/src/main/java/io/coltsfootwheel/relay/LimitMode.java
+++ b/src/main/java/io/coltsfootwheel/relay/LimitMode.java
@@ -2,7 +2,10 @@
 
 /** What entries do with the concurrency limits that the leader determines for targets. */
 public enum LimitMode {
-  /** The limits are logged and counted; each target keeps its initial limit. */
+  /**
+   * The limits are logged and counted; each target keeps its initial limit, and failures of a full
+   * target are handled like others.
+   */
   OBSERVE {
     @Override
     int admissionLimit(int determined, int initial) {
@@ -17,6 +20,11 @@
     }
   };
 
+  /** Returns whether full targets are told from failed ones, and overdue calls are given up. */
+  boolean isEnforced() {
+    return this == ENFORCE;
+  }
+
   /**
    * Returns the limit by which requests are admitted.
    *
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -131,7 +131,7 @@
     this.clientChannel = new ClientChannel(this, bodyBudget, log);
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.loadReader = new TargetLoadReader(settings.headerNames(), log, meters);
-    this.overload = new TargetOverloadRecorder(log, meters);
+    this.overload = new TargetOverloadRecorder(log, meters, settings.limitMode());
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, chooser, log);
     this.metrics.registerPipeline(pipelineBudget, bodyBudget);
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -304,8 +304,10 @@
                         context.headerNames(), chosenTarget.spec().id(), remainingMillis),
                     request.id(),
                     new CallOutcome()));
-    int send = sendCount;
-    context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos));
+    if (context.overload().handlesOverdueResponses()) {
+      int send = sendCount;
+      context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos));
+    }
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
@@ -25,10 +25,17 @@
 
   private final EventLog log;
   private final MeterRegistry meters;
+  private final LimitMode limitMode;
 
-  TargetOverloadRecorder(EventLog log, MeterRegistry meters) {
+  TargetOverloadRecorder(EventLog log, MeterRegistry meters, LimitMode limitMode) {
     this.log = log;
     this.meters = meters;
+    this.limitMode = limitMode;
+  }
+
+  /** Returns whether calls whose response is overdue are given up or no longer counted. */
+  boolean handlesOverdueResponses() {
+    return limitMode.isEnforced();
   }
 
   /** Lowers the limit of a target; a line is written only when it was not lowered before. */
@@ -68,8 +75,11 @@
    * @param inFlightWhenSent estimated requests in flight when the request was sent
    */
   void recordFailure(long nowNanos, TargetStats target, CallFailure failure, int inFlightWhenSent) {
-    if (failure.isSignOfFullTarget() && target.isNearLimit(nowNanos, inFlightWhenSent)) {
+    boolean isFull = failure.isSignOfFullTarget() && target.isNearLimit(nowNanos, inFlightWhenSent);
+    if (isFull) {
       record(nowNanos, target, Sign.of(failure));
+    }
+    if (isFull && limitMode.isEnforced()) {
       target.recordCancellation();
     } else {
       target.recordFailure(nowNanos);
--- a/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetStatsTest.java
@@ -225,7 +225,8 @@
       CallFailure failure, int inFlight, boolean isSuspect) {
     TargetStats target = new TargetStats(spec(TargetPhase.READY), 0);
     TargetOverloadRecorder recorder =
-        new TargetOverloadRecorder(new EventLog(line -> {}, Map.of()), new SimpleMeterRegistry());
+        new TargetOverloadRecorder(
+            new EventLog(line -> {}, Map.of()), new SimpleMeterRegistry(), LimitMode.ENFORCE);
     for (int i = 0; i < 3; i++) {
       target.recordSent();
       recorder.recordFailure(0, target, failure, inFlight);
