--- a/src/main/java/io/coltsfootwheel/relay/StartupWait.java
+++ b/src/main/java/io/coltsfootwheel/relay/StartupWait.java
@@ -10,8 +10,8 @@
  * a second.
  */
 final class StartupWait {
-  /** Part of the client's remaining time; the rest is enough to serve the request. */
-  private static final double MAX_WAIT_RATIO = 0.6;
+  /** Part of the client's remaining time; the rest is enough for an attempt at another entry. */
+  private static final double MAX_WAIT_RATIO = 1 / 3.0;
 
   /** Covers an election of the control leader and the first subscription. */
   private static final long MAX_WAIT_MILLIS = 1_000;
--- a/src/test/java/io/coltsfootwheel/relay/StartupWaitTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/StartupWaitTest.java
@@ -17,8 +17,8 @@
  */
 class StartupWaitTest {
   @ParameterizedTest
-  @CsvSource({"1200, 720", "5200, 1000", "0, 0", "-1, 1000"})
-  void waitLeavesTimeToServeTheRequest(long deadlineMillis, long waitMillis) {
+  @CsvSource({"1200, 400", "5200, 1000", "0, 0", "-1, 1000"})
+  void waitLeavesTimeForAnotherAttempt(long deadlineMillis, long waitMillis) {
     OptionalLong stated =
         deadlineMillis < 0 ? OptionalLong.empty() : OptionalLong.of(deadlineMillis);
     assertThat(StartupWait.maxWaitMillis(stated)).isEqualTo(waitMillis);
