--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -116,8 +116,7 @@
   }
 
   private static void serve(String[] arguments) {
-    Thread.setDefaultUncaughtExceptionHandler(
-        (thread, error) -> END.failed("thread " + thread.getName(), error));
+    Thread.setDefaultUncaughtExceptionHandler(new FailedThreadHandler());
     try {
       if (arguments.length != 1) {
         throw JsonFields.invalid("the role of the process is missing");
@@ -131,10 +130,24 @@
     }
   }
 
+  /**
+   * Ends the process when a thread fails. A class of its own, because the run that writes the
+   * class-data archive does not come here, and a lambda expression that is missing in the archive
+   * is generated at each start.
+   */
+  private static final class FailedThreadHandler implements Thread.UncaughtExceptionHandler {
+    @Override
+    public void uncaughtException(Thread thread, Throwable error) {
+      END.failed("thread " + thread.getName(), error);
+    }
+  }
+
   private static Path settingsFile() {
-    return Optional.ofNullable(System.getenv(PlatformNames.SETTINGS_VARIABLE))
-        .map(Path::of)
-        .orElseThrow(() -> JsonFields.invalid(PlatformNames.SETTINGS_VARIABLE + " is not set"));
+    String file = System.getenv(PlatformNames.SETTINGS_VARIABLE);
+    if (file == null) {
+      throw JsonFields.invalid(PlatformNames.SETTINGS_VARIABLE + " is not set");
+    }
+    return Path.of(file);
   }
 
   /** Ends the process at once: the state of the decisions may be inconsistent. */
