--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -38,12 +39,15 @@
   static final FieldSet FIELDS = new FieldSet();
   static final FieldSet ADDRESS_FIELDS = new FieldSet();
   static final FieldSet FAULT_FIELDS = new FieldSet();
+  static final FieldSet MACHINE_FIELDS = new FieldSet();
 
   private static final int MAX_PORT = 65_535;
   private static final long DEFAULT_HEARTBEAT_MILLIS = 1_000;
   private static final long MAX_HEARTBEAT_MILLIS = TimeUnit.HOURS.toMillis(1);
   private static final int DEFAULT_TOLERATED_LOSSES = 1;
   private static final int MAX_TOLERATED_LOSSES = 1_000;
+  private static final double MAX_LINK_MEGABITS_PER_SECOND = 1e9;
+  private static final double BYTES_PER_MEGABIT = 1e6 / Byte.SIZE;
 
   private static final ValueType<Address> ADDRESS =
       ValueType.parsedText("an address and a port", Address::parse);
@@ -76,6 +80,8 @@
       FIELDS.optional("zones", ValueType.object());
   private static final OptionalField<JsonValue> FAULT_TOLERANCE =
       FIELDS.optional("faultTolerance", ValueType.object());
+  private static final OptionalField<JsonValue> MACHINE_LIMITS =
+      FIELDS.optional("limits", ValueType.object());
 
   private static final RequiredField<Address> FRONT = ADDRESS_FIELDS.required("front", ADDRESS);
   private static final RequiredField<Address> READY = ADDRESS_FIELDS.required("ready", ADDRESS);
@@ -83,6 +89,9 @@
   private static final OptionalField<Integer> TOLERATED_LOSSES =
       FAULT_FIELDS.optional("machines", ValueType.integer32(0, MAX_TOLERATED_LOSSES));
 
+  private static final OptionalField<Double> LINK_MEGABITS_PER_SECOND =
+      MACHINE_FIELDS.optional("linkMbps", ValueType.number(0, MAX_LINK_MEGABITS_PER_SECOND));
+
   private final JsonValue root;
 
   private PlatformSettings(JsonValue root) {
@@ -220,7 +229,17 @@
         bounds.get(PlatformBound.RETRY_BUDGET_SLACK),
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
         ip().hashCode() ^ System.nanoTime(),
-        root.read(LIMIT_MODE).orElse(LimitMode.OBSERVE));
+        root.read(LIMIT_MODE).orElse(LimitMode.OBSERVE),
+        linkBytesPerSecond());
+  }
+
+  /** Returns the rate of the machine's link; a rate of 0 says that it is not known. */
+  private OptionalLong linkBytesPerSecond() {
+    return root.read(MACHINE_LIMITS)
+        .flatMap(limits -> limits.read(LINK_MEGABITS_PER_SECOND))
+        .filter(megabits -> megabits > 0)
+        .map(megabits -> OptionalLong.of(Math.max(1, (long) (megabits * BYTES_PER_MEGABIT))))
+        .orElse(OptionalLong.empty());
   }
 
   private int memberPort() {
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -15,9 +15,7 @@
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Configuration;
 import io.micrometer.core.instrument.MeterRegistry;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -55,15 +53,6 @@
   /** An eighth of the direct memory that the deploy file grants. */
   private static final long MAX_WAITING_RESPONSE_BYTES = 4L * 1024 * 1024;
 
-  /**
-   * Unwritten bytes of a client from which on it is not read and no further response is written,
-   * and those at which that ends. The high mark holds four responses of 60 kB; 64 clients that read
-   * nothing and pipeline no requests hold as much as {@link BufferedBodyBudget} allows.
-   */
-  private static final WriteBufferWaterMark CLIENT_WATER_MARK =
-      new WriteBufferWaterMark(64 * 1024, 256 * 1024);
-
-  private static final int LISTEN_BACKLOG = 1_024;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
   /** One in this many answered requests is logged; the others only count in the metrics. */
@@ -118,8 +107,10 @@
     this.retryBudget =
         new FleetRetryBudget(
             settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis());
+    PacedWriter pacedWriter = PacedWriter.ofLink(settings.linkBytesPerSecond(), eventLoop);
     this.connections =
-        new TargetConnections(loopResources, eventLoop, settings.headerNames(), bodyBudget, log);
+        new TargetConnections(
+            loopResources, eventLoop, settings.headerNames(), bodyBudget, pacedWriter, log);
     this.chooser =
         new TargetChooser(
             random,
@@ -135,6 +126,7 @@
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, chooser, log);
     this.metrics.registerPipeline(pipelineBudget, bodyBudget);
+    this.metrics.registerTransfers(pacedWriter.pacer());
   }
 
   /** Binds the client address at the first try and accepts connections. */
@@ -149,13 +141,7 @@
    */
   public void start(ListenerBinder binder) {
     TcpServer tcpServer =
-        TcpServer.create()
-            .runOn(loopResources, false)
-            .host(settings.listen().host())
-            .port(settings.listen().port())
-            .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK)
+        ClientListener.create(settings.listen(), loopResources)
             .doOnConnection(this::onConnection)
             .handle((in, out) -> Mono.never());
     DisposableServer server =
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -258,13 +258,14 @@
   private RequestConstraints constraints(long nowNanos, boolean awaitsPermit) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
+    long transferMillis = context.connections().millisToSend(request.body().readableBytes());
     return new RequestConstraints(
         service.orElseThrow().name(),
         currentRoute.kind(),
         currentRoute.priority(),
         nowNanos,
-        remainingMillis(),
-        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis,
+        remainingMillis() - transferMillis,
+        currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis - transferMillis,
         awaitsPermit);
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.loadcontrol.SelectionStep;
+import io.coltsfootwheel.loadcontrol.TransferPacer;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
@@ -89,6 +90,13 @@
         .register(meters);
   }
 
+  /** Registers the gauge of the bodies that wait for the link. */
+  void registerTransfers(TransferPacer pacer) {
+    Gauge.builder("coltsfootwheel.bodies.paced", pacer, TransferPacer::waitingBytes)
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
+  }
+
   private void registerBodies(
       String state, BufferedBodyBudget bodies, ToDoubleFunction<BufferedBodyBudget> bytes) {
     Gauge.builder("coltsfootwheel.bodies", bodies, bytes)
--- a/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
+import java.util.OptionalLong;
 
 /**
  * Settings of a relay.
@@ -17,6 +18,7 @@
  * @param retryWindowMillis length of the sliding window in which retries are counted
  * @param seed seed of the random number generator
  * @param limitMode what is done with the concurrency limits of targets
+ * @param linkBytesPerSecond rate of the link of this machine, empty when it is not known
  */
 public record RelaySettings(
     Address listen,
@@ -28,10 +30,11 @@
     double retryAllowance,
     long retryWindowMillis,
     long seed,
-    LimitMode limitMode) {
+    LimitMode limitMode,
+    OptionalLong linkBytesPerSecond) {
   /**
    * Creates settings that enforce limits and have no evacuation time; the drain time limits
-   * evacuations too.
+   * evacuations too. The rate of the link is not known.
    *
    * @param listen address on which clients connect
    * @param zone availability zone of this entry
@@ -61,6 +64,7 @@
         retryAllowance,
         retryWindowMillis,
         seed,
-        LimitMode.ENFORCE);
+        LimitMode.ENFORCE,
+        OptionalLong.empty());
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnection.java
@@ -43,6 +43,7 @@
 
   private final ProtocolHeaderNames headerNames;
   private final TargetResponseDecoder decoder;
+  private final PacedWriter writer;
   private final Runnable onIdle;
   private final Runnable onClosed;
   private Channel channel;
@@ -58,10 +59,12 @@
   TargetConnection(
       ProtocolHeaderNames headerNames,
       TargetResponseDecoder decoder,
+      PacedWriter writer,
       Runnable onIdle,
       Runnable onClosed) {
     this.headerNames = headerNames;
     this.decoder = decoder;
+    this.writer = writer;
     this.onIdle = onIdle;
     this.onClosed = onClosed;
   }
@@ -76,7 +79,7 @@
     requestId = newRequestId;
     decoder.requestSent(request.method());
     skippedResponses = 0;
-    writeFuture = channel.writeAndFlush(request);
+    writeFuture = writer.write(channel, request);
   }
 
   /** Returns whether no request is in progress. */
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -29,6 +29,7 @@
   private final Executor executor;
   private final ProtocolHeaderNames headerNames;
   private final BufferedBodyBudget budget;
+  private final PacedWriter writer;
   private final EventLog log;
   private final Map<TargetId, Pool> pools = new HashMap<>();
   private long openedCount;
@@ -67,10 +68,12 @@
       Executor executor,
       ProtocolHeaderNames headerNames,
       BufferedBodyBudget budget,
+      PacedWriter writer,
       EventLog log) {
     this.executor = executor;
     this.headerNames = headerNames;
     this.budget = budget;
+    this.writer = writer;
     this.log = log;
     this.client =
         TcpClient.create(ConnectionProvider.newConnection())
@@ -119,6 +122,11 @@
     return call;
   }
 
+  /** Returns the time for which the body of a further request waits for the link of this entry. */
+  long millisToSend(long bodyBytes) {
+    return writer.pacer().millisToSend(bodyBytes);
+  }
+
   /** Returns whether a request to a target would be sent on an idle connection. */
   boolean hasIdle(OwnershipView.Target target) {
     Pool pool = pools.get(target.id());
@@ -200,6 +208,7 @@
         new TargetConnection(
             headerNames,
             decoder,
+            writer,
             () -> returnToPool(pool, address, connectionReference[0]),
             () -> {
               pool.openCount--;
--- a/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
@@ -71,6 +71,16 @@
     assertThat(PlatformSettings.read(file).relay().evacuationMillis()).isEqualTo(evacuationMillis);
   }
 
+  /** Guards against bodies that are paced on a link of unknown rate, or not on a slow one. */
+  @ParameterizedTest
+  @CsvSource({"'', -1", "linkMbps = 0, -1", "linkMbps = 2.5, 312500", "linkMbps = 1000, 125000000"})
+  void rateOfTheLinkIsRead(String limit, long bytesPerSecond) throws IOException {
+    Path file = folder.resolve("settings.toml");
+    Files.writeString(file, SETTINGS + "[limits]\ncpuShare = 0.3\n" + limit + "\n");
+    assertThat(PlatformSettings.read(file).relay().linkBytesPerSecond().orElse(-1))
+        .isEqualTo(bytesPerSecond);
+  }
+
   /** Guards against zones of the settings that no order can name; odd names are left out. */
   @ParameterizedTest
   @CsvSource(
@@ -141,6 +151,7 @@
         "machines = 2|machines = -1|faultTolerance.machines",
         "future = {x = [1]}|concurrencyLimits = \"some\"|concurrencyLimits",
         "machines = 2|machines = \"2\"|faultTolerance.machines",
+        "future = {x = [1]}|limits.linkMbps = -1|limits.linkMbps",
         "[faultTolerance]|[[faultTolerance]]|faultTolerance",
       })
   void faultySettingEndsTheStartAndIsNamed(String part, String replacement, String name)
--- a/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -90,7 +91,12 @@
   void requestIsNotSentAfterTheTargetLeft(Change change) throws Exception {
     TargetConnections connections =
         new TargetConnections(
-            loops, eventLoop, HEADER_NAMES, new BufferedBodyBudget(1_000_000), log);
+            loops,
+            eventLoop,
+            HEADER_NAMES,
+            new BufferedBodyBudget(1_000_000),
+            PacedWriter.ofLink(OptionalLong.empty(), eventLoop),
+            log);
     RecordingListener listener = new RecordingListener(change.maySendAfterwards());
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/1");
