--- a/src/main/java/io/coltsfootwheel/platform/JsonFields.java
+++ b/src/main/java/io/coltsfootwheel/platform/JsonFields.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.Reader;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 
 /** Parses JSON documents, whose fields {@link JsonValue} reads. */
@@ -44,6 +45,15 @@
 
   private JsonFields() {}
 
+  /** Writes a record as JSON. */
+  static String write(Record value) {
+    try {
+      return STORED_MAPPER.writeValueAsString(value);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Keeps each digit of a fraction, so that it is returned as it was sent. */
   private static ObjectMapper exactDecimals(JsonMapper.Builder builder) {
     return builder
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -24,7 +24,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
 /** Main class on machines of the platform; starts an {@code entry} or {@code control} process. */
@@ -194,7 +193,7 @@
     Relay relay = new Relay(settings.relay(), log, registry);
     EntryNode node = new EntryNode(settings.entry(), relay, log);
     node.start(binder);
-    serveReadiness(relay);
+    new EntryEndpoint(settings.readinessAddress(), relay, loops).start(binder);
     watchSettings(node::addSeeds);
     startMetricsLater();
     SIGNALS.awaitStop();
@@ -238,20 +237,4 @@
     settingsWatcher = Optional.empty();
     scheduler.shutdownNow();
   }
-
-  private void serveReadiness(Relay relay) {
-    Address address = settings.readinessAddress();
-    HttpServer server =
-        HttpServer.create()
-            .runOn(loops, false)
-            .host(address.host())
-            .port(address.port())
-            .route(
-                routes ->
-                    routes.get(
-                        PlatformNames.READINESS_PATH,
-                        (request, response) ->
-                            response.status(relay.isReady() ? 200 : 503).send()));
-    binder.bind("readiness address " + address, server::bindNow);
-  }
 }
--- a/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
+++ b/src/main/java/io/coltsfootwheel/relay/AdmissionPolicy.java
@@ -71,13 +71,15 @@
    */
   static RoutingDecision admit(
       TargetStats target, RequestConstraints constraints, double othersWeight) {
-    target.recordRequest(constraints.nowNanos());
+    if (!constraints.dryRun()) {
+      target.recordRequest(constraints.nowNanos());
+    }
     if (target.estimatedInFlight(othersWeight) >= target.concurrencyLimit(constraints.nowNanos())) {
       return refuse("target queue is full", target, constraints);
     }
     if (target.expectedResponseMillis(othersWeight) <= maxExpectedResponseMillis(constraints)
         || fitsLateQueue(target, constraints, othersWeight)) {
-      return target.tryUseShare(constraints.nowNanos(), othersWeight)
+      return constraints.dryRun() || target.tryUseShare(constraints.nowNanos(), othersWeight)
           ? new RoutingDecision.Send(target)
           : refuse("share of the target's limit is used", target, constraints);
     }
--- a/src/main/java/io/coltsfootwheel/relay/ClientRequestParser.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientRequestParser.java
@@ -45,7 +45,8 @@
         : HttpResponseStatus.BAD_REQUEST;
   }
 
-  private static OptionalInt parseKey(String text) {
+  /** Returns the key that a text contains, empty when it is no key. */
+  static OptionalInt parseKey(String text) {
     OptionalLong value = parseNonNegative(text);
     return value.isPresent() && value.getAsLong() <= MAX_KEY
         ? OptionalInt.of((int) value.getAsLong())
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.api.RoutePreview;
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.LoadReport;
@@ -24,6 +25,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -277,6 +279,23 @@
     return Mono.create(sink -> runOnEventLoop(() -> sink.success(createLoadReport())));
   }
 
+  /**
+   * Decides on a request without sending it.
+   *
+   * @param host value of its Host header
+   * @param path its path
+   * @param key its key as text, empty when it has none
+   * @return the decision, and what the entry knows of the targets
+   */
+  public Mono<RoutePreview> preview(String host, String path, String key) {
+    RoutePreviewer previewer = new RoutePreviewer(this);
+    OptionalInt parsedKey = ClientRequestParser.parseKey(key);
+    return Mono.create(
+        sink ->
+            runOnEventLoop(
+                () -> sink.success(previewer.preview(System.nanoTime(), host, path, parsedKey))));
+  }
+
   /**
    * Returns the event loop of the relay. The component that supplies routing data should run on it
    * too, because a thread switch for each message costs more than handling the message.
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -266,7 +266,8 @@
         nowNanos,
         remainingMillis() - transferMillis,
         currentRoute.targetLatencyMillis() - clientWaitedMillis - elapsedMillis - transferMillis,
-        awaitsPermit);
+        awaitsPermit,
+        false);
   }
 
   private void awaitRouting(RoutingDecision.Wait wait, long nowNanos) {
--- a/src/main/java/io/coltsfootwheel/relay/RequestConstraints.java
+++ b/src/main/java/io/coltsfootwheel/relay/RequestConstraints.java
@@ -13,6 +13,7 @@
  * @param remainingMillis time until the deadline
  * @param remainingObjectiveMillis time until the latency objective is missed, negative afterwards
  * @param awaitsPermit whether the request has waited for a permit since it was decided on last
+ * @param dryRun whether the decision is only reported: it counts as no request then
  */
 record RequestConstraints(
     ServiceName service,
@@ -21,7 +22,8 @@
     long nowNanos,
     long remainingMillis,
     long remainingObjectiveMillis,
-    boolean awaitsPermit) {
+    boolean awaitsPermit,
+    boolean dryRun) {
   /** Creates the properties of a request that has not waited for a permit. */
   RequestConstraints(
       ServiceName service,
@@ -30,6 +32,7 @@
       long nowNanos,
       long remainingMillis,
       long remainingObjectiveMillis) {
-    this(service, kind, priority, nowNanos, remainingMillis, remainingObjectiveMillis, false);
+    this(
+        service, kind, priority, nowNanos, remainingMillis, remainingObjectiveMillis, false, false);
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetChooser.java
@@ -205,7 +205,9 @@
                 constraints.kind().isBulk()));
     TargetSelection.Selected<TargetStats> selected =
         selection.select(grouped(open, constraints.nowNanos(), routing.entryCount())).orElseThrow();
-    selections.merge(selected.step(), 1L, Long::sum);
+    if (!constraints.dryRun()) {
+      selections.merge(selected.step(), 1L, Long::sum);
+    }
     return AdmissionPolicy.admit(selected.target(), constraints, othersWeight);
   }
 
@@ -234,7 +236,7 @@
                             && !t.isLeaving()))
             .toList();
     List<TargetStats> open = SlotReserve.openTargets(uses, reserved);
-    withheldCount += open.size() < candidates.size() ? 1 : 0;
+    withheldCount += !constraints.dryRun() && open.size() < candidates.size() ? 1 : 0;
     return open;
   }
 
--- a/src/main/java/io/coltsfootwheel/tool/CommandLineTool.java
+++ b/src/main/java/io/coltsfootwheel/tool/CommandLineTool.java
@@ -30,6 +30,7 @@
             targets(),
             new TargetCommand(),
             owner(),
+            new RouteCommand(),
             new ExplainCommand(explain(), System.in),
             new MembersCommand(),
             new ListsCommand(),
--- a/src/test/java/io/coltsfootwheel/relay/ColdFleetSimulation.java
+++ b/src/test/java/io/coltsfootwheel/relay/ColdFleetSimulation.java
@@ -136,7 +136,7 @@
       long leftMillis = deadlineMillis - nowMillis;
       RequestConstraints constraints =
           new RequestConstraints(
-              SERVICE, RouteKind.SAFE, 1, nanos(), leftMillis, leftMillis / 2, awaitsPermit);
+              SERVICE, RouteKind.SAFE, 1, nanos(), leftMillis, leftMillis / 2, awaitsPermit, false);
       RoutingDecision decision =
           keyed
               ? chooser.chooseOwner(routing, 5, constraints)
--- a/src/test/java/io/coltsfootwheel/tool/CommandLineToolTest.java
+++ b/src/test/java/io/coltsfootwheel/tool/CommandLineToolTest.java
@@ -49,6 +49,9 @@
         "load --entry 127.0.0.1:1 --keyed-service s --zipf x",
         "load --entry 127.0.0.1:1 --keyed-service s --rate 40000 --duration-seconds 3600",
         "match --requests f",
+        "route a.example /a/",
+        "route --entry 127.0.0.1:1 a.example",
+        "route --entry here a.example /a/",
         "completion zsh",
       })
   void invalidCommandLineExitsWithUsage(String line) {
