--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -19,9 +19,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -85,8 +83,7 @@
   private final TargetNoticeReader noticeReader;
   private final TargetLoadReader loadReader;
   private final TargetOverloadRecorder overload;
-  private final Map<ServiceName, Map<Integer, Integer>> requestCountsByKey = new HashMap<>();
-  private final PermitDemand permitDemand = new PermitDemand();
+  private final LoadReporter loadReporter;
   private final long startNanos = System.nanoTime();
   private final RoutingFreshness freshness = new RoutingFreshness(startNanos);
   private long lastLeaderContactNanos = System.nanoTime();
@@ -105,6 +102,7 @@
     this.log = log;
     this.routing = new RoutingState(settings.limitMode());
     this.priorityReserve = new PriorityReserve(routing);
+    this.loadReporter = new LoadReporter(routing, priorityReserve);
     this.random = RandomSource.SPLIT_MIX_64.create(settings.seed());
     this.retryBudget =
         new FleetRetryBudget(
@@ -276,7 +274,8 @@
    * @return the report for the leader
    */
   public Mono<LoadReport> takeLoadReport() {
-    return Mono.create(sink -> runOnEventLoop(() -> sink.success(createLoadReport())));
+    return Mono.create(
+        sink -> runOnEventLoop(() -> sink.success(loadReporter.takeReport(System.nanoTime()))));
   }
 
   /**
@@ -470,22 +469,6 @@
     log.write(LogEvent.of("request.decision_failed").with("error", error));
   }
 
-  private LoadReport createLoadReport() {
-    Map<ServiceName, Map<Integer, Integer>> requestCounts = new HashMap<>(requestCountsByKey);
-    requestCountsByKey.clear();
-    List<LoadReport.TargetObservation> observations = new ArrayList<>();
-    for (TargetStats target : routing.targets()) {
-      if (target.needsReport()) {
-        observations.add(target.takeObservation());
-      }
-    }
-    return new LoadReport(
-        requestCounts,
-        observations,
-        priorityReserve.takeReport(System.nanoTime()),
-        permitDemand.take(System.nanoTime(), routing));
-  }
-
   @Override
   public boolean refusesRequests() {
     return stop.state().refusesRequests();
@@ -553,12 +536,12 @@
 
   @Override
   public void countKey(ServiceName service, int key) {
-    requestCountsByKey.computeIfAbsent(service, s -> new HashMap<>()).merge(key, 1, Integer::sum);
+    loadReporter.countKey(service, key);
   }
 
   @Override
   public PermitDemand permitDemand() {
-    return permitDemand;
+    return loadReporter.permitDemand();
   }
 
   @Override
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -119,7 +119,7 @@
       simulation.runWithoutFaults(5_000);
       simulation.setLoad(key -> 0.0012);
       simulation.runWithoutFaults(5_000);
-      int before = simulation.movedKeys();
+      int before = simulation.assignments().movedKeys();
       for (int hot = 5_000; hot < 60_000; hot += 11_000) {
         int first = hot;
         simulation.setLoad(key -> 0.0012 + (key >= first && key < first + 200 ? 0.2 : 0));
@@ -127,7 +127,7 @@
         Map<TargetId, Double> shares = simulation.shares(new KeyRange(first, first + 199));
         assertThat(shares.values()).as("seed %d", seed).allMatch(share -> share <= 0.5);
       }
-      movedKeys += simulation.movedKeys() - before;
+      movedKeys += simulation.assignments().movedKeys() - before;
     }
     assertThat(movedKeys).isLessThan(seeds * KeyRange.ALL.width() / 2);
   }
@@ -361,10 +361,10 @@
     OwnershipSimulation simulation = new OwnershipSimulation(seed);
     simulation.start(12);
     simulation.runWithoutFaults(5_000);
-    int before = simulation.coldAssignments();
+    int before = simulation.assignments().cold();
     simulation.setLoad(key -> key >= 30_000 && key < 31_000 ? 0.15 : 0.0005);
     simulation.runWithoutFaults(8_000);
-    assertThat(simulation.coldAssignments() - before).isZero();
+    assertThat(simulation.assignments().cold() - before).isZero();
   }
 
   /**
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -46,8 +46,7 @@
   private long nowMillis = 1_000;
   private int nextTargetNumber;
   private int holdingChanges;
-  private int coldAssignments;
-  private int movedKeys;
+  private final AssignmentCounts assignments = new AssignmentCounts();
   private boolean faults;
   private long warmupMillis;
   private OwnershipLeader leader;
@@ -272,14 +271,9 @@
     return shares;
   }
 
-  /** Returns the number of ranges that were assigned without a handover token. */
-  /** Returns how many keys were assigned to another owner than before, counted at each move. */
-  int movedKeys() {
-    return movedKeys;
-  }
-
-  int coldAssignments() {
-    return coldAssignments;
+  /** Returns what the assignments have cost. */
+  AssignmentCounts assignments() {
+    return assignments;
   }
 
   /** Returns the number of ranges of the target that owns the most ranges. */
@@ -472,31 +466,13 @@
           if (proposer == leader) {
             index++;
             FleetCommand decoded = ControlCodec.decode(bytes, FleetCommand.class);
-            countColdAssignments(decoded);
+            assignments.add(decoded);
             state = state.apply(index, decoded);
             leader.applied(decoded, state);
           }
         });
   }
 
-  /**
-   * Counts the assignments without a handover token. Joined ranges keep their owner and need no
-   * token, so they are not counted.
-   */
-  private void countColdAssignments(FleetCommand command) {
-    if (command instanceof FleetCommand.AssignRanges assign) {
-      coldAssignments +=
-          assign.assignments().stream()
-              .filter(a -> a.handoverToken().isEmpty() && !a.mayReplace(a.owner()))
-              .count();
-      movedKeys +=
-          assign.assignments().stream()
-              .filter(a -> !a.mayReplace(a.owner()))
-              .mapToInt(a -> a.range().width())
-              .sum();
-    }
-  }
-
   private void reportLoad() {
     Map<Integer, Integer> counts = new HashMap<>();
     for (int key = 0; key <= KeyRange.MAX_KEY; key += 1) {
--- a/src/test/java/io/coltsfootwheel/keyspace/ZoneEvacuationTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/ZoneEvacuationTest.java
@@ -41,7 +41,7 @@
       simulation.start(12);
       simulation.runWithoutFaults(5_000);
       assertThat(simulation.holdersIn(ZONE)).isPositive();
-      int coldBefore = simulation.coldAssignments();
+      int coldBefore = simulation.assignments().cold();
       simulation.setEvacuation(ZONE, true);
       simulation.runWithoutFaults(40);
       if (leaderChanges) {
@@ -50,7 +50,7 @@
       simulation.runWithoutFaults(limitMillis - 40);
       assertThat(simulation.holdersIn(ZONE)).as(simulation::describe).isZero();
       assertThat(simulation.heldKeys()).isEqualTo(KeyRange.ALL.width());
-      assertThat(simulation.coldAssignments()).isEqualTo(coldBefore);
+      assertThat(simulation.assignments().cold()).isEqualTo(coldBefore);
       simulation.runWithoutFaults(5_000);
       assertThat(simulation.holdersIn(ZONE)).isZero();
       simulation.setEvacuation(ZONE, false);
