--- a/src/main/java/io/coltsfootwheel/loadcontrol/DemandStatistics.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/DemandStatistics.java
@@ -21,7 +21,9 @@
 
   private static final double PRIOR_MILLIS_PER_REQUEST = 120;
 
-  /** Demand below which a priority counts as absent: one request of 120 ms in 12 s. */
+  /**
+   * Demand below which a priority counts as absent: a slot that is used a hundredth of the time.
+   */
   private static final double MIN_SLOTS = 0.01;
 
   private final Map<Integer, Sums> byPriority = new TreeMap<>();
--- a/src/main/java/io/coltsfootwheel/loadcontrol/FirstRequest.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/FirstRequest.java
@@ -10,8 +10,8 @@
  */
 public final class FirstRequest {
   /**
-   * Mean time between the first requests of two entries. Of 90 entries five are due within 750 ms
-   * on average, and none with a probability of 0.7%; a target with 2 slots serves seven per second.
+   * Mean time between the first requests of two entries. A target that has just started is slow and
+   * may have few slots, so it receives about seven requests per second from the whole fleet.
    */
   private static final long NANOS_PER_ENTRY = TimeUnit.MILLISECONDS.toNanos(150);
 
--- a/src/main/java/io/coltsfootwheel/loadcontrol/TargetConcurrencyLimit.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/TargetConcurrencyLimit.java
@@ -27,15 +27,15 @@
 
   /**
    * Queue, relative to the slots, up to which the limit rises without overload signals. The
-   * response time with such a queue is 3.5 times the work, which is about the latency objective of
-   * most request kinds (3.3 to 4.4 times); a longer queue only makes responses late.
+   * response time with such a queue is 3.5 times the work. Latency objectives are a few times the
+   * work, so a longer queue only makes responses late.
    */
   private static final double MAX_QUEUE_RATIO = 2.5;
 
   /**
    * Longest response time that callers accept, relative to the usual time per request of the
-   * service. The highest ratio of the latency objective of a request kind to its work is 5.2, and
-   * the work of one kind is up to 1.5 times the mean of its service.
+   * service. Objectives reach about five times the work, and the work of one kind of request may be
+   * half above the mean of its service.
    */
   private static final double ACCEPTED_RESPONSE_RATIO = 8;
 
--- a/src/main/java/io/coltsfootwheel/loadcontrol/TransferPacer.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/TransferPacer.java
@@ -5,10 +5,10 @@
 /**
  * Decides how fast an entry sends large bodies, so that they leave room on its link.
  *
- * <p>Load pattern: bodies of 60 kB on a link of 2.5 Mbit/s. A body that is written at once occupies
- * the link for a fifth of a second, and a large one for a second; new connections to targets and
- * messages to control processes that wait behind it exceed their time-outs. Bodies are therefore
- * sent in parts, one after the other, at a part of the link's rate. Not thread-safe.
+ * <p>Load pattern: uploads at an entry with a slow link. A body that is written at once can occupy
+ * the link for a second. New connections to targets and messages to control processes that wait
+ * behind it exceed their time-outs. Bodies are therefore sent in parts, one after the other, at
+ * four fifths of the link's rate. Not thread-safe.
  */
 public final class TransferPacer {
   /** Bodies from which on pacing matters; smaller ones take the link no longer than two parts. */
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -45,8 +45,8 @@
  */
 public final class Relay implements RelayContext, AutoCloseable {
   /**
-   * Requests in progress behind another one of their connection: a third of the 3,075 descriptors
-   * of the smallest entry, because each can need a connection to a target.
+   * Requests in progress behind another one of their connection. Each can need a connection to a
+   * target, and small entries have about 3,000 descriptors for all purposes.
    */
   private static final int MAX_PIPELINED_REQUESTS = 1_024;
 
