--- a/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadReport.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.keyspace;
 
+import io.coltsfootwheel.loadcontrol.RefusalCounts;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import java.util.HashMap;
@@ -77,10 +78,11 @@
    * @param inFlight requests sent and not yet answered
    * @param completed requests answered since the last report, not counting rejected ones
    * @param responseMillis sum of the response times of the completed requests
-   * @param overloadSignals refusals since the last report, and resets and missing responses while
-   *     the target was near its limit
+   * @param overloadSignals resets and missing responses since the last report while the target was
+   *     near its limit; from an entry of an earlier version also refusals
    * @param reportedLoad requests running and waiting by the target's own last word since the last
    *     report, 0 if it said nothing
+   * @param refusals refusals since the last report; none from an entry of an earlier version
    */
   public record TargetObservation(
       TargetId target,
@@ -88,7 +90,13 @@
       int completed,
       long responseMillis,
       int overloadSignals,
-      int reportedLoad) {
+      int reportedLoad,
+      RefusalCounts refusals) {
+    /** Replaces missing counts. */
+    public TargetObservation {
+      refusals = refusals == null ? RefusalCounts.NONE : refusals;
+    }
+
     /**
      * Creates an observation as entries of an earlier version send it.
      *
@@ -97,7 +105,7 @@
      * @param completed requests answered
      */
     public TargetObservation(TargetId target, int inFlight, int completed) {
-      this(target, inFlight, completed, 0, 0, 0);
+      this(target, inFlight, completed, 0, 0, 0, RefusalCounts.NONE);
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/LoadStatistics.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.keyspace;
 
 import io.coltsfootwheel.loadcontrol.DemandStatistics;
+import io.coltsfootwheel.loadcontrol.RefusalCriterion;
 import io.coltsfootwheel.loadcontrol.SlotReserve;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.ServiceName;
@@ -16,6 +17,9 @@
   /** Time per request of each service, over all its targets. */
   private final Map<ServiceName, UsualServiceTime> usualTimes = new HashMap<>();
 
+  /** Refusals of each service, over all its targets. */
+  private final Map<ServiceName, RefusalCriterion> refusalCriteria = new HashMap<>();
+
   private final Map<ServiceName, KeyLoad> keyLoads = new HashMap<>();
   private final Map<TargetId, TargetLoad> targetLoads = new HashMap<>();
   private final Map<ServiceName, DemandStatistics> demands = new HashMap<>();
@@ -29,7 +33,7 @@
               t -> {
                 TargetLoad load = targetLoad(t.id());
                 load.startIncarnation(t.incarnationMillis());
-                load.add(nowNanos, entry, t.slots(), o);
+                load.add(nowNanos, entry, t.slots(), o, isLoadRelated(nowNanos, t.service(), o));
               });
     }
     for (LoadReport.KindDemand d : report.demand()) {
@@ -39,6 +43,15 @@
     }
   }
 
+  /** Adds the refusals of one target, and returns whether those of its service depend on load. */
+  private boolean isLoadRelated(
+      long nowNanos, ServiceName service, LoadReport.TargetObservation observation) {
+    RefusalCriterion criterion =
+        refusalCriteria.computeIfAbsent(service, s -> new RefusalCriterion());
+    criterion.add(nowNanos, observation.refusals().valid());
+    return criterion.isLoadRelated();
+  }
+
   /**
    * Returns the estimates of all targets. The time per request of a target about which little is
    * known is that of the other targets of its service.
@@ -52,6 +65,7 @@
       completed.merge(target.service(), load.completed(nowNanos), Double::sum);
     }
     usualTimes.keySet().retainAll(completed.keySet());
+    refusalCriteria.keySet().retainAll(completed.keySet());
     Map<ServiceName, Double> usualSeconds = new HashMap<>();
     busySlotSeconds.forEach(
         (service, busy) ->
--- a/src/main/java/io/coltsfootwheel/keyspace/TargetLoad.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/TargetLoad.java
@@ -73,8 +73,22 @@
     usualSecondsPerRequest = Math.max(MIN_SECONDS_PER_REQUEST, secondsPerRequest);
   }
 
-  /** Adds a report of one entry. */
+  /** Adds a report of one entry about a target whose refusals depend on its load. */
   void add(long nowNanos, InstanceId entry, int slots, LoadReport.TargetObservation observation) {
+    add(nowNanos, entry, slots, observation, true);
+  }
+
+  /**
+   * Adds a report of one entry.
+   *
+   * @param isServiceLoadRelated whether the refusals of all targets of the service depend on load
+   */
+  void add(
+      long nowNanos,
+      InstanceId entry,
+      int slots,
+      LoadReport.TargetObservation observation,
+      boolean isServiceLoadRelated) {
     int inFlightOfEntry = observation.inFlight();
     int completedRequests = observation.completed();
     Observation previous = byEntry.remove(entry);
@@ -98,7 +112,9 @@
             Math.max(0, completedRequests),
             Math.max(0, observation.responseMillis()),
             observation.overloadSignals(),
-            observation.reportedLoad()));
+            observation.reportedLoad(),
+            observation.refusals().valid(),
+            isServiceLoadRelated));
   }
 
   private TargetConcurrencyLimit.Capacity capacity(long nowNanos, int slots) {
--- a/src/main/java/io/coltsfootwheel/loadcontrol/TargetConcurrencyLimit.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/TargetConcurrencyLimit.java
@@ -96,6 +96,7 @@
 
   private static final int MAX_REPORTED_LOAD = 10_000;
 
+  private final RefusalCriterion refusalCriterion = new RefusalCriterion();
   private int slots;
   private double adaptiveLimit;
   private SlotEfficiency efficiency = new SlotEfficiency(1);
@@ -127,11 +128,20 @@
    * @param inFlight requests in flight of all entries
    * @param completed requests completed
    * @param responseMillis sum of the response times of the completed requests, 0 if unknown
-   * @param overloadSignals refusals, and resets and missing responses of a target near its limit
+   * @param overloadSignals resets and missing responses of a target near its limit
    * @param reportedLoad requests that the target says it has, 0 if it says nothing
+   * @param refusals refusals, of which those without a free slot are signals too, unless the target
+   *     refuses requests at any load
+   * @param isServiceLoadRelated whether the refusals of all targets of the service depend on load
    */
   public record Observation(
-      int inFlight, int completed, long responseMillis, int overloadSignals, int reportedLoad) {}
+      int inFlight,
+      int completed,
+      long responseMillis,
+      int overloadSignals,
+      int reportedLoad,
+      RefusalCounts refusals,
+      boolean isServiceLoadRelated) {}
 
   /**
    * Returns the limit of a target about which nothing is known.
@@ -158,7 +168,15 @@
     windowResponseMillis += observation.responseMillis();
     windowPeak = Math.max(windowPeak, observation.inFlight());
     recordReportedLoad(observation);
-    if (observation.overloadSignals() > 0) {
+    refusalCriterion.add(nowNanos, observation.refusals());
+    boolean isRefused = observation.refusals().busyRefusals() > 0;
+    boolean isRefusalSignal =
+        isRefused && observation.isServiceLoadRelated() && refusalCriterion.isLoadRelated();
+    if (isRefused && !isRefusalSignal) {
+      // The first refusals counted as signs of a full target, before there was anything to compare.
+      isFullLevelKnown = false;
+    }
+    if (observation.overloadSignals() > 0 || isRefusalSignal) {
       recordOverload(nowNanos);
     }
     if (nowNanos - windowStartNanos >= WINDOW_NANOS) {
--- a/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformNames.java
@@ -5,6 +5,10 @@
 /** Names of headers, paths, calls and the environment variable that the platform defines. */
 final class PlatformNames {
   static final String SETTINGS_VARIABLE = "COLTSFOOTWHEEL_NODE_FILE";
+
+  /** Contract by which targets share their machines, and slow down before they are full. */
+  static final String PRESSURE_CONTRACT = "pressure";
+
   static final String READINESS_PATH = "/api/readyz";
   static final String CALL_PATH = "/api/rpc";
   static final String REPORT_CALL = "instances.heartbeat";
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -70,6 +70,8 @@
       FIELDS.optional("heartbeatIntervalMs", ValueType.integer(1, MAX_HEARTBEAT_MILLIS));
   private static final OptionalField<List<JsonValue>> BOUNDS =
       FIELDS.optional("bounds", ValueType.list());
+  private static final OptionalField<List<JsonValue>> CONTRACTS =
+      FIELDS.optional("contracts", ValueType.list());
   private static final OptionalField<LimitMode> LIMIT_MODE =
       FIELDS.optional(
           "concurrencyLimits",
@@ -229,10 +231,18 @@
         bounds.get(PlatformBound.RETRY_BUDGET_SLACK),
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
         ip().hashCode() ^ System.nanoTime(),
-        root.read(LIMIT_MODE).orElse(LimitMode.OBSERVE),
+        root.read(LIMIT_MODE).orElseGet(this::defaultLimitMode),
         linkBytesPerSecond());
   }
 
+  /** Returns the mode that applies when the settings name none. */
+  private LimitMode defaultLimitMode() {
+    boolean slowsDown =
+        root.read(CONTRACTS).orElse(List.of()).stream()
+            .anyMatch(c -> PlatformNames.PRESSURE_CONTRACT.equals(c.node().textValue()));
+    return slowsDown ? LimitMode.ENFORCE : LimitMode.OBSERVE;
+  }
+
   /** Returns the rate of the machine's link; a rate of 0 says that it is not known. */
   private OptionalLong linkBytesPerSecond() {
     return root.read(MACHINE_LIMITS)
--- a/src/main/java/io/coltsfootwheel/relay/TargetAttempt.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetAttempt.java
@@ -103,13 +103,14 @@
   void recordResponse(long nowNanos, ResponseCheck check, ServiceName service, int priority) {
     countAgain();
     if (check == ResponseCheck.NOT_EXECUTED) {
-      context.overload().recordRefusal(nowNanos, target, inFlightWhenSent);
+      context.overload().recordRefusal(nowNanos, target, wasSentToFreeSlot);
     } else if (check.isRefusal()) {
       target.recordRejection();
     } else {
       long responseMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
       target.recordResponse(responseMillis);
       if (wasSentToFreeSlot) {
+        target.countResponseOfFreeSlot();
         context.priorityReserve().recordTime(service, priority, responseMillis);
       }
     }
--- a/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetOverloadRecorder.java
@@ -44,7 +44,7 @@
     int limitBefore = target.determinedLimit(nowNanos);
     int inFlight = target.estimatedInFlight();
     target.recordOverload(nowNanos);
-    meters.counter("coltsfootwheel.target.overload", "sign", sign.tag).increment();
+    count(sign);
     if (!wasLimited) {
       log.write(
           LogEvent.of("target.full")
@@ -57,18 +57,27 @@
   }
 
   /**
-   * Records a refusal, which is a sign of a full target if the target has no free slot and names no
-   * time for which it wants no requests.
+   * Records a refusal, which may be a sign of a full target if the target names no time for which
+   * it wants no requests. The leader decides whether it is one: an entry sees too few of them to
+   * tell whether the target refuses requests at any load.
    *
-   * @param inFlightWhenSent estimated requests in flight when the request was sent
+   * @param wasSentToFreeSlot whether the target had a free slot when the request was sent
    */
-  void recordRefusal(long nowNanos, TargetStats target, int inFlightWhenSent) {
+  void recordRefusal(long nowNanos, TargetStats target, boolean wasSentToFreeSlot) {
     target.recordRejection();
-    if (target.remainingPauseMillis(nowNanos) == 0 && target.isBusy(nowNanos, inFlightWhenSent)) {
-      record(nowNanos, target, Sign.REFUSAL);
+    if (target.remainingPauseMillis(nowNanos) > 0) {
+      return;
+    }
+    target.countRefusal(wasSentToFreeSlot);
+    if (!wasSentToFreeSlot) {
+      count(Sign.REFUSAL);
     }
   }
 
+  private void count(Sign sign) {
+    meters.counter("coltsfootwheel.target.overload", "sign", sign.tag).increment();
+  }
+
   /**
    * Records a call without a usable response, as a sign of a full target or as a failure of it.
    *
--- a/src/main/java/io/coltsfootwheel/relay/TargetStats.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetStats.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.keyspace.TargetPhase;
 import io.coltsfootwheel.keyspace.WarmupState;
 import io.coltsfootwheel.loadcontrol.AdmissionShare;
+import io.coltsfootwheel.loadcontrol.RefusalCounts;
 import io.coltsfootwheel.loadcontrol.TargetConcurrencyLimit;
 import io.coltsfootwheel.model.TargetNotices;
 import java.util.Optional;
@@ -63,6 +64,9 @@
   private long ownSignalNanos;
   private long responseMillisSinceReport;
   private int overloadSignalsSinceReport;
+  private int busyRefusalsSinceReport;
+  private int freeRefusalsSinceReport;
+  private int freeResponsesSinceReport;
   private int selfReportedLoad;
   private int reportedInFlight;
   private int inFlight;
@@ -257,10 +261,18 @@
         >= NEAR_LIMIT_RATIO * concurrencyLimit(nowNanos);
   }
 
-  /** Returns whether a refusal is a sign that the target is full: it has no free slot. */
-  boolean isBusy(long nowNanos, int inFlightWhenSent) {
-    return Math.max(inFlightWhenSent, estimatedInFlight()) >= slots()
-        || isNearLimit(nowNanos, inFlightWhenSent);
+  /** Counts a refusal for the leader, which decides whether it is a sign of a full target. */
+  void countRefusal(boolean wasSentToFreeSlot) {
+    if (wasSentToFreeSlot) {
+      freeRefusalsSinceReport++;
+    } else {
+      busyRefusalsSinceReport++;
+    }
+  }
+
+  /** Counts a response to a request that was sent to a free slot. */
+  void countResponseOfFreeSlot() {
+    freeResponsesSinceReport++;
   }
 
   /** Records that the target is full; the request that showed it is recorded apart from this. */
@@ -433,7 +445,8 @@
     return completedSinceReport > 0
         || inFlight > 0
         || reportedInFlight > 0
-        || overloadSignalsSinceReport > 0;
+        || overloadSignalsSinceReport > 0
+        || busyRefusalsSinceReport + freeRefusalsSinceReport > 0;
   }
 
   /** Returns what was observed since the last call, and resets the counts. */
@@ -445,10 +458,15 @@
             takeCompletedCount(),
             responseMillisSinceReport,
             overloadSignalsSinceReport,
-            selfReportedLoad);
+            selfReportedLoad,
+            new RefusalCounts(
+                busyRefusalsSinceReport, freeRefusalsSinceReport, freeResponsesSinceReport));
     responseMillisSinceReport = 0;
     overloadSignalsSinceReport = 0;
     selfReportedLoad = 0;
+    busyRefusalsSinceReport = 0;
+    freeRefusalsSinceReport = 0;
+    freeResponsesSinceReport = 0;
     return observation;
   }
 
--- a/src/test/java/io/coltsfootwheel/keyspace/FullTargetSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/FullTargetSimulation.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.keyspace;
 
 import io.coltsfootwheel.loadcontrol.AdmissionShare;
+import io.coltsfootwheel.loadcontrol.RefusalCounts;
 import io.coltsfootwheel.loadcontrol.TargetConcurrencyLimit;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.model.TargetId;
@@ -201,8 +202,11 @@
               inFlight[e],
               completed[e],
               responseMillis[e],
-              signals[e],
-              completed[e] > 0 ? reported : 0));
+              target.fullBehaviour() == FullBehaviour.REFUSE ? 0 : signals[e],
+              completed[e] > 0 ? reported : 0,
+              target.fullBehaviour() == FullBehaviour.REFUSE
+                  ? new RefusalCounts(signals[e], 0, completed[e])
+                  : RefusalCounts.NONE));
       completed[e] = 0;
       responseMillis[e] = 0;
       signals[e] = 0;
--- a/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
+++ b/src/test/java/io/coltsfootwheel/node/NodeMessageTest.java
@@ -10,6 +10,7 @@
 import io.coltsfootwheel.keyspace.TargetLoadEstimate;
 import io.coltsfootwheel.keyspace.TargetPhase;
 import io.coltsfootwheel.loadcontrol.PermitGrant;
+import io.coltsfootwheel.loadcontrol.RefusalCounts;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ControlCodec;
@@ -159,11 +160,12 @@
     assertThat(
             ControlCodec.decode(
                 ControlCodec.encode(observation), LoadReport.TargetObservation.class))
-        .isEqualTo(new LoadReport.TargetObservation(TargetId.of("t"), 3, 4, 0, 0, 0));
+        .isEqualTo(new LoadReport.TargetObservation(TargetId.of("t"), 3, 4));
     assertThat(
             ControlCodec.decode(
                 ControlCodec.encode(
-                    new LoadReport.TargetObservation(TargetId.of("t"), 3, 4, 5, 6, 7)),
+                    new LoadReport.TargetObservation(
+                        TargetId.of("t"), 3, 4, 5, 6, 7, new RefusalCounts(8, 9, 10))),
                 EarlierObservation.class))
         .isEqualTo(observation);
     EarlierEstimate estimate = new EarlierEstimate(3, 120);
--- a/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/PlatformSettingsTest.java
@@ -5,6 +5,7 @@
 
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
+import io.coltsfootwheel.relay.LimitMode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -71,6 +72,27 @@
     assertThat(PlatformSettings.read(file).relay().evacuationMillis()).isEqualTo(evacuationMillis);
   }
 
+  /**
+   * Guards against limits that are enforced where the platform does not ask for it, and the
+   * reverse.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "future = 1|OBSERVE",
+        "contracts = [\"base\",\"pool\"]|OBSERVE",
+        "contracts = [\"base\",\"pressure\"]|ENFORCE",
+        "contracts = [7,\"pressure\"]|ENFORCE",
+        "contracts = [\"pressure\"];concurrencyLimits = \"observe\"|OBSERVE",
+        "concurrencyLimits = \"enforce\"|ENFORCE"
+      })
+  void limitsAreEnforcedWhereTheContractsAskForIt(String line, LimitMode mode) throws IOException {
+    Path file = folder.resolve("settings.toml");
+    Files.writeString(file, SETTINGS.replace("future = {x = [1]}", line.replace(';', '\n')));
+    assertThat(PlatformSettings.read(file).relay().limitMode()).isEqualTo(mode);
+  }
+
   /** Guards against bodies that are paced on a link of unknown rate, or not on a slow one. */
   @ParameterizedTest
   @CsvSource({"'', -1", "linkMbps = 0, -1", "linkMbps = 2.5, 312500", "linkMbps = 1000, 125000000"})
