--- a/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/RangePlanner.java
@@ -30,9 +30,10 @@
 
   /**
    * Standard deviations below which an excess may be a random fluctuation. It then justifies no
-   * move, because the keys of a moving range are not served for a moment.
+   * move, because the keys of a moving range are not served for a moment. Each target is checked
+   * with each of its reports, so twice the deviation is exceeded by chance all the time.
    */
-  private static final double SIGNIFICANT_DEVIATIONS = 2;
+  private static final double SIGNIFICANT_DEVIATIONS = 3;
 
   /** Utilisation by a single key from which the key alone keeps its target busy. */
   private static final double FULL_UTILISATION = 0.9;
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -379,8 +379,11 @@
     simulation.runWithoutFaults(5_000);
     simulation.setLoad(key -> 0.0034);
     int before = simulation.holdingChanges();
+    int movedKeysBefore = simulation.assignments().movedKeys();
     simulation.runWithoutFaults(10_000);
     assertThat(simulation.holdingChanges() - before).isLessThan(20);
+    assertThat(simulation.assignments().movedKeys() - movedKeysBefore)
+        .isLessThan(KeyRange.ALL.width() / 50);
   }
 
   /** Guards against a grant in the answer to a report that arrives after a later report. */
