--- a/src/main/java/io/coltsfootwheel/api/RoutePreview.java
+++ b/src/main/java/io/coltsfootwheel/api/RoutePreview.java
@@ -17,6 +17,18 @@
     long routesAgeMillis,
     long ownersAgeMillis,
     List<ServicePreview> services) {
+  /** Path at which an entry answers, on its readiness address. */
+  public static final String PATH = "/api/route-preview";
+
+  /** Query parameter with the host of the request. */
+  public static final String HOST_PARAMETER = "host";
+
+  /** Query parameter with the path of the request. */
+  public static final String PATH_PARAMETER = "path";
+
+  /** Query parameter with the key of the request, empty when it has none. */
+  public static final String KEY_PARAMETER = "key";
+
   /** What the entry would do with the request. */
   public enum Decision {
     /** It would be sent to a target. */
--- a/src/main/java/io/coltsfootwheel/platform/EntryEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/EntryEndpoint.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.platform;
 
+import io.coltsfootwheel.api.RoutePreview;
 import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.relay.Relay;
@@ -16,10 +17,6 @@
 
 /** HTTP server of an entry for the platform and operators: readiness and route previews. */
 final class EntryEndpoint {
-  private static final String PREVIEW_PATH = "/api/route-preview";
-  private static final String HOST = "host";
-  private static final String PATH = "path";
-  private static final String KEY = "key";
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int UNAVAILABLE = 503;
@@ -45,7 +42,7 @@
                 routes ->
                     routes
                         .get(PlatformNames.READINESS_PATH, this::answerReadiness)
-                        .get(PREVIEW_PATH, this::answerPreview));
+                        .get(RoutePreview.PATH, this::answerPreview));
     return binder.bind("readiness address " + address, server::bindNow);
   }
 
@@ -55,12 +52,13 @@
 
   private Publisher<Void> answerPreview(HttpServerRequest request, HttpServerResponse response) {
     QueryStringDecoder query = new QueryStringDecoder(request.uri());
-    String host = parameter(query, HOST);
-    String path = parameter(query, PATH);
+    String host = parameter(query, RoutePreview.HOST_PARAMETER);
+    String path = parameter(query, RoutePreview.PATH_PARAMETER);
     if (host.isEmpty() || path.isEmpty()) {
       return response.status(BAD_REQUEST).sendString(Mono.just("host and path are needed"));
     }
-    Mono<String> body = relay.preview(host, path, parameter(query, KEY)).map(JsonFields::write);
+    String key = parameter(query, RoutePreview.KEY_PARAMETER);
+    Mono<String> body = relay.preview(host, path, key).map(JsonFields::write);
     return response.header(HttpHeaderNames.CONTENT_TYPE, "application/json").sendString(body);
   }
 
--- a/src/main/java/io/coltsfootwheel/platform/JsonFields.java
+++ b/src/main/java/io/coltsfootwheel/platform/JsonFields.java
@@ -18,7 +18,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 
-/** Parses JSON documents, whose fields {@link JsonValue} reads. */
+/** Parses JSON documents, whose fields {@link JsonValue} reads, and writes records. */
 final class JsonFields {
   /** Deeper than any message of the platform. */
   private static final int MAX_DEPTH = 64;
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -255,6 +255,7 @@
         : context.chooser().chooseAny(context.routing(), triedTargets, constraints);
   }
 
+  /** Returns what the choice of a target depends on; the time to send the body is left out. */
   private RequestConstraints constraints(long nowNanos, boolean awaitsPermit) {
     Route currentRoute = route.orElseThrow();
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - request.receivedNanos());
--- a/src/main/java/io/coltsfootwheel/tool/RouteCommand.java
+++ b/src/main/java/io/coltsfootwheel/tool/RouteCommand.java
@@ -12,7 +12,6 @@
 final class RouteCommand implements Subcommand {
   private static final String ENTRY = "entry";
   private static final String KEY = "key";
-  private static final String PREVIEW_PATH = "/api/route-preview";
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
   private final Options options =
@@ -47,10 +46,10 @@
     if (!line.hasOption(ENTRY) || arguments.size() != 2) {
       throw ToolException.usage("route takes --entry IP:PORT, HOST and PATH");
     }
-    QueryStringEncoder query = new QueryStringEncoder(PREVIEW_PATH);
-    query.addParam("host", arguments.get(0));
-    query.addParam("path", arguments.get(1));
-    query.addParam("key", line.getOptionValue(KEY, ""));
+    QueryStringEncoder query = new QueryStringEncoder(RoutePreview.PATH);
+    query.addParam(RoutePreview.HOST_PARAMETER, arguments.get(0));
+    query.addParam(RoutePreview.PATH_PARAMETER, arguments.get(1));
+    query.addParam(RoutePreview.KEY_PARAMETER, line.getOptionValue(KEY, ""));
     Address entry = CommandOptions.address(line.getOptionValue(ENTRY));
     RoutePreview preview =
         new OperatorClient(List.of(entry), "", TIMEOUT).get(query.toString(), RoutePreview.class);
