--- a/review/rig-2/Downloads.java
+++ b/review/rig-2/Downloads.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.*;
 
 /**
- * Case 7. Clients download large exports, which sound backends stream as they produce them, while other
+ * Case 8. Clients download large exports, which sound backends stream as they produce them, while other
  * clients post small requests. With the disruption, most entries are killed at the same moment and
  * their clients turn to the others.
  */
--- a/review/rig-2/RaisedLimit.java
+++ b/review/rig-2/RaisedLimit.java
@@ -4,7 +4,7 @@
 import java.util.*;
 
 /**
- * Case 8. Clients post on connections that they keep open. With the disruption, the operator raises
+ * Case 9. Clients post on connections that they keep open. With the disruption, the operator raises
  * maxBodyBytes meanwhile; later the clients send bodies that the new configuration allows.
  */
 final class RaisedLimit {
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -45,6 +45,9 @@
     }
 
     synchronized void start(boolean bootstrap) {
+      if (closing) {
+        return;
+      }
       try {
         Path settings = folder.resolve(name + ".toml");
         Files.writeString(settings, settings(this, bootstrap));
@@ -393,8 +396,10 @@
   void endAll() {
     closing = true;
     for (Node n : nodes.values()) {
-      if (n.process != null) {
-        n.process.destroyForcibly();
+      synchronized (n) {
+        if (n.process != null) {
+          n.process.destroyForcibly();
+        }
       }
     }
     for (Node n : nodes.values()) {
