Compact the replicated log by bytes, not only by the number of commands

What callers saw: control processes ended with "decision loop failed" within a second or two of each other, and the configuration could not be read back.

A whole configuration of 80 kB takes 112 kB in the log, so a few hundred of them used up the heap of 64 MB, in all members that hold the log and again at each start.

Both reducers (node and daemon) share it, since the same bound stood in both.

--- a/src/main/java/io/coltsfootwheel/consensus/MemberCore.java
+++ b/src/main/java/io/coltsfootwheel/consensus/MemberCore.java
@@ -253,7 +253,8 @@
 
   void storeSnapshot(long index, byte[] bytes) {
     if (index > log.latestSnapshotIndex() && index <= appliedIndex) {
-      ReplicationSnapshot snapshot = log.compact(index, bytes, settings.retainedEntries());
+      ReplicationSnapshot snapshot =
+          log.compact(index, bytes, settings.retainedEntries(), settings.retainedBytes());
       outbox.persistSnapshot(snapshot, log.baseIndex() + 1, false, log.lastIndex());
     }
   }
--- a/src/main/java/io/coltsfootwheel/consensus/ReplicatedLog.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicatedLog.java
@@ -130,13 +130,13 @@
    * Stores a snapshot at an applied index, and drops the entries before the ones to retain; returns
    * the snapshot.
    */
-  ReplicationSnapshot compact(long index, byte[] bytes, int retainedEntries) {
+  ReplicationSnapshot compact(long index, byte[] bytes, int retainedEntries, long retainedBytes) {
     GroupConfiguration configuration = configurationByIndex.floorEntry(index).getValue();
     ReplicationSnapshot newSnapshot =
         new ReplicationSnapshot(index, termAt(index), configuration, bytes);
     configurationByIndex.headMap(index, true).clear();
     configurationByIndex.put(index, configuration);
-    long newBaseIndex = Math.max(baseIndex, index - retainedEntries);
+    long newBaseIndex = newBaseIndex(index, retainedEntries, retainedBytes);
     long newBaseTerm = termAt(newBaseIndex);
     entries.subList(0, (int) (newBaseIndex - baseIndex)).clear();
     baseIndex = newBaseIndex;
@@ -145,6 +145,21 @@
     return newSnapshot;
   }
 
+  /** Returns the index before the entries to retain, which are within both limits. */
+  private long newBaseIndex(long snapshotIndex, int retainedEntries, long retainedBytes) {
+    long firstRetained = snapshotIndex + 1;
+    long lowestRetained = Math.max(baseIndex, snapshotIndex - retainedEntries) + 1;
+    long bytes = 0;
+    while (firstRetained > lowestRetained) {
+      bytes += entry(firstRetained - 1).bytes().length;
+      if (bytes > retainedBytes) {
+        break;
+      }
+      firstRetained--;
+    }
+    return firstRetained - 1;
+  }
+
   void setInitialConfiguration(GroupConfiguration configuration) {
     configurationByIndex.put(0L, configuration);
   }
--- a/src/main/java/io/coltsfootwheel/consensus/ReplicationSettings.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicationSettings.java
@@ -23,6 +23,7 @@
  *     (256 KiB)
  * @param retainedEntries number of entries kept before a snapshot, so that followers slightly
  *     behind need no snapshot
+ * @param retainedBytes maximum size of the entries kept before a snapshot
  */
 public record ReplicationSettings(
     MemberId self,
@@ -36,10 +37,14 @@
     int maxBatchBytes,
     int maxUncommitted,
     int snapshotChunkBytes,
-    int retainedEntries) {
+    int retainedEntries,
+    long retainedBytes) {
   /** Maximum size of a snapshot chunk; larger ones would delay heartbeats on the connection. */
   public static final int MAX_SNAPSHOT_CHUNK_BYTES = 256 * 1024;
 
+  /** Default size of the entries that are kept before a snapshot. */
+  public static final long DEFAULT_RETAINED_BYTES = 2 * 1024 * 1024;
+
   /** Sorts the members and checks sizes and times. */
   public ReplicationSettings {
     initialMembers = initialMembers.stream().sorted().toList();
@@ -78,6 +83,7 @@
         MAX_SNAPSHOT_CHUNK_BYTES,
         8_192,
         MAX_SNAPSHOT_CHUNK_BYTES,
-        1_024);
+        1_024,
+        DEFAULT_RETAINED_BYTES);
   }
 }
--- a/src/main/java/io/coltsfootwheel/daemon/MemberReducer.java
+++ b/src/main/java/io/coltsfootwheel/daemon/MemberReducer.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.consensus.ReplicationReducer;
 import io.coltsfootwheel.consensus.Role;
+import io.coltsfootwheel.consensus.SnapshotSchedule;
 import io.coltsfootwheel.control.Command;
 import io.coltsfootwheel.control.ControlState;
 import io.coltsfootwheel.control.Supervisor;
@@ -35,7 +36,7 @@
   private final ReplicationReducer replication;
   private final Supervisor supervisor;
   private final List<ServiceSpec> services;
-  private final int commandsBetweenSnapshots;
+  private final SnapshotSchedule snapshots;
   private final MemberChanges memberChanges;
   private final CommandSubscribers subscribers = new CommandSubscribers();
   private final ProposalOrigins proposalOrigins = new ProposalOrigins();
@@ -49,8 +50,6 @@
   /** Number of the next proposal or leadership confirmation, unique at this member. */
   private long nextNumber = 1;
 
-  private int commandsSinceSnapshot;
-
   MemberReducer(
       MemberId self,
       ReplicationReducer replication,
@@ -62,7 +61,8 @@
     this.replication = replication;
     this.supervisor = supervisor;
     this.services = List.copyOf(services);
-    this.commandsBetweenSnapshots = commandsBetweenSnapshots;
+    this.snapshots =
+        new SnapshotSchedule(commandsBetweenSnapshots, SnapshotSchedule.MAX_COMMAND_BYTES);
     this.memberChanges = new MemberChanges(controlMembers);
   }
 
@@ -308,14 +308,10 @@
       proposalOrigins.recordResult(committed.index(), applied.result()).ifPresent(effects::add);
       supervise(nowNanos, new SupervisorEvent.StateApplied(nowNanos, state), effects);
     }
-    takeSnapshotWhenDue(nowNanos, committed.index(), effects);
-  }
-
-  private void takeSnapshotWhenDue(long nowNanos, long index, List<InstanceEffect> effects) {
-    commandsSinceSnapshot++;
-    if (commandsSinceSnapshot >= commandsBetweenSnapshots) {
-      commandsSinceSnapshot = 0;
-      applyToLog(new ReplicationEvent.SnapshotTaken(nowNanos, index, state.toSnapshot()), effects);
+    if (snapshots.recordCommand(committed.bytes().length)) {
+      applyToLog(
+          new ReplicationEvent.SnapshotTaken(nowNanos, committed.index(), state.toSnapshot()),
+          effects);
     }
   }
 
@@ -323,7 +319,7 @@
       long nowNanos, ReplicationEffect.InstallSnapshot snapshot, List<InstanceEffect> effects) {
     state = ControlState.fromSnapshot(snapshot.bytes());
     subscribers.clearRetained();
-    commandsSinceSnapshot = 0;
+    snapshots.reset();
     effects.add(new InstanceEffect.PublishState(state));
   }
 
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -314,7 +314,8 @@
         ReplicationSettings.MAX_SNAPSHOT_CHUNK_BYTES,
         MAX_UNCOMMITTED_ENTRIES,
         ReplicationSettings.MAX_SNAPSHOT_CHUNK_BYTES,
-        RETAINED_ENTRIES);
+        RETAINED_ENTRIES,
+        ReplicationSettings.DEFAULT_RETAINED_BYTES);
   }
 
   private void execute(ControlEffect effect) {
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.consensus.ReplicationEvent;
 import io.coltsfootwheel.consensus.ReplicationReducer;
 import io.coltsfootwheel.consensus.Role;
+import io.coltsfootwheel.consensus.SnapshotSchedule;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.keyspace.FleetCommand;
 import io.coltsfootwheel.keyspace.FleetState;
@@ -42,6 +43,8 @@
   private final EntrySubscriptions subscriptions = new EntrySubscriptions();
   private final Deque<ReplicationEvent> pending = new ArrayDeque<>();
   private final LeaderActions actions = new QueuedActions();
+  private final SnapshotSchedule snapshots =
+      new SnapshotSchedule(COMMANDS_BETWEEN_SNAPSHOTS, SnapshotSchedule.MAX_COMMAND_BYTES);
 
   /** Processes that asked to join the group; links to them are kept open for the responses. */
   private final Set<InstanceId> joiningInstances = new LinkedHashSet<>();
@@ -59,7 +62,6 @@
   private long nowNanos;
   private long nextJoinNanos;
   private long leaderKnownNanos;
-  private int commandsSinceSnapshot;
 
   ControlReducer(
       ControlSettings settings, MemberId self, ReplicationReducer replication, long nowNanos) {
@@ -243,7 +245,7 @@
       applyCommitted(committed);
     } else if (effect instanceof ReplicationEffect.InstallSnapshot snapshot) {
       state = FleetState.fromSnapshot(snapshot.bytes());
-      commandsSinceSnapshot = 0;
+      snapshots.reset();
     } else if (effect instanceof ReplicationEffect.ProposalCommitted committed) {
       session.ifPresent(s -> s.onProposalResult(committed.proposalId(), true));
     } else if (effect instanceof ReplicationEffect.ProposalRejected rejected) {
@@ -259,14 +261,13 @@
 
   private void applyCommitted(ReplicationEffect.ApplyCommitted committed) {
     // Internal log entries, such as the no-op at the start of a term, carry no command.
-    if (committed.bytes().length > 0) {
-      FleetCommand command = ControlCodec.decode(committed.bytes(), FleetCommand.class);
-      state = state.apply(committed.index(), command);
-      session.ifPresent(s -> s.onApplied(command, state));
-      commandsSinceSnapshot++;
+    if (committed.bytes().length == 0) {
+      return;
     }
-    if (commandsSinceSnapshot >= COMMANDS_BETWEEN_SNAPSHOTS) {
-      commandsSinceSnapshot = 0;
+    FleetCommand command = ControlCodec.decode(committed.bytes(), FleetCommand.class);
+    state = state.apply(committed.index(), command);
+    session.ifPresent(s -> s.onApplied(command, state));
+    if (snapshots.recordCommand(committed.bytes().length)) {
       pending.add(
           new ReplicationEvent.SnapshotTaken(nowNanos, committed.index(), state.toSnapshot()));
     }
--- a/src/test/java/io/coltsfootwheel/consensus/DrivenMember.java
+++ b/src/test/java/io/coltsfootwheel/consensus/DrivenMember.java
@@ -111,9 +111,12 @@
   }
 
   Stream<ReplicationEffect.Send> sendEffects() {
-    return effects.stream()
-        .filter(ReplicationEffect.Send.class::isInstance)
-        .map(ReplicationEffect.Send.class::cast);
+    return effects(ReplicationEffect.Send.class);
+  }
+
+  /** Returns the effects of a type so far. */
+  <T extends ReplicationEffect> Stream<T> effects(Class<T> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast);
   }
 
   /** Returns the last role that the member reported. */
--- a/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
+++ b/src/test/java/io/coltsfootwheel/daemon/SimulatedInstance.java
@@ -221,7 +221,8 @@
         defaults.maxBatchBytes(),
         defaults.maxUncommitted(),
         2_048,
-        10);
+        10,
+        defaults.retainedBytes());
   }
 
   private void tick(int startedIncarnation) {
--- a/src/test/java/io/coltsfootwheel/node/ControlGroup.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlGroup.java
@@ -40,6 +40,7 @@
   private final Set<InstanceId> isolated = new HashSet<>();
   private final Map<Long, ControlAnswer> answers = new HashMap<>();
   private final List<NodeMessage> messagesToEntries = new ArrayList<>();
+  private final Map<InstanceId, StoredLogSize> logSizes = new HashMap<>();
   private final List<InstanceId> seeds = new ArrayList<>();
   private long nowNanos = 1;
   private long lastRequestId;
@@ -140,6 +141,11 @@
     return messagesToEntries;
   }
 
+  /** Returns the largest size that the stored log of any process has had, in bytes. */
+  long largestLogBytes() {
+    return logSizes.values().stream().mapToLong(StoredLogSize::largestBytes).max().orElse(0);
+  }
+
   long nowNanos() {
     return nowNanos;
   }
@@ -154,6 +160,7 @@
     if (effect instanceof ControlEffect.Send send) {
       network.add(() -> receive(from, send));
     } else if (effect instanceof ControlEffect.Persist persist) {
+      logSizes.computeIfAbsent(from, id -> new StoredLogSize()).record(persist.effect());
       network.add(() -> persisted(from, persist.effect()));
     } else if (effect instanceof ControlEffect.Answer answer) {
       answers.put(answer.requestId(), answer.answer());
--- a/src/test/java/io/coltsfootwheel/simulation/ReplicationSimulation.java
+++ b/src/test/java/io/coltsfootwheel/simulation/ReplicationSimulation.java
@@ -104,7 +104,8 @@
         64,
         256,
         64,
-        8);
+        8,
+        ReplicationSettings.DEFAULT_RETAINED_BYTES);
   }
 
   private long syncNanos() {
