Bound what is on its way to a member by bytes, not only by entries

Cause: a leader sent 4 times 256 entries ahead of the acknowledgements of a member, whatever their size: 100 entries of 112 kB were encoded and queued in one event, for each member that came back.

Change: not more than four full messages of maxBatchBytes (1 MiB) are on their way to a member; the entry that passes the limit is the last one.

Tests of consensus, ReplicationSimulationTest, RandomRunTest, ControlReducerTest, MemberReplacementTest and LargeConfigurationsLogTest pass.

--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -162,9 +162,12 @@
   }
 
   private boolean hasInFlightCapacity(FollowerProgress follower) {
-    long unacknowledged = follower.nextIndex() - 1 - follower.matchIndex();
+    long lastSentIndex = follower.nextIndex() - 1;
+    long unacknowledged = lastSentIndex - follower.matchIndex();
+    long maxBytes = (long) MAX_BATCHES_IN_FLIGHT * core.settings.maxBatchBytes();
     return !follower.isProbing()
-        && unacknowledged < (long) MAX_BATCHES_IN_FLIGHT * core.settings.maxBatchEntries();
+        && unacknowledged < (long) MAX_BATCHES_IN_FLIGHT * core.settings.maxBatchEntries()
+        && !core.log.reachesBytes(follower.matchIndex(), lastSentIndex, maxBytes);
   }
 
   private List<LogEntry> nextBatch(FollowerProgress follower) {
--- a/src/main/java/io/coltsfootwheel/consensus/ReplicatedLog.java
+++ b/src/main/java/io/coltsfootwheel/consensus/ReplicatedLog.java
@@ -93,6 +93,17 @@
     return List.copyOf(result);
   }
 
+  /** Returns whether the entries after one index, up to another, reach a size. */
+  boolean reachesBytes(long afterIndex, long lastIndex, long limitBytes) {
+    long bytes = 0;
+    long index = Math.max(afterIndex, baseIndex) + 1;
+    while (bytes < limitBytes && index <= lastIndex) {
+      bytes += entry(index).bytes().length;
+      index++;
+    }
+    return bytes >= limitBytes;
+  }
+
   void append(LogEntry entry) {
     entries.add(entry);
     if (entry.kind() != EntryKind.COMMAND && entry.index() > latestSnapshotIndex()) {
