--- a/src/main/java/io/coltsfootwheel/journal/FileAccess.java
+++ b/src/main/java/io/coltsfootwheel/journal/FileAccess.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.journal;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.List;
@@ -43,13 +44,13 @@
   List<String> list(Path folder) throws IOException;
 
   /**
-   * Reads a whole file.
+   * Opens a file for reading from its start.
    *
    * @param file the file
    * @return its bytes
-   * @throws IOException when it cannot be read
+   * @throws IOException when it cannot be opened
    */
-  byte[] read(Path file) throws IOException;
+  InputStream read(Path file) throws IOException;
 
   /**
    * Opens a file for appending and creates it when missing.
--- a/src/main/java/io/coltsfootwheel/journal/JournalFolder.java
+++ b/src/main/java/io/coltsfootwheel/journal/JournalFolder.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.consensus.HardState;
 import io.coltsfootwheel.model.ControlCodec;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -49,10 +50,17 @@
     return SEGMENT_PREFIX + "%012d".formatted(number);
   }
 
-  byte[] read(String name) throws IOException {
+  InputStream read(String name) throws IOException {
     return files.read(path(name));
   }
 
+  /** Reads a whole file, which must be small. */
+  byte[] readAll(String name) throws IOException {
+    try (InputStream input = read(name)) {
+      return input.readAllBytes();
+    }
+  }
+
   FileAccess.AppendFile append(String name) throws IOException {
     return files.append(path(name));
   }
@@ -78,7 +86,9 @@
 
   private boolean isEmptyFirstSegment() throws IOException {
     byte[] emptySegment = RecordFormat.file(ControlCodec.encode(Batch.of(HardState.empty())));
-    return Arrays.equals(emptySegment, read(segmentName(FIRST_SEGMENT)));
+    try (InputStream input = read(segmentName(FIRST_SEGMENT))) {
+      return Arrays.equals(emptySegment, input.readNBytes(emptySegment.length + 1));
+    }
   }
 
   void createSegment(long number, Batch firstBatch) throws IOException {
--- a/src/main/java/io/coltsfootwheel/journal/JournalRecovery.java
+++ b/src/main/java/io/coltsfootwheel/journal/JournalRecovery.java
@@ -6,6 +6,7 @@
 import io.coltsfootwheel.consensus.ReplicationSnapshot;
 import io.coltsfootwheel.model.ControlCodec;
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -15,7 +16,7 @@
   private final JournalFolder folder;
   private final JournalState state = new JournalState(DurableState.empty());
   private final TreeMap<Long, Long> lastIndexBySegment = new TreeMap<>();
-  private int validBytes;
+  private long validBytes;
 
   JournalRecovery(JournalFolder folder) {
     this.folder = folder;
@@ -29,6 +30,7 @@
     convertLegacyFile();
     Optional<StoredSnapshot> snapshot = readSnapshot();
     long first = snapshot.map(StoredSnapshot::firstSegment).orElse(JournalFolder.FIRST_SEGMENT);
+    snapshot.ifPresent(s -> state.dropBefore(s.firstRetainedIndex()));
     readSegments(first);
     snapshot.ifPresent(state::apply);
     checkContiguous(state.content());
@@ -41,7 +43,7 @@
   }
 
   /** Returns the length of the valid records in the last segment, without a torn tail. */
-  int validBytes() {
+  long validBytes() {
     return validBytes;
   }
 
@@ -67,17 +69,19 @@
 
   private DurableState readLegacyFile() throws IOException {
     JournalState[] read = new JournalState[1];
-    RecordFormat.readUpToTornTail(
-        folder.path(JournalFolder.LEGACY_FILE),
-        folder.read(JournalFolder.LEGACY_FILE),
-        RecordFormat.LEGACY_VERSION,
-        payload -> {
-          if (read[0] == null) {
-            read[0] = new JournalState(ControlCodec.decode(payload, DurableState.class));
-          } else {
-            read[0].apply(ControlCodec.decode(payload, ReplicationEffect.Persist.class));
-          }
-        });
+    try (InputStream input = folder.read(JournalFolder.LEGACY_FILE)) {
+      RecordFormat.readUpToTornTail(
+          folder.path(JournalFolder.LEGACY_FILE),
+          input,
+          RecordFormat.LEGACY_VERSION,
+          payload -> {
+            if (read[0] == null) {
+              read[0] = new JournalState(ControlCodec.decode(payload, DurableState.class));
+            } else {
+              read[0].apply(ControlCodec.decode(payload, ReplicationEffect.Persist.class));
+            }
+          });
+    }
     return read[0].content();
   }
 
@@ -86,10 +90,12 @@
       return Optional.empty();
     }
     StoredSnapshot[] read = new StoredSnapshot[1];
-    RecordFormat.readComplete(
-        folder.path(JournalFolder.SNAPSHOT),
-        folder.read(JournalFolder.SNAPSHOT),
-        payload -> read[0] = ControlCodec.decode(payload, StoredSnapshot.class));
+    try (InputStream input = folder.read(JournalFolder.SNAPSHOT)) {
+      RecordFormat.readComplete(
+          folder.path(JournalFolder.SNAPSHOT),
+          input,
+          payload -> read[0] = ControlCodec.decode(payload, StoredSnapshot.class));
+    }
     return Optional.of(read[0]);
   }
 
@@ -111,14 +117,15 @@
 
   private void readSegment(long number, boolean isLast) throws IOException {
     String name = JournalFolder.segmentName(number);
-    byte[] bytes = folder.read(name);
     lastIndexBySegment.put(number, 0L);
-    if (isLast) {
-      validBytes =
-          RecordFormat.readUpToTornTail(
-              folder.path(name), bytes, RecordFormat.VERSION, p -> apply(number, p));
-    } else {
-      RecordFormat.readComplete(folder.path(name), bytes, p -> apply(number, p));
+    try (InputStream input = folder.read(name)) {
+      if (isLast) {
+        validBytes =
+            RecordFormat.readUpToTornTail(
+                folder.path(name), input, RecordFormat.VERSION, p -> apply(number, p));
+      } else {
+        RecordFormat.readComplete(folder.path(name), input, p -> apply(number, p));
+      }
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/journal/JournalState.java
+++ b/src/main/java/io/coltsfootwheel/journal/JournalState.java
@@ -14,6 +14,7 @@
   private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
   private HardState hardState;
   private Optional<ReplicationSnapshot> snapshot;
+  private long firstRetainedIndex;
 
   JournalState(DurableState initial) {
     hardState = initial.hardState();
@@ -26,13 +27,21 @@
     if (effect.truncateFrom() > 0) {
       entries.tailMap(effect.truncateFrom(), true).clear();
     }
-    effect.entries().forEach(e -> entries.put(e.index(), e));
+    effect.entries().stream()
+        .filter(e -> e.index() >= firstRetainedIndex)
+        .forEach(e -> entries.put(e.index(), e));
   }
 
-  /** Sets the snapshot after all records were applied, and drops entries that it replaces. */
+  /** Drops entries that the snapshot replaces, also in records that are applied later. */
+  void dropBefore(long index) {
+    firstRetainedIndex = index;
+    entries.headMap(index, false).clear();
+  }
+
+  /** Sets the snapshot after all records were applied. */
   void apply(StoredSnapshot stored) {
     snapshot = Optional.of(stored.snapshot());
-    entries.headMap(stored.firstRetainedIndex(), false).clear();
+    dropBefore(stored.firstRetainedIndex());
   }
 
   DurableState content() {
--- a/src/main/java/io/coltsfootwheel/journal/RecordFormat.java
+++ b/src/main/java/io/coltsfootwheel/journal/RecordFormat.java
@@ -2,6 +2,9 @@
 
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.function.Consumer;
@@ -42,10 +45,11 @@
   }
 
   /** Reads a file that was synced as a whole; throws on any damage. */
-  static void readComplete(Path file, byte[] bytes, Consumer<byte[]> payloadConsumer) {
-    int validBytes = readUpToTornTail(file, bytes, VERSION, payloadConsumer);
-    if (validBytes < bytes.length) {
-      throw corrupt(file, validBytes);
+  static void readComplete(Path file, InputStream input, Consumer<byte[]> payloadConsumer)
+      throws IOException {
+    ValidRecords records = readValid(file, input, VERSION, payloadConsumer);
+    if (records.tail().length > 0) {
+      throw corrupt(file, records.endBytes());
     }
   }
 
@@ -53,21 +57,64 @@
    * Reads the valid records, and returns their end, where a torn tail may begin. Throws on damage
    * that a valid record follows.
    */
-  static int readUpToTornTail(
-      Path file, byte[] bytes, int version, Consumer<byte[]> payloadConsumer) {
-    checkVersion(file, bytes, version);
-    int validBytes = Integer.BYTES;
-    while (isValid(bytes, validBytes)) {
-      byte[] payload = new byte[ByteBuffer.wrap(bytes).getInt(validBytes)];
-      System.arraycopy(bytes, validBytes + RECORD_HEADER_BYTES, payload, 0, payload.length);
+  static long readUpToTornTail(
+      Path file, InputStream input, int version, Consumer<byte[]> payloadConsumer)
+      throws IOException {
+    return readValid(file, input, version, payloadConsumer).endBytes();
+  }
+
+  /**
+   * Valid records at the start of a file.
+   *
+   * @param endBytes position behind them
+   * @param tail the bytes behind them, none of which begin a valid record
+   */
+  private record ValidRecords(long endBytes, byte[] tail) {}
+
+  /** Passes on the valid records, one at a time: a file may be larger than the free memory. */
+  private static ValidRecords readValid(
+      Path file, InputStream input, int version, Consumer<byte[]> payloadConsumer)
+      throws IOException {
+    checkVersion(file, input.readNBytes(Integer.BYTES), version);
+    long endBytes = Integer.BYTES;
+    byte[] header = input.readNBytes(RECORD_HEADER_BYTES);
+    byte[] payload = readPayload(input, header);
+    while (isValid(header, payload)) {
       payloadConsumer.accept(payload);
-      validBytes += RECORD_HEADER_BYTES + payload.length;
+      endBytes += header.length + payload.length;
+      header = input.readNBytes(RECORD_HEADER_BYTES);
+      payload = readPayload(input, header);
     }
+    byte[] tail = concatenate(header, payload, input.readAllBytes());
     // A file gets its name only after its first record is synced, so that record cannot be torn.
-    if (validBytes == Integer.BYTES || hasValidRecordAfter(bytes, validBytes)) {
-      throw corrupt(file, validBytes);
+    if (endBytes == Integer.BYTES || containsValidRecord(tail)) {
+      throw corrupt(file, endBytes);
+    }
+    return new ValidRecords(endBytes, tail);
+  }
+
+  private static byte[] concatenate(byte[]... parts) {
+    ByteArrayOutputStream whole = new ByteArrayOutputStream();
+    for (byte[] part : parts) {
+      whole.writeBytes(part);
+    }
+    return whole.toByteArray();
+  }
+
+  private static byte[] readPayload(InputStream input, byte[] header) throws IOException {
+    if (header.length < RECORD_HEADER_BYTES) {
+      return new byte[0];
+    }
+    return input.readNBytes(Math.max(0, ByteBuffer.wrap(header).getInt()));
+  }
+
+  private static boolean isValid(byte[] header, byte[] payload) {
+    if (header.length < RECORD_HEADER_BYTES || payload.length == 0) {
+      return false;
     }
-    return validBytes;
+    ByteBuffer buffer = ByteBuffer.wrap(header);
+    return buffer.getInt() == payload.length
+        && buffer.getInt() == checksum(payload, 0, payload.length);
   }
 
   private static void checkVersion(Path file, byte[] bytes, int expected) {
@@ -99,13 +146,11 @@
   }
 
   /**
-   * Tells whether a valid record follows a position. None follows a torn tail, so a valid record
+   * Tells whether a valid record begins in a tail. None follows a torn record, so a valid record
    * means damage to an earlier one.
    */
-  private static boolean hasValidRecordAfter(byte[] bytes, int position) {
-    for (int candidate = position + 1;
-        candidate <= bytes.length - RECORD_HEADER_BYTES;
-        candidate++) {
+  private static boolean containsValidRecord(byte[] bytes) {
+    for (int candidate = 1; candidate <= bytes.length - RECORD_HEADER_BYTES; candidate++) {
       if (isValid(bytes, candidate)) {
         return true;
       }
@@ -113,7 +158,7 @@
     return false;
   }
 
-  static ColtsfootwheelException corrupt(Path file, int position) {
+  static ColtsfootwheelException corrupt(Path file, long position) {
     return ColtsfootwheelException.of(
         ErrorKind.JOURNAL_CORRUPT, file + " is damaged at byte " + position);
   }
--- a/src/main/java/io/coltsfootwheel/journal/SegmentedJournal.java
+++ b/src/main/java/io/coltsfootwheel/journal/SegmentedJournal.java
@@ -64,7 +64,7 @@
       byte[] id = UUID.randomUUID().toString().replace("-", "").getBytes(StandardCharsets.US_ASCII);
       journalFolder.replaceAtomically(JournalFolder.DISK_ID, id);
     }
-    return new String(journalFolder.read(JournalFolder.DISK_ID), StandardCharsets.US_ASCII);
+    return new String(journalFolder.readAll(JournalFolder.DISK_ID), StandardCharsets.US_ASCII);
   }
 
   static SegmentedJournal open(Path folder, FileAccess files) {
--- a/src/main/java/io/coltsfootwheel/journal/SystemFileAccess.java
+++ b/src/main/java/io/coltsfootwheel/journal/SystemFileAccess.java
@@ -1,6 +1,8 @@
 package io.coltsfootwheel.journal;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -14,6 +16,12 @@
 
 /** {@link FileAccess} to the files of the operating system. */
 final class SystemFileAccess implements FileAccess {
+  /**
+   * Size of the parts in which files are read and written: each part takes as much direct memory,
+   * which its thread keeps.
+   */
+  private static final int PART_BYTES = 64 * 1024;
+
   @Override
   public void createFolder(Path folder) throws IOException {
     Files.createDirectories(folder);
@@ -44,8 +52,8 @@
   }
 
   @Override
-  public byte[] read(Path file) throws IOException {
-    return Files.readAllBytes(file);
+  public InputStream read(Path file) throws IOException {
+    return new BufferedInputStream(Files.newInputStream(file), PART_BYTES);
   }
 
   @Override
@@ -76,7 +84,9 @@
   private record ChannelFile(FileChannel channel) implements AppendFile {
     @Override
     public void write(ByteBuffer bytes) throws IOException {
-      while (bytes.hasRemaining()) {
+      int endPosition = bytes.limit();
+      while (bytes.position() < endPosition) {
+        bytes.limit(Math.min(endPosition, bytes.position() + PART_BYTES));
         channel.write(bytes);
       }
     }
