--- a/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
+++ b/src/main/java/io/coltsfootwheel/runtime/JournalDriver.java
@@ -20,6 +20,9 @@
 public final class JournalDriver {
   private static final Logger LOG = LogManager.getLogger(JournalDriver.class);
 
+  /** Size of the entries that end a batch; a batch is encoded as a whole before it is written. */
+  private static final long MAX_BATCH_BYTES = 1024 * 1024;
+
   private static final String FAILED =
       "journal write failed; this member takes no part until its journal is open again";
 
@@ -72,10 +75,7 @@
   private void run() {
     try {
       while (true) {
-        List<ReplicationEffect> batch = new ArrayList<>();
-        batch.add(queue.take());
-        queue.drainTo(batch);
-        write(batch);
+        write(takeBatch());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -89,6 +89,25 @@
     }
   }
 
+  /** Waits for a write, and takes those queued behind it up to the size of a batch. */
+  private List<ReplicationEffect> takeBatch() throws InterruptedException {
+    List<ReplicationEffect> batch = new ArrayList<>();
+    ReplicationEffect next = queue.take();
+    long batchBytes = 0;
+    while (next != null) {
+      batch.add(next);
+      batchBytes += entryBytes(next);
+      next = batchBytes < MAX_BATCH_BYTES ? queue.poll() : null;
+    }
+    return batch;
+  }
+
+  private static long entryBytes(ReplicationEffect effect) {
+    return effect instanceof ReplicationEffect.Persist persist
+        ? persist.entries().stream().mapToLong(e -> e.bytes().length).sum()
+        : 0;
+  }
+
   private void write(List<ReplicationEffect> batch) {
     List<ReplicationEffect.Persist> pendingWrites = new ArrayList<>();
     for (ReplicationEffect effect : batch) {
