--- a/src/test/java/io/coltsfootwheel/deployment/ControlProcessesEndAfterLargeConfigurationsTest.java
+++ b/src/test/java/io/coltsfootwheel/deployment/ControlProcessesEndAfterLargeConfigurationsTest.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Disabled;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -99,7 +98,6 @@
   /** Guards against control processes that run out of memory by the bytes of their log. */
   @ParameterizedTest
   @EnumSource
-  @Disabled("KNOWN-RED.txt, issue 56")
   void newestConfigurationIsReadBack(Loss loss) throws Exception {
     deployment.start(new Random(random.nextLong()));
     assertThat(operator.sendFirst()).isTrue();
