Name the cause in process.failed when a decision fails

Cause: the line said "see the lines before". Change: process.failed has the type of the event, the error, the line of code that threw it, and the heap used and at most. It is written also when the stack trace cannot be; 512 KiB of heap are released first. No decision depends on them.

--- a/src/main/java/io/coltsfootwheel/consensus/SnapshotSchedule.java
+++ b/src/main/java/io/coltsfootwheel/consensus/SnapshotSchedule.java
@@ -45,6 +45,24 @@
     return isDue;
   }
 
+  /**
+   * Returns how many commands were recorded since the last snapshot.
+   *
+   * @return the number
+   */
+  public int commands() {
+    return commands;
+  }
+
+  /**
+   * Returns the size of the commands that were recorded since the last snapshot.
+   *
+   * @return the size in bytes
+   */
+  public long commandBytes() {
+    return commandBytes;
+  }
+
   /** Begins the count again, because a snapshot was installed. */
   public void reset() {
     commands = 0;
--- a/src/main/java/io/coltsfootwheel/daemon/Daemon.java
+++ b/src/main/java/io/coltsfootwheel/daemon/Daemon.java
@@ -155,7 +155,7 @@
         InstanceEvent.Tick::new,
         TICK_MILLIS,
         effect -> execute(effect, signer),
-        failed::countDown);
+        (eventType, failure) -> failed.countDown());
   }
 
   /** Starts the journal, the decision loop and the servers. A shutdown waits for the end of it. */
--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -17,6 +17,7 @@
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.InstanceId;
 import io.coltsfootwheel.routing.ConfigurationChange;
+import io.coltsfootwheel.runtime.DecisionFailureHandler;
 import io.coltsfootwheel.runtime.DecisionLoop;
 import io.coltsfootwheel.runtime.JournalDriver;
 import io.micrometer.core.instrument.Gauge;
@@ -79,6 +80,12 @@
   /** Replicated state after the last event; metrics read it on other threads. */
   private volatile FleetState state = FleetState.empty();
 
+  /** Commands applied since the latest snapshot; metrics read it on other threads. */
+  private volatile int logCommands;
+
+  /** Bytes of these commands in the replicated log; metrics read it on other threads. */
+  private volatile long logBytes;
+
   private List<InstanceId> seeds;
   private long nextOpenNanos;
 
@@ -97,7 +104,7 @@
       Function<TargetCall, Mono<TargetCallResult>> targetCaller,
       EventLog log,
       MeterRegistry meters,
-      Runnable onFailure) {
+      DecisionFailureHandler onFailure) {
     this(settings, Journal::open, targetCaller, log, meters, onFailure);
   }
 
@@ -113,7 +120,7 @@
       Function<TargetCall, Mono<TargetCallResult>> targetCaller,
       EventLog log,
       MeterRegistry meters,
-      Runnable onFailure) {
+      DecisionFailureHandler onFailure) {
     this.settings = settings;
     this.journalOpener = journalOpener;
     this.seeds = settings.seeds();
@@ -125,6 +132,8 @@
         .register(meters);
     Gauge.builder("coltsfootwheel.evacuated.ranges", this, n -> n.state.countEvacuatedRanges())
         .register(meters);
+    Gauge.builder("coltsfootwheel.log.commands", this, n -> n.logCommands).register(meters);
+    Gauge.builder("coltsfootwheel.log.bytes", this, n -> n.logBytes).register(meters);
     this.links =
         new NodeLinks(
             settings.cluster(),
@@ -135,7 +144,11 @@
             log);
     this.loop =
         new DecisionLoop<>(
-            this::decide, ControlEvent.Tick::new, TICK_MILLIS, this::execute, onFailure);
+            this::decide,
+            ControlEvent.Tick::new,
+            TICK_MILLIS,
+            this::execute,
+            (eventType, failure) -> decisionFailed(eventType, failure, onFailure));
   }
 
   /** Starts the links and the decision loop; tries once to bind the address of the links. */
@@ -250,10 +263,16 @@
     }
     List<ControlEffect> effects =
         reducer.map(r -> r.apply(event)).orElseGet(() -> unavailable(event));
-    reducer.ifPresent(r -> state = r.state());
+    reducer.ifPresent(this::updateMetrics);
     return effects;
   }
 
+  private void updateMetrics(ControlReducer current) {
+    state = current.state();
+    logCommands = current.commandsSinceSnapshot();
+    logBytes = current.commandBytesSinceSnapshot();
+  }
+
   /** Answers calls as unavailable while there is no open journal; all other events are dropped. */
   private static List<ControlEffect> unavailable(ControlEvent event) {
     ControlAnswer answer = new ControlAnswer.Unavailable("the journal is not open");
@@ -318,6 +337,23 @@
         ReplicationSettings.DEFAULT_RETAINED_BYTES);
   }
 
+  /** Logs what tells apart the causes of a failure, as far as the heap allows it. */
+  private void decisionFailed(
+      Class<?> eventType, Throwable failure, DecisionFailureHandler onFailure) {
+    try {
+      log.write(
+          LogEvent.of("decisions.failed")
+              .with("decision_event", eventType.getSimpleName())
+              .with("role", reducer.map(r -> r.role().name()).orElse(""))
+              .with("term", reducer.map(ControlReducer::term).orElse(0L))
+              .with("log_commands", logCommands)
+              .with("log_bytes", logBytes)
+              .with("queued_events", loop.queuedEvents()));
+    } finally {
+      onFailure.failed(eventType, failure);
+    }
+  }
+
   private void execute(ControlEffect effect) {
     if (effect instanceof ControlEffect.Send send) {
       links.send(send.to(), send.message());
--- a/src/main/java/io/coltsfootwheel/node/ControlReducer.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlReducer.java
@@ -97,6 +97,16 @@
     return term;
   }
 
+  /** Returns the number of commands applied since the latest snapshot. */
+  int commandsSinceSnapshot() {
+    return snapshots.commands();
+  }
+
+  /** Returns the bytes of the commands applied since the latest snapshot. */
+  long commandBytesSinceSnapshot() {
+    return snapshots.commandBytes();
+  }
+
   private void dispatch(ControlEvent event) {
     if (event instanceof ControlEvent.Tick) {
       tick();
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -150,8 +150,8 @@
   }
 
   /** Ends the process at once: the state of the decisions may be inconsistent. */
-  private void endAfterFailedDecision() {
-    END.failed("decision loop", new IllegalStateException("see the lines before"));
+  private void endAfterFailedDecision(Class<?> eventType, Throwable failure) {
+    END.failedDecision(eventType, failure);
   }
 
   private void logAddressInUse(String listener) {
--- a/src/main/java/io/coltsfootwheel/platform/ProcessEnd.java
+++ b/src/main/java/io/coltsfootwheel/platform/ProcessEnd.java
@@ -5,7 +5,9 @@
 import io.coltsfootwheel.eventlog.StandardStreams;
 import io.coltsfootwheel.model.ColtsfootwheelException;
 import io.coltsfootwheel.model.ErrorKind;
+import java.util.Arrays;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -17,11 +19,19 @@
 final class ProcessEnd {
   private static final int EXIT_STOPPED = 0;
   private static final int EXIT_FAILED = 1;
+  private static final long BYTES_PER_MB = 1024 * 1024;
+
+  /** Room for the last lines of a process whose heap is used up. */
+  private static final int HEAP_RESERVE_BYTES = 512 * 1024;
+
   private static final Logger LOGGER = LogManager.getLogger(ProcessEnd.class);
 
   private final StandardStreams streams;
   private final IntConsumer exit;
 
+  /** Released before a failure is logged. */
+  private Optional<byte[]> heapReserve = Optional.of(new byte[HEAP_RESERVE_BYTES]);
+
   /**
    * Creates an end.
    *
@@ -48,19 +58,59 @@
       exit(EXIT_STOPPED);
       return;
     }
+    fail(part, "", error);
+  }
+
+  /** Ends the process because the decision on an event has failed. */
+  void failedDecision(Class<?> eventType, Throwable error) {
+    fail("decision loop", eventType.getSimpleName(), error);
+  }
+
+  /** Also ends the process when the failure is a lack of memory, and nothing can be logged. */
+  private void fail(String part, String decisionEvent, Throwable error) {
+    long usedHeapBytes = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    heapReserve = Optional.empty();
+    try {
+      logStackTrace(part, error);
+      logFailure(
+          LogEvent.of("process.failed")
+              .with("part", part)
+              .with("decision_event", decisionEvent)
+              .with("error", error)
+              .with("at", firstFrame(error))
+              .with("heap_used_mb", usedHeapBytes / BYTES_PER_MB)
+              .with("heap_max_mb", Runtime.getRuntime().maxMemory() / BYTES_PER_MB));
+    } finally {
+      exit(EXIT_FAILED);
+    }
+  }
+
+  private static void logStackTrace(String part, Throwable error) {
     try {
       LOGGER.error("{} failed", part, error);
-      EventLog log = new EventLog(streams.directOutput()::println, Map.of());
-      log.write(LogEvent.of("process.failed").with("part", part).with("error", error));
+    } catch (RuntimeException | Error e) {
+      // The line that names the failure follows, and is more important.
+    }
+  }
+
+  private void logFailure(LogEvent event) {
+    EventLog log = new EventLog(streams.directOutput()::println, Map.of());
+    log.write(event);
+    try {
       log.close();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } finally {
-      // Also when the failure is a lack of memory, and nothing can be logged.
-      exit(EXIT_FAILED);
     }
   }
 
+  /** Returns where the error was thrown; the Java machine may leave out stack traces. */
+  private static String firstFrame(Throwable error) {
+    return Arrays.stream(error.getStackTrace())
+        .findFirst()
+        .map(StackTraceElement::toString)
+        .orElse("");
+  }
+
   private void exit(int status) {
     try {
       streams.awaitLastLines();
--- a/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
+++ b/src/main/java/io/coltsfootwheel/runtime/DecisionLoop.java
@@ -34,7 +34,7 @@
   private final LongFunction<E> tick;
   private final long tickMillis;
   private final Consumer<F> driver;
-  private final Runnable onFailure;
+  private final DecisionFailureHandler onFailure;
   private final Scheduler scheduler = Schedulers.newSingle("decisions");
   private final Scheduler.Worker worker = scheduler.createWorker();
   private final Queue<Runnable> tasks = Queues.<Runnable>unboundedMultiproducer().get();
@@ -54,15 +54,15 @@
    * @param tick creates the tick event from the monotonic time in nanoseconds
    * @param tickMillis time between two tick events
    * @param driver executes one effect
-   * @param onFailure called when the reducer or the driver throws an exception; no event is
-   *     processed after that
+   * @param onFailure called when the reducer or the driver throws an exception or error; no event
+   *     is processed after that
    */
   public DecisionLoop(
       Function<E, List<F>> reducer,
       LongFunction<E> tick,
       long tickMillis,
       Consumer<F> driver,
-      Runnable onFailure) {
+      DecisionFailureHandler onFailure) {
     this.reducer = reducer;
     this.tick = tick;
     this.tickMillis = tickMillis;
@@ -208,7 +208,7 @@
           event.getClass().getSimpleName(),
           failure);
     } finally {
-      onFailure.run();
+      onFailure.failed(event.getClass(), failure);
     }
   }
 }
--- a/src/test/java/io/coltsfootwheel/node/RunningControlGroup.java
+++ b/src/test/java/io/coltsfootwheel/node/RunningControlGroup.java
@@ -72,7 +72,7 @@
             call -> Mono.just(TargetCallResult.of(TargetCallResult.Outcome.UNKNOWN)),
             log,
             new SimpleMeterRegistry(),
-            failures::incrementAndGet);
+            (eventType, failure) -> failures.incrementAndGet());
     nodes.add(node);
     return node;
   }
--- a/src/test/java/io/coltsfootwheel/node/RunningFleet.java
+++ b/src/test/java/io/coltsfootwheel/node/RunningFleet.java
@@ -133,7 +133,7 @@
               call -> Mono.just(TargetCallResult.of(TargetCallResult.Outcome.UNKNOWN)),
               log,
               new SimpleMeterRegistry(),
-              failures::incrementAndGet);
+              (eventType, failure) -> failures.incrementAndGet());
       try {
         node.start();
         return node;
--- a/src/test/java/io/coltsfootwheel/platform/SingleControlNode.java
+++ b/src/test/java/io/coltsfootwheel/platform/SingleControlNode.java
@@ -40,7 +40,7 @@
         call -> Mono.never(),
         log,
         new SimpleMeterRegistry(),
-        () -> {});
+        (eventType, failure) -> {});
   }
 
   static int freePort() throws IOException {
--- a/src/test/java/io/coltsfootwheel/runtime/DecisionLoopTest.java
+++ b/src/test/java/io/coltsfootwheel/runtime/DecisionLoopTest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -19,30 +18,37 @@
   @Test
   void dropsEventsAfterClose() {
     DecisionLoop<Long, String> loop =
-        new DecisionLoop<>(event -> List.of(), nowNanos -> nowNanos, 10, effect -> {}, () -> {});
+        new DecisionLoop<>(
+            event -> List.of(), nowNanos -> nowNanos, 10, effect -> {}, (eventType, failure) -> {});
     loop.close();
     assertThatCode(() -> loop.post(1L)).doesNotThrowAnyException();
   }
 
   /** What fails on the first event. */
   private enum Failure {
-    ERROR_OF_REDUCER {
+    ERROR_OF_REDUCER(new StackOverflowError()) {
       @Override
       void beforeDecision(long event) {
         if (event == 1) {
-          throw new StackOverflowError();
+          throw (Error) expected;
         }
       }
     },
-    EXCEPTION_OF_DRIVER {
+    EXCEPTION_OF_DRIVER(new IllegalStateException("for the test")) {
       @Override
       void beforeEffect(String effect) {
         if (effect.equals("effect 1")) {
-          throw new IllegalStateException("for the test");
+          throw (RuntimeException) expected;
         }
       }
     };
 
+    final Throwable expected;
+
+    Failure(Throwable expected) {
+      this.expected = expected;
+    }
+
     void beforeDecision(long event) {}
 
     void beforeEffect(String effect) {}
@@ -56,7 +62,7 @@
   @ParameterizedTest
   @EnumSource
   void failureIsReportedAndNothingIsDecidedAfterIt(Failure failure) {
-    AtomicInteger failures = new AtomicInteger();
+    List<String> failures = new CopyOnWriteArrayList<>();
     List<String> executed = new CopyOnWriteArrayList<>();
     DecisionLoop<Long, String> loop =
         new DecisionLoop<>(
@@ -70,10 +76,11 @@
               failure.beforeEffect(effect);
               executed.add(effect);
             },
-            failures::incrementAndGet);
+            (eventType, error) -> failures.add(eventType.getSimpleName() + " " + error));
     loop.post(1L);
     loop.post(2L);
-    assertThat(loop.query(failures::get).block(Duration.ofSeconds(10))).isEqualTo(1);
+    assertThat(loop.query(() -> List.copyOf(failures)).block(Duration.ofSeconds(10)))
+        .containsExactly("Long " + failure.expected);
     assertThat(executed).isEmpty();
     loop.close();
   }
