--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -137,11 +137,11 @@
   }
 
   private void sendHeartbeat(MemberId to, FollowerProgress follower) {
-    if (follower.transfer().isPresent()) {
-      sendChunk(to, follower);
-    } else {
-      sendAppend(to, follower, List.of());
-    }
+    follower
+        .transfer()
+        .ifPresentOrElse(
+            t -> core.outbox.sendImmediately(to, t.heartbeat(core.term(), rounds.current())),
+            () -> sendAppend(to, follower, List.of()));
   }
 
   private boolean sendEntries(MemberId to, FollowerProgress follower) {
@@ -211,10 +211,15 @@
   void onChunkResponse(MemberId from, ReplicationMessage.SnapshotChunkResponse response) {
     FollowerProgress follower = progress(from);
     follower.recordResponse(response.round(), core.now());
-    boolean advanced =
+    long index = response.index();
+    int nextOffset = response.nextOffset();
+    boolean isChunkDue =
         follower.transfer().stream()
-            .anyMatch(t -> t.advance(response.index(), response.nextOffset()));
-    if (advanced) {
+            .anyMatch(
+                t ->
+                    t.isChunkLost(index, nextOffset, response.round())
+                        || t.advance(index, nextOffset));
+    if (isChunkDue) {
       sendChunk(from, follower);
     }
   }
--- a/src/main/java/io/coltsfootwheel/consensus/SnapshotTransfer.java
+++ b/src/main/java/io/coltsfootwheel/consensus/SnapshotTransfer.java
@@ -7,6 +7,9 @@
   private final ReplicationSnapshot snapshot;
   private int offset;
 
+  /** Round in which the chunk at the offset was sent. */
+  private long sentRound;
+
   SnapshotTransfer(ReplicationSnapshot snapshot) {
     this.snapshot = snapshot;
   }
@@ -27,8 +30,25 @@
     return isAdvanced;
   }
 
+  /**
+   * Tells whether a response shows that the chunk at the offset was lost: it answers a later
+   * message, and the member still lacks the chunk.
+   */
+  boolean isChunkLost(long index, int nextOffset, long round) {
+    return index == snapshot.index() && nextOffset == offset && round > sentRound;
+  }
+
   ReplicationMessage chunk(long term, long round, int maxBytes) {
-    int endOffset = Math.min(snapshot.bytes().length, offset + maxBytes);
+    sentRound = round;
+    return message(term, round, Math.min(snapshot.bytes().length, offset + maxBytes));
+  }
+
+  /** Returns a chunk without bytes; the response to it states the offset that the member lacks. */
+  ReplicationMessage heartbeat(long term, long round) {
+    return message(term, round, offset);
+  }
+
+  private ReplicationMessage message(long term, long round, int endOffset) {
     return new ReplicationMessage.SnapshotChunk(
         term,
         round,
