Answer late rejections of a member once, not each with its entries again

Cause: a leader sends heartbeats ahead of the responses. After lost entries, or a disk of the member that stalled, many rejections come at once. Each of them moved the leader back and was answered with a batch of up to 256 KiB, or with one entry of any size, without regard to the limit on what is under way.

Change: a rejection of a round that began before the last move back is ignored, unless it rejects the entries that were sent since.

--- a/src/main/java/io/coltsfootwheel/consensus/FollowerProgress.java
+++ b/src/main/java/io/coltsfootwheel/consensus/FollowerProgress.java
@@ -10,6 +10,11 @@
   private long lastContactNanos;
   private boolean heard;
   private boolean probing = true;
+
+  /** Index before the entries that answered the last rejection, and the round at that time. */
+  private long probeIndex;
+
+  private long probeRound;
   private Optional<SnapshotTransfer> transfer = Optional.empty();
 
   FollowerProgress(long nextIndex, long nowNanos) {
@@ -68,12 +73,23 @@
     transfer = transfer.filter(t -> t.snapshot().index() > matchIndex);
   }
 
-  /** Moves back after a log mismatch; returns false for a delayed rejection, which is ignored. */
-  boolean recordRejection(long rejectedIndex, long retryIndex) {
-    boolean isCurrent = rejectedIndex > matchIndex && rejectedIndex < nextIndex;
+  /**
+   * Moves back after a log mismatch; returns false for a delayed rejection, which is ignored. A
+   * rejection is delayed when it answers a message that was sent before the last move back.
+   *
+   * @param round round that the response repeats
+   * @param currentRound latest round, in which the next entries are sent
+   */
+  boolean recordRejection(long rejectedIndex, long retryIndex, long round, long currentRound) {
+    boolean isCurrent =
+        rejectedIndex > matchIndex
+            && rejectedIndex < nextIndex
+            && (round > probeRound || rejectedIndex <= probeIndex);
     if (isCurrent) {
       probing = true;
       nextIndex = Math.max(matchIndex, Math.min(retryIndex, rejectedIndex - 1)) + 1;
+      probeIndex = nextIndex - 1;
+      probeRound = currentRound;
     }
     return isCurrent;
   }
--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -201,7 +201,8 @@
     follower.recordResponse(response.round(), core.now());
     if (response.accepted()) {
       follower.recordMatch(Math.min(response.matchIndex(), core.log.lastIndex()));
-    } else if (follower.recordRejection(response.rejectedIndex(), response.matchIndex())
+    } else if (follower.recordRejection(
+            response.rejectedIndex(), response.matchIndex(), response.round(), rounds.current())
         && follower.transfer().isEmpty()
         && !sendEntries(from, follower)) {
       sendAppend(from, follower, nextBatch(follower));
--- a/src/test/java/io/coltsfootwheel/consensus/RepeatedSendsTest.java
+++ b/src/test/java/io/coltsfootwheel/consensus/RepeatedSendsTest.java
@@ -57,4 +57,28 @@
         .anyMatch(ReplicationMessage.SnapshotChunk.class::isInstance);
     assertThat(bytesSentTo(leader, member(3)) - before).isEqualTo(COMMAND_BYTES);
   }
+
+  /** Guards against a leader that sends its entries again for each of many late rejections. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 100})
+  void lateRejectionsAreAnsweredOnce(int rounds) {
+    DrivenMember leader = DrivenMember.voter(3, 1).elect();
+    leader.acknowledge(member(2), 1);
+    leader.acknowledge(member(3), 1);
+    leader.propose(new byte[COMMAND_BYTES]);
+    leader.acknowledge(member(2), 2);
+    confirmRounds(leader, rounds);
+    long before = bytesSentTo(leader, member(3));
+    long lastRound =
+        leader
+            .sent(ReplicationMessage.AppendRequest.class)
+            .mapToLong(ReplicationMessage.AppendRequest::round)
+            .max()
+            .orElseThrow();
+    for (long round = lastRound - rounds + 1; round <= lastRound; round++) {
+      leader.receive(
+          member(3), new ReplicationMessage.AppendResponse(leader.term(), round, false, 1, 2));
+    }
+    assertThat(bytesSentTo(leader, member(3)) - before).isEqualTo(COMMAND_BYTES);
+  }
 }
