Replace a learner that has lost its disk

Cause: a machine that is a learner and loses its disk comes back with another identity. It is not admitted while its instance is in the group, and the old identity was never removed, because only voters and learners that await a promotion are replaced. The machine stayed outside the group for good: it held no state, and took no lost voter's place. Change: a learner without contact for the timeout of a voter is removed when its instance asks to join with another disk; the next step admits it.

--- a/src/main/java/io/coltsfootwheel/node/GroupMembership.java
+++ b/src/main/java/io/coltsfootwheel/node/GroupMembership.java
@@ -14,7 +14,7 @@
  * Decides on changes of the control group: processes that ask to join become learners, learners are
  * promoted until the group has the wanted number of voters, and a voter that is unresponsive for
  * too long is removed when a learner can take its place. A removed voter that comes back joins as a
- * learner again.
+ * learner again, and so does a learner that has lost its disk.
  */
 final class GroupMembership {
   private static final long STEP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -54,7 +54,10 @@
     group.stream()
         .filter(m -> m.heard() || !lastContactNanos.containsKey(m.member()))
         .forEach(m -> lastContactNanos.put(m.member(), nowNanos));
-    return promotion(group).or(() -> admission(group)).or(() -> replacement(nowNanos, group));
+    return promotion(group)
+        .or(() -> admission(group))
+        .or(() -> removalOfLostLearner(nowNanos, group))
+        .or(() -> replacement(nowNanos, group));
   }
 
   private Optional<Step> promotion(List<MemberProgress> group) {
@@ -70,6 +73,20 @@
         .findFirst();
   }
 
+  /** Removes a learner whose instance asks to join with another disk, which is admitted next. */
+  private Optional<Step> removalOfLostLearner(long nowNanos, List<MemberProgress> group) {
+    return group.stream()
+        .filter(m -> !m.voter() && !m.heard())
+        .filter(m -> unresponsiveNanos(nowNanos, m) > voterTimeoutNanos)
+        .filter(m -> joinRequestNanos.keySet().stream().anyMatch(j -> isOtherDisk(m, j)))
+        .map(m -> new Step(MembershipChange.REMOVE, m.member()))
+        .findFirst();
+  }
+
+  private static boolean isOtherDisk(MemberProgress member, MemberId joining) {
+    return isSameInstance(member, joining) && !member.member().equals(joining);
+  }
+
   private Optional<Step> replacement(long nowNanos, List<MemberProgress> group) {
     if (readyLearner(group).filter(m -> hasCaughtUp(m, group)).isEmpty()) {
       return Optional.empty();
--- a/src/test/java/io/coltsfootwheel/node/ControlGroupSimulation.java
+++ b/src/test/java/io/coltsfootwheel/node/ControlGroupSimulation.java
@@ -89,6 +89,12 @@
     return clients.canChangeConfiguration();
   }
 
+  /** Returns whether all processes have received the replicated state. */
+  boolean allHaveState() {
+    return processes.values().stream()
+        .allMatch(p -> p.reducer.filter(r -> r.state().index() > 0).isPresent());
+  }
+
   long nowNanos() {
     return nowNanos;
   }
--- a/src/test/java/io/coltsfootwheel/node/GroupMembershipTest.java
+++ b/src/test/java/io/coltsfootwheel/node/GroupMembershipTest.java
@@ -38,6 +38,22 @@
         .contains(new GroupMembership.Step(MembershipChange.PROMOTE, member("c")));
   }
 
+  /** Guards against a learner that stays outside the group for good after it lost its disk. */
+  @Test
+  void learnerThatLostItsDiskIsReplaced() {
+    GroupMembership membership = new GroupMembership(2, VOTER_TIMEOUT_NANOS, 0);
+    MemberProgress first = progress("a", true, true);
+    MemberProgress second = progress("b", true, true);
+    MemberProgress lost = progress("c", false, false);
+    MemberId current = new MemberId(InstanceId.of("c"), "new disk");
+    assertThat(membership.nextStep(0, List.of(first, second, lost))).isEmpty();
+    membership.recordJoinRequest(20 * SECOND_NANOS, current);
+    assertThat(membership.nextStep(20 * SECOND_NANOS, List.of(first, second, lost)))
+        .contains(new GroupMembership.Step(MembershipChange.REMOVE, lost.member()));
+    assertThat(membership.nextStep(21 * SECOND_NANOS, List.of(first, second)))
+        .contains(new GroupMembership.Step(MembershipChange.ADD_LEARNER, current));
+  }
+
   /** Guards against more voters than wanted, which would raise the quorum. */
   @Test
   void learnerStaysALearnerInAFullGroup() {
