Bound what clients of probes, metrics and calls make a process hold

Cause: these listeners used the HTTP server of Reactor Netty as it is. It decodes and queues all that a client sends ahead, and bounds neither the connections nor the memory of all of them together.

Change: HttpListenerGuard adds the same bounds to each of them, in shares of the heap, the direct memory and the sockets (limits.maxFds) of the process: RequestGate passes one request at a time to the decoder and does not read behind it, and allows 64 bytes of empty lines; RequestTracker ends late heads and clients that do not read; ConnectionMemoryBudget aborts the connection that holds most; ConnectionLimiter replaces the one without a request for longest.

--- a/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/ControlEndpoint.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.listener.HttpListenerGuard;
+import io.coltsfootwheel.listener.HttpListenerLimits;
 import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
@@ -46,13 +48,20 @@
   private final ControlNode node;
   private final EventLog log;
   private final LoopResources loops;
+  private final HttpListenerGuard guard;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger callsInProgress = new AtomicInteger();
   private final AtomicInteger ignoredBodies = new AtomicInteger();
   private Optional<DisposableServer> server = Optional.empty();
   private volatile boolean draining;
 
-  ControlEndpoint(Address address, ControlNode node, EventLog log, LoopResources loops) {
+  ControlEndpoint(
+      Address address,
+      ControlNode node,
+      EventLog log,
+      LoopResources loops,
+      HttpListenerLimits limits) {
+    this.guard = new HttpListenerGuard(limits);
     this.address = address;
     this.node = node;
     this.log = log;
@@ -66,7 +75,8 @@
 
   void start(ListenerBinder binder) {
     HttpServer httpServer =
-        HttpServer.create()
+        guard
+            .addTo(HttpServer.create())
             .runOn(loops, false)
             .host(address.host())
             .port(address.port())
--- a/src/main/java/io/coltsfootwheel/platform/EntryEndpoint.java
+++ b/src/main/java/io/coltsfootwheel/platform/EntryEndpoint.java
@@ -1,6 +1,8 @@
 package io.coltsfootwheel.platform;
 
 import io.coltsfootwheel.api.RoutePreview;
+import io.coltsfootwheel.listener.HttpListenerGuard;
+import io.coltsfootwheel.listener.HttpListenerLimits;
 import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.relay.Relay;
@@ -24,8 +26,10 @@
   private final Address address;
   private final Relay relay;
   private final LoopResources loops;
+  private final HttpListenerGuard guard;
 
-  EntryEndpoint(Address address, Relay relay, LoopResources loops) {
+  EntryEndpoint(Address address, Relay relay, LoopResources loops, HttpListenerLimits limits) {
+    this.guard = new HttpListenerGuard(limits);
     this.address = address;
     this.relay = relay;
     this.loops = loops;
@@ -34,7 +38,8 @@
   /** Binds the address and answers requests. */
   DisposableServer start(ListenerBinder binder) {
     HttpServer server =
-        HttpServer.create()
+        guard
+            .addTo(HttpServer.create())
             .runOn(loops, false)
             .host(address.host())
             .port(address.port())
--- a/src/main/java/io/coltsfootwheel/platform/MetricsListener.java
+++ b/src/main/java/io/coltsfootwheel/platform/MetricsListener.java
@@ -2,6 +2,8 @@
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
+import io.coltsfootwheel.listener.HttpListenerGuard;
+import io.coltsfootwheel.listener.HttpListenerLimits;
 import io.coltsfootwheel.model.Address;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,11 +28,17 @@
   private final PrometheusMeterRegistry meters;
   private final LoopResources loops;
   private final EventLog log;
+  private final HttpListenerGuard guard;
   private final AtomicBoolean hasFailed = new AtomicBoolean();
   private Optional<Disposable> binding = Optional.empty();
 
   MetricsListener(
-      Address address, PrometheusMeterRegistry meters, LoopResources loops, EventLog log) {
+      Address address,
+      PrometheusMeterRegistry meters,
+      LoopResources loops,
+      EventLog log,
+      HttpListenerLimits limits) {
+    this.guard = new HttpListenerGuard(limits);
     this.address = address;
     this.meters = meters;
     this.loops = loops;
@@ -53,7 +61,8 @@
   }
 
   private HttpServer server() {
-    return HttpServer.create()
+    return guard
+        .addTo(HttpServer.create())
         .runOn(loops, false)
         .host(address.host())
         .port(address.port())
--- a/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformMain.java
@@ -3,6 +3,7 @@
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.eventlog.StandardStreams;
+import io.coltsfootwheel.listener.HttpListenerLimits;
 import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
@@ -65,7 +66,12 @@
         new ListenerBinder(
             ListenerBinder.RETRY_TIMEOUT, SIGNALS::isStopRequested, this::logAddressInUse);
     this.metrics =
-        new MetricsListener(new Address(settings.ip(), METRICS_PORT), meters, loops, log);
+        new MetricsListener(
+            new Address(settings.ip(), METRICS_PORT),
+            meters,
+            loops,
+            log,
+            HttpListenerLimits.ofProbes(settings.processLimits()));
   }
 
   /**
@@ -175,7 +181,13 @@
         new ControlNode(
             settings.control(), targets::call, log, registry, this::endAfterFailedDecision);
     node.start(binder);
-    ControlEndpoint endpoint = new ControlEndpoint(settings.controlAddress(), node, log, loops);
+    ControlEndpoint endpoint =
+        new ControlEndpoint(
+            settings.controlAddress(),
+            node,
+            log,
+            loops,
+            HttpListenerLimits.ofCalls(settings.processLimits()));
     endpoint.start(binder);
     watchSettings(node::setSeeds);
     startMetricsLater();
@@ -193,7 +205,12 @@
     Relay relay = new Relay(settings.relay(), log, registry);
     EntryNode node = new EntryNode(settings.entry(), relay, log);
     node.start(binder);
-    new EntryEndpoint(settings.readinessAddress(), relay, loops).start(binder);
+    new EntryEndpoint(
+            settings.readinessAddress(),
+            relay,
+            loops,
+            HttpListenerLimits.ofProbes(settings.processLimits()))
+        .start(binder);
     watchSettings(node::addSeeds);
     startMetricsLater();
     SIGNALS.awaitStop();
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.listener.ProcessLimits;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ColtsfootwheelException;
@@ -36,6 +37,11 @@
   private static final int ENTRY_PORT_OFFSET = 1;
   private static final int MAX_LOGGED_SEED_LENGTH = 64;
 
+  private static final int RESERVED_DESCRIPTORS = 200;
+
+  /** Also with few descriptors, or an unlikely number of them, some clients are served. */
+  private static final int MIN_SOCKETS = 64;
+
   static final FieldSet FIELDS = new FieldSet();
   static final FieldSet ADDRESS_FIELDS = new FieldSet();
   static final FieldSet FAULT_FIELDS = new FieldSet();
@@ -91,6 +97,9 @@
   private static final OptionalField<Integer> TOLERATED_LOSSES =
       FAULT_FIELDS.optional("machines", ValueType.integer32(0, MAX_TOLERATED_LOSSES));
 
+  private static final OptionalField<Integer> MAX_DESCRIPTORS =
+      MACHINE_FIELDS.optional("maxFds", ValueType.integer32(0, Integer.MAX_VALUE));
+
   private static final OptionalField<Double> LINK_MEGABITS_PER_SECOND =
       MACHINE_FIELDS.optional("linkMbps", ValueType.number(0, MAX_LINK_MEGABITS_PER_SECOND));
 
@@ -252,6 +261,15 @@
         .orElse(OptionalLong.empty());
   }
 
+  /** Returns the limits of a process; the platform's descriptors include some for its files. */
+  ProcessLimits processLimits() {
+    return root.read(MACHINE_LIMITS)
+        .flatMap(limits -> limits.read(MAX_DESCRIPTORS))
+        .map(descriptors -> Math.max(MIN_SOCKETS, descriptors - RESERVED_DESCRIPTORS))
+        .map(ProcessLimits::ofProcess)
+        .orElseGet(ProcessLimits::ofProcess);
+  }
+
   private int memberPort() {
     List<JsonValue> range = root.read(PORT_RANGE);
     int first = range.get(0).as(PORT);
--- a/src/test/java/io/coltsfootwheel/platform/ControlEndpointBytesTest.java
+++ b/src/test/java/io/coltsfootwheel/platform/ControlEndpointBytesTest.java
@@ -4,6 +4,8 @@
 
 import io.coltsfootwheel.eventlog.EventLog;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.listener.HttpListenerLimits;
+import io.coltsfootwheel.listener.ProcessLimits;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.node.ControlNode;
 import java.io.IOException;
@@ -47,7 +49,13 @@
   void start() throws IOException {
     ControlNode node = SingleControlNode.create(OwnershipSettings.of(300, 3_000), folder, log);
     port = SingleControlNode.freePort();
-    endpoint = new ControlEndpoint(new Address(HOST, port), node, log, loops);
+    endpoint =
+        new ControlEndpoint(
+            new Address(HOST, port),
+            node,
+            log,
+            loops,
+            HttpListenerLimits.ofCalls(ProcessLimits.ofProcess()));
     endpoint.start();
   }
 
