Bound the input and the connections of clients of an entry

Cause: headerTimeoutMs was not applied; connections were not bounded; heads, received in part or unanswered, and held input were counted nowhere, responses that wait for the socket only by the bytes of their bodies; a read was decoded whole although it filled the bound of 32 unanswered requests; fixed budgets did not follow the memory of the process.

Change: ClientBudgets takes shares of the limits of the process. ClientInputGuard applies headerTimeoutMs (408) and closes the connection whose incomplete input uses most. HeadBudget refuses requests with 503 when heads use too much. Waiting requests count in PipelineBudget, four responses may wait for the socket, and the decoder stops at a full pipeline. ConnectionLimiter replaces an idle connection, one whose client does not read, or one that sends ahead.

--- a/src/main/java/io/coltsfootwheel/loadcontrol/RequestPipeline.java
+++ b/src/main/java/io/coltsfootwheel/loadcontrol/RequestPipeline.java
@@ -100,6 +100,10 @@
     isClosing = closes;
     Entry<T> entry = new Entry<>(item, requestBytes);
     bytes += requestBytes;
+    if (!entries.isEmpty()) {
+      entry.countsInBudget = true;
+      budget.addWaitingBytes(requestBytes);
+    }
     entries.add(entry);
     return entry;
   }
@@ -129,6 +133,7 @@
   }
 
   private Entry<T> start(Entry<T> entry, boolean isFirst) {
+    removeFromBudget(entry);
     entry.state = State.STARTED;
     startedCount++;
     if (!isFirst) {
@@ -164,7 +169,7 @@
       return;
     }
     entry.countsInBudget = false;
-    if (entry.state == State.FINISHED) {
+    if (entry.state != State.STARTED) {
       budget.removeWaitingBytes(entry.bytes);
     } else {
       budget.removeRequest();
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -241,7 +241,8 @@
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
         ip().hashCode() ^ System.nanoTime(),
         root.read(LIMIT_MODE).orElseGet(this::defaultLimitMode),
-        linkBytesPerSecond());
+        linkBytesPerSecond(),
+        processLimits());
   }
 
   /** Returns the mode that applies when the settings name none. */
--- a/src/main/java/io/coltsfootwheel/relay/BufferedBodyBudget.java
+++ b/src/main/java/io/coltsfootwheel/relay/BufferedBodyBudget.java
@@ -17,12 +17,6 @@
   /** Half of the direct memory that the deploy file grants. */
   static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
-  /**
-   * Seven eighths of the direct memory that the deploy file grants; the rest is for reads and for
-   * the connections to control processes.
-   */
-  private static final int MAX_TOTAL_BYTES = 28 * 1024 * 1024;
-
   private final long maxIncompleteBytes;
   private final long maxCompleteBytes;
   private final long maxTotalBytes;
@@ -41,11 +35,6 @@
     this.maxTotalBytes = maxTotalBytes;
   }
 
-  /** Returns the budget of a process with the memory that the deploy file grants. */
-  static BufferedBodyBudget ofProcess() {
-    return new BufferedBodyBudget(MAX_BODY_BYTES, MAX_BODY_BYTES, MAX_TOTAL_BYTES);
-  }
-
   long incompleteBytes() {
     return incompleteBytes;
   }
--- a/src/main/java/io/coltsfootwheel/relay/ClientChannel.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientChannel.java
@@ -15,12 +15,12 @@
   private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
   private final Relay relay;
-  private final BufferedBodyBudget bodyBudget;
+  private final ClientBudgets budgets;
   private final EventLog log;
 
-  ClientChannel(Relay relay, BufferedBodyBudget bodyBudget, EventLog log) {
+  ClientChannel(Relay relay, ClientBudgets budgets, EventLog log) {
     this.relay = relay;
-    this.bodyBudget = bodyBudget;
+    this.budgets = budgets;
     this.log = log;
   }
 
@@ -37,14 +37,28 @@
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes()));
     RequestReadProgress progress = new RequestReadProgress(decoder);
-    InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent());
-    ClientHandler client = new ClientHandler(relay, progress, gate, limits.idleTimeoutMillis());
+    ClientInputGuard guard =
+        new ClientInputGuard(
+            connection.channel(),
+            decoder,
+            budgets.input(),
+            limits.headerTimeoutMillis(),
+            () -> closeForMemory(connection, "input uses too much memory"));
+    InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent(), guard);
+    decoder.suspendWhile(gate::isSuspended);
+    ClientHandler client =
+        new ClientHandler(relay, progress, gate, guard, limits.idleTimeoutMillis());
+    if (!budgets.connections().admit(connection.channel(), client::mayClose)) {
+      return;
+    }
+    guard.onHeadLate(client::rejectLateHead);
     connection.addHandlerLast(gate);
     connection.addHandlerLast(decoder);
     connection.addHandlerLast(new HttpResponseEncoder());
     connection.addHandlerLast("received-messages", progress.messageHandler());
     connection.addHandlerLast(
-        new BufferedBodyLimiter(bodyBudget, () -> closeForMemory(connection)));
+        new BufferedBodyLimiter(
+            budgets.bodies(), () -> closeForMemory(connection, "bodies use too much memory")));
     connection.addHandlerLast(aggregator(client, (int) limits.maxBodyBytes()));
     connection.addHandlerLast(
         new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
@@ -52,8 +66,8 @@
     connection.channel().config().setAutoRead(true);
   }
 
-  private void closeForMemory(Connection connection) {
-    log.write(LogEvent.of("client.closed").with("reason", "bodies use too much memory"));
+  private void closeForMemory(Connection connection, String reason) {
+    log.write(LogEvent.of("client.closed").with("reason", reason));
     connection.channel().close();
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -41,6 +41,9 @@
   /** Requests behind a response that closes the connection that are read and logged. */
   private static final int MAX_DISCARDED_REQUESTS = 64;
 
+  /** Responses that may wait for the socket; each uses memory beside its body. */
+  private static final int MAX_PENDING_WRITES = 4;
+
   private static final long WRITE_CHECK_MILLIS = 500;
 
   /**
@@ -52,6 +55,7 @@
   private final Relay relay;
   private final RequestReadProgress progress;
   private final InputGate gate;
+  private final ClientInputGuard guard;
   private final ClientRequestParser parser;
   private final PipelinedResponses responses;
   private final WriteProgress writeProgress = new WriteProgress(System.nanoTime());
@@ -77,15 +81,22 @@
    * @param relay the relay
    * @param progress tracks requests received in part
    * @param gate suspends the input of the connection
+   * @param guard bounds the input that is no request yet
    * @param idleTimeoutMillis time after which a client that takes no response is disconnected, 0
    *     for none
    */
-  ClientHandler(Relay relay, RequestReadProgress progress, InputGate gate, long idleTimeoutMillis) {
+  ClientHandler(
+      Relay relay,
+      RequestReadProgress progress,
+      InputGate gate,
+      ClientInputGuard guard,
+      long idleTimeoutMillis) {
     this.relay = relay;
     this.progress = progress;
     this.gate = gate;
+    this.guard = guard;
     this.parser = new ClientRequestParser(relay.headerNames());
-    this.responses = new PipelinedResponses(this, relay.pipelineBudget(), relay.bodyBudget());
+    this.responses = new PipelinedResponses(this, relay.budgets());
     this.idleTimeoutMillis = idleTimeoutMillis;
   }
 
@@ -135,6 +146,14 @@
     channelContext.close();
   }
 
+  /**
+   * Returns whether the connection may be closed for a new one: nothing is in progress on it, or
+   * its client does not read, or sends further ahead than it is read.
+   */
+  boolean mayClose() {
+    return !isBusy() || isStalled() || gate.isSuspended();
+  }
+
   boolean isBusy() {
     return hasUnansweredRequests() || pendingWrites > 0;
   }
@@ -146,6 +165,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     hasReadRequest = true;
+    relay.budgets().connections().recordRequest(context.channel());
     if (lastResponseWritten || responses.isClosing()) {
       discard(request);
     } else if (request.decoderResult().isFailure()) {
@@ -157,8 +177,9 @@
   }
 
   private void add(FullHttpRequest request, boolean closes) {
-    if (relay.bodyBudget().tryAddComplete(request.content().readableBytes())) {
-      responses.add(parser.parse(request.retain(), System.nanoTime()), closes);
+    long headBytes = guard.headBytes();
+    if (countMemory(headBytes, request.content().readableBytes())) {
+      responses.add(parser.parse(request.retain(), System.nanoTime()), closes, headBytes);
       return;
     }
     relay.recordMemoryRefusal(request.headers());
@@ -171,6 +192,17 @@
     responses.addResponse(unavailable(headers), closes);
   }
 
+  private boolean countMemory(long headBytes, long bodyBytes) {
+    if (!relay.budgets().heads().tryAdd(headBytes)) {
+      return false;
+    }
+    if (!relay.bodyBudget().tryAddComplete(bodyBytes)) {
+      relay.budgets().heads().remove(headBytes);
+      return false;
+    }
+    return true;
+  }
+
   private static RelayResponse unavailable(HttpHeaders headers) {
     return new RelayResponse(
         HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
@@ -194,6 +226,12 @@
     }
   }
 
+  /** Answers that the head of a request was not complete in time. */
+  void rejectLateHead() {
+    reject(HttpResponseStatus.REQUEST_TIMEOUT);
+    proceed();
+  }
+
   private void suspendReadingWhenFull() {
     if (isFull()) {
       gate.suspend();
@@ -255,7 +293,8 @@
 
   @Override
   public boolean isWritable() {
-    return pendingWrites == 0 || channelContext.channel().isWritable();
+    return pendingWrites == 0
+        || pendingWrites < MAX_PENDING_WRITES && channelContext.channel().isWritable();
   }
 
   @Override
--- a/src/main/java/io/coltsfootwheel/relay/ClientListener.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientListener.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.model.Address;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
 import reactor.netty.resources.LoopResources;
@@ -16,6 +17,9 @@
   private static final WriteBufferWaterMark CLIENT_WATER_MARK =
       new WriteBufferWaterMark(64 * 1024, 256 * 1024);
 
+  private static final int MIN_READ_BYTES = 256;
+  private static final int FIRST_READ_BYTES = 2 * 1024;
+  private static final int MAX_READ_BYTES = 16 * 1024;
   private static final int LISTEN_BACKLOG = 1_024;
 
   private ClientListener() {}
@@ -28,6 +32,9 @@
         .port(address.port())
         .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK);
   }
 }
--- a/src/main/java/io/coltsfootwheel/relay/InputGate.java
+++ b/src/main/java/io/coltsfootwheel/relay/InputGate.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.util.ReferenceCountUtil;
@@ -24,10 +25,15 @@
    */
   private static final int MAX_HELD_BYTES = 16 * 1024;
 
+  /** Memory of the object that holds one received part. */
+  private static final int PART_OVERHEAD_BYTES = 256;
+
   private final BooleanSupplier isInsideBody;
+  private final ClientInputGuard guard;
   private final ArrayDeque<ByteBuf> held = new ArrayDeque<>();
   private ChannelHandlerContext channelContext;
   private int heldBytes;
+  private long heldCapacityBytes;
   private boolean suspended;
   private boolean stopped;
   private boolean passing;
@@ -37,9 +43,11 @@
    *
    * @param isInsideBody whether the bytes that follow belong to a body; they are not divided,
    *     because each part of a body costs memory
+   * @param guard bounds what is held
    */
-  InputGate(BooleanSupplier isInsideBody) {
+  InputGate(BooleanSupplier isInsideBody, ClientInputGuard guard) {
     this.isInsideBody = isInsideBody;
+    this.guard = guard;
   }
 
   /** Returns whether bytes were received that are not passed on yet. */
@@ -47,6 +55,10 @@
     return heldBytes > 0;
   }
 
+  boolean isSuspended() {
+    return suspended;
+  }
+
   /** Suspends the gate. */
   void suspend() {
     suspended = true;
@@ -60,10 +72,11 @@
    */
   boolean resume() {
     suspended = false;
-    int heldBefore = heldBytes;
+    int heldBefore = heldBytes + guard.undecodedBytes();
+    passUndecodedBytes();
     passHeldBytes();
     updateReading();
-    return heldBytes < heldBefore;
+    return heldBytes + guard.undecodedBytes() < heldBefore;
   }
 
   /** Drops held and later bytes, and reads no more from the socket. */
@@ -84,12 +97,33 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    held.add(bytes);
-    heldBytes += bytes.readableBytes();
+    ByteBuf part = suspended || isInsideBody.getAsBoolean() ? compact(bytes) : bytes;
+    held.add(part);
+    heldBytes += part.readableBytes();
+    heldCapacityBytes += part.capacity() + PART_OVERHEAD_BYTES;
     passHeldBytes();
     updateReading();
   }
 
+  /** Lets the decoder continue with bytes that it has kept while the gate was suspended. */
+  private void passUndecodedBytes() {
+    if (!passing && guard.undecodedBytes() > 0) {
+      passing = true;
+      channelContext.fireChannelRead(Unpooled.EMPTY_BUFFER);
+      passing = false;
+    }
+  }
+
+  /** Copies bytes that would keep a much larger buffer in use. */
+  private ByteBuf compact(ByteBuf bytes) {
+    if (2 * bytes.readableBytes() > bytes.capacity()) {
+      return bytes;
+    }
+    ByteBuf copy = channelContext.alloc().buffer(bytes.readableBytes()).writeBytes(bytes);
+    bytes.release();
+    return copy;
+  }
+
   private void passHeldBytes() {
     if (passing) {
       return;
@@ -110,10 +144,15 @@
     if (first.readableBytes() > PART_BYTES && !isInsideBody.getAsBoolean()) {
       return first.readRetainedSlice(PART_BYTES);
     }
-    return held.removeFirst();
+    held.removeFirst();
+    heldCapacityBytes -= first.capacity() + PART_OVERHEAD_BYTES;
+    return first;
   }
 
   private void updateReading() {
+    if (!passing) {
+      guard.inputChanged(heldCapacityBytes, suspended);
+    }
     boolean reads = !stopped && !(suspended && heldBytes >= MAX_HELD_BYTES);
     if (channelContext.channel().config().isAutoRead() != reads) {
       channelContext.channel().config().setAutoRead(reads);
@@ -132,10 +171,12 @@
     held.forEach(ByteBuf::release);
     held.clear();
     heldBytes = 0;
+    heldCapacityBytes = 0;
   }
 
   @Override
   public void handlerRemoved(ChannelHandlerContext context) {
+    guard.close();
     stopped = true;
     releaseHeldBytes();
   }
--- a/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
+++ b/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
@@ -1,6 +1,5 @@
 package io.coltsfootwheel.relay;
 
-import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.loadcontrol.RequestPipeline;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -16,6 +15,7 @@
   private final Connection connection;
   private final RequestPipeline<Item> pipeline;
   private final BufferedBodyBudget bodyBudget;
+  private final HeadBudget headBudget;
   private boolean advancing;
 
   /** What the connection does for its requests. */
@@ -50,49 +50,68 @@
 
   /** A request, its exchange once it is started, and its response once it is known. */
   private static final class Item {
-    private final Optional<RelayRequest> request;
+    private Optional<RelayRequest> request;
     private final boolean closes;
+    private long headBytes;
+    private boolean isIdempotent = true;
     private Optional<RelayExchange> exchange = Optional.empty();
     private Optional<RelayResponse> response = Optional.empty();
 
-    Item(Optional<RelayRequest> request, boolean closes) {
+    Item(Optional<RelayRequest> request, boolean closes, long headBytes) {
       this.request = request;
       this.closes = closes;
+      this.headBytes = headBytes;
     }
   }
 
-  PipelinedResponses(Connection connection, PipelineBudget budget, BufferedBodyBudget bodyBudget) {
+  PipelinedResponses(Connection connection, ClientBudgets budgets) {
     this.connection = connection;
-    this.bodyBudget = bodyBudget;
-    this.pipeline = new RequestPipeline<>(budget, this::isIdempotent);
+    this.bodyBudget = budgets.bodies();
+    this.headBudget = budgets.heads();
+    this.pipeline = new RequestPipeline<>(budgets.pipelines(), this::isIdempotent);
   }
 
   private boolean isIdempotent(Item item) {
     return item.exchange
         .map(RelayExchange::isIdempotent)
-        .orElseGet(() -> item.request.map(connection::isIdempotent).orElse(true));
+        .orElseGet(() -> item.request.map(connection::isIdempotent).orElse(item.isIdempotent));
   }
 
   /**
-   * Adds a request whose body is counted as complete; nothing may be added behind one whose
-   * response closes the connection.
+   * Adds a request whose head and body are counted as complete; nothing may be added behind one
+   * whose response closes the connection.
    */
-  void add(RelayRequest request, boolean closes) {
-    pipeline.add(new Item(Optional.of(request), closes), closes, request.body().readableBytes());
+  void add(RelayRequest request, boolean closes, long headBytes) {
+    Item item = new Item(Optional.of(request), closes, headBytes);
+    pipeline.add(item, closes, headBytes + request.body().readableBytes());
   }
 
   /** Adds the response to a request that is not forwarded. */
   void addResponse(RelayResponse response, boolean closes) {
-    finish(pipeline.add(new Item(Optional.empty(), closes), closes, 0), response);
+    finish(pipeline.add(new Item(Optional.empty(), closes, 0), closes, 0), response);
   }
 
   private void finish(RequestPipeline.Entry<Item> entry, RelayResponse response) {
     int bodyBytes = response.body().readableBytes();
+    releaseHead(entry.item());
     entry.item().response = Optional.of(response);
     bodyBudget.addComplete(bodyBytes);
     pipeline.finish(entry, bodyBytes + RESPONSE_OVERHEAD_BYTES);
   }
 
+  /** Lets go of a request whose response is known; the client may read it late. */
+  private void releaseHead(Item item) {
+    stopCountingHead(item);
+    item.isIdempotent = isIdempotent(item);
+    item.request = Optional.empty();
+    item.exchange = Optional.empty();
+  }
+
+  private void stopCountingHead(Item item) {
+    headBudget.remove(item.headBytes);
+    item.headBytes = 0;
+  }
+
   /** Writes the responses whose turn has come, and starts the requests that may start. */
   void advance() {
     if (advancing) {
@@ -145,7 +164,10 @@
       if (item.response.isPresent()) {
         bodyBudget.removeComplete(item.response.get().body().readableBytes());
         item.response.get().body().release();
-      } else if (item.exchange.isPresent()) {
+        continue;
+      }
+      stopCountingHead(item);
+      if (item.exchange.isPresent()) {
         item.exchange.get().clientDisconnected();
       } else {
         item.request.ifPresent(connection::drop);
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -10,7 +10,6 @@
 import io.coltsfootwheel.listener.ListenerBinder;
 import io.coltsfootwheel.loadcontrol.PermitGrant;
 import io.coltsfootwheel.loadcontrol.PermitLimit;
-import io.coltsfootwheel.loadcontrol.PipelineBudget;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
@@ -44,15 +43,6 @@
  * <p>Usage: {@code relay.start(); relay.configure(configuration); relay.updateOwnership(view);}
  */
 public final class Relay implements RelayContext, AutoCloseable {
-  /**
-   * Requests in progress behind another one of their connection. Each can need a connection to a
-   * target, and small entries have about 3,000 descriptors for all purposes.
-   */
-  private static final int MAX_PIPELINED_REQUESTS = 1_024;
-
-  /** An eighth of the direct memory that the deploy file grants. */
-  private static final long MAX_WAITING_RESPONSE_BYTES = 4L * 1024 * 1024;
-
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
   /** One in this many answered requests is logged; the others only count in the metrics. */
@@ -72,9 +62,7 @@
   private final TargetChooser chooser;
   private final FleetRetryBudget retryBudget;
   private final ClientDeadlineTracker deadlineTracker = new ClientDeadlineTracker();
-  private final BufferedBodyBudget bodyBudget = BufferedBodyBudget.ofProcess();
-  private final PipelineBudget pipelineBudget =
-      new PipelineBudget(MAX_PIPELINED_REQUESTS, MAX_WAITING_RESPONSE_BYTES);
+  private final ClientBudgets budgets;
   private final TargetConnections connections;
   private final Set<ClientHandler> clients = new HashSet<>();
   private final Set<RelayExchange> exchanges = new HashSet<>();
@@ -100,6 +88,7 @@
   public Relay(RelaySettings settings, EventLog log, MeterRegistry meters) {
     this.settings = settings;
     this.log = log;
+    this.budgets = new ClientBudgets(settings.processLimits());
     this.routing = new RoutingState(settings.limitMode());
     this.priorityReserve = new PriorityReserve(routing);
     this.loadReporter = new LoadReporter(routing, priorityReserve);
@@ -110,7 +99,7 @@
     PacedWriter pacedWriter = PacedWriter.ofLink(settings.linkBytesPerSecond(), eventLoop);
     this.connections =
         new TargetConnections(
-            loopResources, eventLoop, settings.headerNames(), bodyBudget, pacedWriter, log);
+            loopResources, eventLoop, settings.headerNames(), bodyBudget(), pacedWriter, log);
     this.chooser =
         new TargetChooser(
             random,
@@ -119,13 +108,13 @@
             settings.evacuationMillis(),
             connections::hasIdle,
             priorityReserve::slotsAgainst);
-    this.clientChannel = new ClientChannel(this, bodyBudget, log);
+    this.clientChannel = new ClientChannel(this, budgets, log);
     this.noticeReader = new TargetNoticeReader(settings.headerNames(), log, meters);
     this.loadReader = new TargetLoadReader(settings.headerNames(), log, meters);
     this.overload = new TargetOverloadRecorder(log, meters, settings.limitMode());
     this.stop = new RelayStop(eventLoop, log, clients, exchanges);
     this.metrics = new RelayMetrics(meters, routing, freshness, connections, chooser, log);
-    this.metrics.registerPipeline(pipelineBudget, bodyBudget);
+    this.metrics.registerClients(budgets);
     this.metrics.registerTransfers(pacedWriter.pacer());
   }
 
@@ -382,12 +371,12 @@
                 .with("detail", "503 the entry is stopping and the body is incomplete"));
   }
 
-  PipelineBudget pipelineBudget() {
-    return pipelineBudget;
+  ClientBudgets budgets() {
+    return budgets;
   }
 
   BufferedBodyBudget bodyBudget() {
-    return bodyBudget;
+    return budgets.bodies();
   }
 
   /**
@@ -577,7 +566,7 @@
 
   @Override
   public void releaseBody(RelayRequest request) {
-    bodyBudget.removeComplete(request.body().readableBytes());
+    bodyBudget().removeComplete(request.body().readableBytes());
     request.body().release();
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayMetrics.java
@@ -79,8 +79,21 @@
     FunctionCounter.builder("coltsfootwheel.log.dropped", log, EventLog::dropped).register(meters);
   }
 
-  /** Registers the gauges of pipelined requests and of the memory for bodies. */
-  void registerPipeline(PipelineBudget budget, BufferedBodyBudget bodies) {
+  /** Registers the gauges of clients, of pipelined requests and of the memory for input. */
+  void registerClients(ClientBudgets budgets) {
+    PipelineBudget budget = budgets.pipelines();
+    BufferedBodyBudget bodies = budgets.bodies();
+    Gauge.builder("coltsfootwheel.clients.open", budgets, b -> b.connections().openCount())
+        .register(meters);
+    FunctionCounter.builder(
+            "coltsfootwheel.clients.displaced", budgets, b -> b.connections().closedCount())
+        .register(meters);
+    Gauge.builder("coltsfootwheel.heads", budgets, b -> b.heads().bytes())
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
+    Gauge.builder("coltsfootwheel.input", budgets, b -> b.input().totalBytes())
+        .baseUnit(BaseUnits.BYTES)
+        .register(meters);
     registerBodies("incomplete", bodies, BufferedBodyBudget::incompleteBytes);
     registerBodies("complete", bodies, BufferedBodyBudget::completeBytes);
     Gauge.builder("coltsfootwheel.pipeline.requests", budget, PipelineBudget::inProgress)
--- a/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelaySettings.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.listener.ProcessLimits;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import java.util.OptionalLong;
@@ -19,6 +20,7 @@
  * @param seed seed of the random number generator
  * @param limitMode what is done with the concurrency limits of targets
  * @param linkBytesPerSecond rate of the link of this machine, empty when it is not known
+ * @param processLimits limits of the process, of which its clients may use shares
  */
 public record RelaySettings(
     Address listen,
@@ -31,7 +33,8 @@
     long retryWindowMillis,
     long seed,
     LimitMode limitMode,
-    OptionalLong linkBytesPerSecond) {
+    OptionalLong linkBytesPerSecond,
+    ProcessLimits processLimits) {
   /**
    * Creates settings that enforce limits and have no evacuation time; the drain time limits
    * evacuations too. The rate of the link is not known.
@@ -65,6 +68,7 @@
         retryWindowMillis,
         seed,
         LimitMode.ENFORCE,
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        ProcessLimits.ofProcess());
   }
 }
--- a/src/test/java/io/coltsfootwheel/deployment/CrowdKnownRed.java
+++ b/src/test/java/io/coltsfootwheel/deployment/CrowdKnownRed.java
@@ -11,13 +11,7 @@
           "ENTRY_LINK IDLE",
           "ENTRY_LINK LINK_OPENING_WITHOUT_END",
           "FRONT AHEAD_ORDINARY",
-          "FRONT AHEAD_UNKNOWN_PATH",
-          "FRONT HALF_HEADS",
-          "FRONT HEADS_OVER_LIMIT",
-          "FRONT HEAD_WITHOUT_END",
-          "FRONT IDLE",
-          "FRONT LARGEST_BODIES",
-          "FRONT LINE_WITHOUT_END");
+          "FRONT AHEAD_UNKNOWN_PATH");
 
   private CrowdKnownRed() {}
 
