--- a/src/main/java/io/coltsfootwheel/node/ControlNode.java
+++ b/src/main/java/io/coltsfootwheel/node/ControlNode.java
@@ -141,7 +141,8 @@
             settings.linkAddress().port(),
             this::receive,
             this::linkLost,
-            log);
+            log,
+            settings.maxLinkConnections());
     this.loop =
         new DecisionLoop<>(
             this::decide,
--- a/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
+++ b/src/main/java/io/coltsfootwheel/platform/PlatformSettings.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.coltsfootwheel.keyspace.OwnershipSettings;
+import io.coltsfootwheel.listener.ListenerKind;
+import io.coltsfootwheel.listener.ProcessLimits;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ColtsfootwheelException;
@@ -36,6 +38,11 @@
   private static final int ENTRY_PORT_OFFSET = 1;
   private static final int MAX_LOGGED_SEED_LENGTH = 64;
 
+  private static final int RESERVED_DESCRIPTORS = 200;
+
+  /** Also with few descriptors, or an unlikely number of them, some clients are served. */
+  private static final int MIN_SOCKETS = 64;
+
   static final FieldSet FIELDS = new FieldSet();
   static final FieldSet ADDRESS_FIELDS = new FieldSet();
   static final FieldSet FAULT_FIELDS = new FieldSet();
@@ -91,6 +98,9 @@
   private static final OptionalField<Integer> TOLERATED_LOSSES =
       FAULT_FIELDS.optional("machines", ValueType.integer32(0, MAX_TOLERATED_LOSSES));
 
+  private static final OptionalField<Integer> MAX_DESCRIPTORS =
+      MACHINE_FIELDS.optional("maxFds", ValueType.integer32(0, Integer.MAX_VALUE));
+
   private static final OptionalField<Double> LINK_MEGABITS_PER_SECOND =
       MACHINE_FIELDS.optional("linkMbps", ValueType.number(0, MAX_LINK_MEGABITS_PER_SECOND));
 
@@ -190,7 +200,8 @@
             bounds.get(PlatformBound.WARMUP_OVERSHOOT),
             bounds.get(PlatformBound.WARMUP_SLACK)),
         Path.of(root.read(DATA_FOLDER)),
-        zones());
+        zones(),
+        ListenerKind.LINKS.maxConnections(processLimits()));
   }
 
   /** Returns the zones that the settings name; a name that no target can have is left out. */
@@ -216,7 +227,11 @@
 
   EntryNodeSettings entry() {
     return new EntryNodeSettings(
-        CLUSTER_NAME, new Address(ip(), memberPort() + ENTRY_PORT_OFFSET), memberPort(), seeds());
+        CLUSTER_NAME,
+        new Address(ip(), memberPort() + ENTRY_PORT_OFFSET),
+        memberPort(),
+        seeds(),
+        ListenerKind.LINKS.maxConnections(processLimits()));
   }
 
   RelaySettings relay() {
@@ -232,7 +247,8 @@
         millis(bounds, PlatformBound.BUDGET_WINDOW_SECONDS),
         ip().hashCode() ^ System.nanoTime(),
         root.read(LIMIT_MODE).orElseGet(this::defaultLimitMode),
-        linkBytesPerSecond());
+        linkBytesPerSecond(),
+        processLimits());
   }
 
   /** Returns the mode that applies when the settings name none. */
@@ -252,6 +268,15 @@
         .orElse(OptionalLong.empty());
   }
 
+  /** Returns the limits of a process; the platform's descriptors include some for its files. */
+  ProcessLimits processLimits() {
+    return root.read(MACHINE_LIMITS)
+        .flatMap(limits -> limits.read(MAX_DESCRIPTORS))
+        .map(descriptors -> Math.max(MIN_SOCKETS, descriptors - RESERVED_DESCRIPTORS))
+        .map(ProcessLimits::ofProcess)
+        .orElseGet(ProcessLimits::ofProcess);
+  }
+
   private int memberPort() {
     List<JsonValue> range = root.read(PORT_RANGE);
     int first = range.get(0).as(PORT);
--- a/src/test/java/io/coltsfootwheel/node/DecisionFailureTest.java
+++ b/src/test/java/io/coltsfootwheel/node/DecisionFailureTest.java
@@ -54,7 +54,8 @@
             4_000,
             OwnershipSettings.of(1_000, 10_000),
             folder,
-            Set.of()),
+            Set.of(),
+            100),
         path -> {
           throw new IllegalStateException("for the test");
         },
