Test long header lines of many clients

LONG_HEADERS lets 1,000 clients (5,000 connections in all) send a header line of 15,000 bytes, then one of 50,000, under the lowered limits; the checks and bounds are those of the other cases.

--- a/src/test/java/io/coltsfootwheel/deployment/CrowdKind.java
+++ b/src/test/java/io/coltsfootwheel/deployment/CrowdKind.java
@@ -18,6 +18,25 @@
       return 20 * clients();
     }
   },
+  /** Header lines near and over the limit, from more clients than there may be connections. */
+  LONG_HEADERS {
+    @Override
+    CrowdScript script(CrowdPort port) {
+      String near = "X-Near: " + "a".repeat(15_000) + "\r\n";
+      String over = "X-Over: " + "a".repeat(50_000);
+      return CrowdScript.of(ascii(openHead(port) + near + over), ascii("\r\n\r\n"), 1);
+    }
+
+    @Override
+    int clients() {
+      return 1_000;
+    }
+
+    @Override
+    int connections() {
+      return 5 * clients();
+    }
+  },
   /** A head whose header lines never end. */
   HEAD_WITHOUT_END {
     @Override
--- a/src/test/java/io/coltsfootwheel/deployment/CrowdKnownRed.java
+++ b/src/test/java/io/coltsfootwheel/deployment/CrowdKnownRed.java
@@ -33,6 +33,7 @@
           "FRONT IDLE",
           "FRONT LARGEST_BODIES",
           "FRONT LINE_WITHOUT_END",
+          "FRONT LONG_HEADERS",
           "READINESS AHEAD_ORDINARY",
           "READINESS AHEAD_UNKNOWN_PATH",
           "READINESS HALF_HEADS",
