Cancel the timers of a request when it is answered

Cause: the timer of the deadline, and that of an overdue response, kept each answered request in memory up to its deadline, with its head and its exchange. A histogram of the heap of 32 MB had 13,056 exchanges and 13,358 timers where a few hundred requests were in progress: memory by rate times deadline.

Change: schedule returns a handle, and an exchange without a call in progress cancels its timers when it is answered or its client has left.

All tests of relay pass.

--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -519,8 +520,8 @@
   }
 
   @Override
-  public void schedule(Runnable task, long delayMillis) {
-    eventLoop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+  public Future<?> schedule(Runnable task, long delayMillis) {
+    return eventLoop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/io/coltsfootwheel/relay/RelayContext.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayContext.java
@@ -2,6 +2,7 @@
 
 import io.coltsfootwheel.eventlog.LogEvent;
 import io.coltsfootwheel.model.ServiceName;
+import java.util.concurrent.Future;
 import java.util.function.Supplier;
 
 /** Services that a relay provides to its exchanges; confined to the relay's event loop. */
@@ -30,8 +31,8 @@
   /** Returns a random number, uniformly distributed in [0, 1). */
   double nextRandom();
 
-  /** Runs a task on the event loop after a delay. */
-  void schedule(Runnable task, long delayMillis);
+  /** Runs a task on the event loop after a delay; returns the handle that cancels it. */
+  Future<?> schedule(Runnable task, long delayMillis);
 
   /** Counts a request for a key in the next load report to the leader. */
   void countKey(ServiceName service, int key);
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -56,6 +57,8 @@
 
   private long routingWaitEndNanos;
   private boolean awaitsRouting;
+  private Optional<Future<?>> deadlineTimer = Optional.empty();
+  private Optional<Future<?>> overdueTimer = Optional.empty();
   private boolean completed;
   private boolean mayHaveExecuted;
   private int sendCount;
@@ -121,7 +124,7 @@
       refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
-    context.schedule(this::onDeadline, remainingMillis());
+    deadlineTimer = Optional.of(context.schedule(this::onDeadline, remainingMillis()));
     clientWaitedMillis =
         context
             .deadlineTracker()
@@ -154,6 +157,7 @@
     if (call.isEmpty()) {
       context.releaseBody(request);
     }
+    cancelTimers();
     log("client_left", "");
   }
 
@@ -309,7 +313,9 @@
                     new CallOutcome()));
     if (context.overload().handlesOverdueResponses()) {
       int send = sendCount;
-      context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos));
+      overdueTimer =
+          Optional.of(
+              context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos)));
     }
   }
 
@@ -533,9 +539,18 @@
     stopWaitingForPermit();
     context.removeExchange(this);
     context.releaseBody(request);
+    cancelTimers();
     responder.accept(response);
   }
 
+  /** Cancels what would keep this exchange in memory up to its deadline. */
+  private void cancelTimers() {
+    if (call.isEmpty()) {
+      deadlineTimer.ifPresent(t -> t.cancel(false));
+      overdueTimer.ifPresent(t -> t.cancel(false));
+    }
+  }
+
   /**
    * Records the outcome. Called before the response is written, so that its log event, if any, is
    * queued before the client receives the response.
