Let other clients have their turn after 32 requests of one connection

Cause: requests that are answered at once do not fill the pipeline, so one connection was worked off without a break, up to 256 KiB of them in one turn of the event loop.

Change: after 32 requests a connection continues in a later task of the event loop, and a connection is read once in a turn.

ClientBoundsTest#requestsSentAheadAreAnsweredOverSeveralTurns guards against requests that stay unread. The tests of relay pass.

--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -44,6 +44,12 @@
   /** Responses that may wait for the socket; each uses memory beside its body. */
   private static final int MAX_PENDING_WRITES = 4;
 
+  /**
+   * Requests of a connection after which the other connections have their turn; a client can send
+   * thousands ahead that are answered at once.
+   */
+  private static final int MAX_REQUESTS_PER_TURN = 32;
+
   private static final long WRITE_CHECK_MILLIS = 500;
 
   /**
@@ -72,6 +78,10 @@
 
   private boolean checksWriteProgress;
   private int discardedRequests;
+
+  /** Requests read since the connection last gave way to the others. */
+  private int requestsInTurn;
+
   private boolean inputRejected;
   private ChannelHandlerContext channelContext;
 
@@ -165,6 +175,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     hasReadRequest = true;
+    countTurn();
     relay.budgets().connections().recordRequest(context.channel());
     if (lastResponseWritten || responses.isClosing()) {
       discard(request);
@@ -176,6 +187,18 @@
     }
   }
 
+  private void countTurn() {
+    requestsInTurn++;
+    if (requestsInTurn == MAX_REQUESTS_PER_TURN) {
+      channelContext.executor().execute(this::beginTurn);
+    }
+  }
+
+  private void beginTurn() {
+    requestsInTurn = 0;
+    proceed();
+  }
+
   private void add(FullHttpRequest request, boolean closes) {
     long headBytes = guard.headBytes();
     if (countMemory(headBytes, request.content().readableBytes())) {
@@ -239,7 +262,7 @@
   }
 
   private boolean isFull() {
-    return responses.isFull() || !isWritable();
+    return requestsInTurn >= MAX_REQUESTS_PER_TURN || responses.isFull() || !isWritable();
   }
 
   /**
--- a/src/main/java/io/coltsfootwheel/relay/ClientListener.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientListener.java
@@ -34,7 +34,8 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(
             ChannelOption.RCVBUF_ALLOCATOR,
-            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(1))
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CLIENT_WATER_MARK);
   }
 }
--- a/src/test/java/io/coltsfootwheel/relay/ClientBoundsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/ClientBoundsTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what clients can make a relay hold. */
 @Timeout(60)
@@ -117,6 +118,17 @@
     assertThat(readToEnd(socket).split("HTTP/1.1 ", -1)).hasSize(42);
   }
 
+  /** Guards against requests that stay unread after their connection gave way to others. */
+  @ParameterizedTest
+  @ValueSource(ints = {31, 32, 33, 64, 3_000})
+  void requestsSentAheadAreAnsweredOverSeveralTurns(int count) throws IOException {
+    Socket socket = connect();
+    String noRoute = REQUEST.replace("/any/", "/none/");
+    send(socket, noRoute.repeat(count));
+    send(socket, noRoute.replace("id: 1", "id: 1\r\nConnection: close"));
+    assertThat(readToEnd(socket).split("HTTP/1.1 ", -1)).hasSize(count + 2);
+  }
+
   private void assertOrdinaryRequestIsAnswered() throws IOException {
     Socket socket = connect();
     send(socket, REQUEST.replace("id: 1", "id: 1\r\nConnection: close"));
