Keep half of the memory for heads for the first request of each connection

Cause: heads of requests behind another one filled the budget of heads, and a connection with its first request found none left.

Change: a connection with an unanswered request is read no further while more than half of the budget is used.

--- a/src/main/java/io/coltsfootwheel/relay/HeadBudget.java
+++ b/src/main/java/io/coltsfootwheel/relay/HeadBudget.java
@@ -30,4 +30,12 @@
   void remove(long headBytes) {
     bytes -= headBytes;
   }
+
+  /**
+   * Returns whether requests behind another one of their connection may be read. The other half of
+   * the budget is for the first request of each connection.
+   */
+  boolean hasRoomForPipelining() {
+    return bytes <= maxBytes / 2;
+  }
 }
--- a/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
+++ b/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
@@ -187,7 +187,7 @@
 
   /** Returns whether no further requests should be read for now. */
   boolean isFull() {
-    return pipeline.isFull();
+    return pipeline.isFull() || !pipeline.isEmpty() && !headBudget.hasRoomForPipelining();
   }
 
   /** Counts bytes that were passed to the connection and are not written to its socket. */
