Clear up what stopped a newcomer in the bounds of clients

What the read of the diff found: two constants stood twice (RequestGate and ClientRequestDecoder), EntryNodeSettings had a second constructor with a hidden default, the cap of ProcessLimits was justified by the deploy file, an exception in the decoder could leave InputGate closed for good, and RelayExchange kept two fields for its timers.

Change: HeadMemory holds the constants of both decoders, ExchangeTimers the timers; the constructor is gone; the cap has its own reason; InputGate opens again in any case. No bound changes.

Evidence: tests of relay, listener and platform, OutdatedRoutingTest, NodeLinksTest, ConfigPageTest and ArchitectureTest pass.

--- a/src/main/java/io/coltsfootwheel/listener/ProcessLimits.java
+++ b/src/main/java/io/coltsfootwheel/listener/ProcessLimits.java
@@ -15,7 +15,7 @@
 
   private static final long MEBIBYTE = 1024L * 1024;
 
-  /** The memory that the deploy file grants; listeners do not use more of a larger one. */
+  /** Listeners gain nothing by more memory; that of a larger process is left to its other parts. */
   private static final long MAX_HEAP_BYTES = 64 * MEBIBYTE;
 
   private static final long MAX_DIRECT_BYTES = 32 * MEBIBYTE;
--- a/src/main/java/io/coltsfootwheel/listener/RequestGate.java
+++ b/src/main/java/io/coltsfootwheel/listener/RequestGate.java
@@ -13,12 +13,6 @@
  * decoder.
  */
 final class RequestGate extends ChannelDuplexHandler {
-  /** Empty lines before a request; some clients send one behind the body of another request. */
-  private static final int MAX_EMPTY_LINE_BYTES = 64;
-
-  /** Memory of the objects that hold one header field. */
-  private static final int FIELD_OVERHEAD_BYTES = 192;
-
   private final Channel channel;
   private final ArrayDeque<ByteBuf> held = new ArrayDeque<>();
   private RequestTracker tracker;
@@ -164,7 +158,7 @@
       emptyLineBytes++;
     }
     isLineEmpty = false;
-    if (emptyLineBytes > MAX_EMPTY_LINE_BYTES) {
+    if (emptyLineBytes > HeadMemory.MAX_EMPTY_LINE_BYTES) {
       stop();
       channel.close();
     }
@@ -191,7 +185,7 @@
     int first = bytes.readerIndex();
     for (int index = first; index < bytes.writerIndex(); index++) {
       byte value = bytes.getByte(index);
-      partialFieldBytes += value == '\n' ? FIELD_OVERHEAD_BYTES : 1;
+      partialFieldBytes += value == '\n' ? HeadMemory.FIELD_OVERHEAD_BYTES : 1;
       if (value == '\n' && isLineEmpty) {
         isLineEmpty = false;
         return index + 1 - first;
--- a/src/main/java/io/coltsfootwheel/node/EntryNodeSettings.java
+++ b/src/main/java/io/coltsfootwheel/node/EntryNodeSettings.java
@@ -1,7 +1,5 @@
 package io.coltsfootwheel.node;
 
-import io.coltsfootwheel.listener.ListenerKind;
-import io.coltsfootwheel.listener.ProcessLimits;
 import io.coltsfootwheel.model.Address;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.List;
@@ -25,22 +23,4 @@
   public EntryNodeSettings {
     seeds = List.copyOf(seeds);
   }
-
-  /**
-   * Creates settings with the default bound of connections.
-   *
-   * @param cluster cluster name, the same in all processes
-   * @param linkAddress address for links of other processes; its host is the name of the process
-   * @param memberPort port on which control processes listen for links
-   * @param seeds control processes to contact first, named by their IP addresses
-   */
-  public EntryNodeSettings(
-      String cluster, Address linkAddress, int memberPort, List<InstanceId> seeds) {
-    this(
-        cluster,
-        linkAddress,
-        memberPort,
-        seeds,
-        ListenerKind.LINKS.maxConnections(ProcessLimits.ofProcess()));
-  }
 }
--- a/src/main/java/io/coltsfootwheel/relay/ClientRequestDecoder.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientRequestDecoder.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.listener.HeadMemory;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -17,12 +18,6 @@
  * memory it uses.
  */
 final class ClientRequestDecoder extends HttpRequestDecoder {
-  /** Empty lines before a request; some clients send one behind the body of another request. */
-  private static final int MAX_EMPTY_LINE_BYTES = 64;
-
-  /** Memory of the objects that hold one header field. */
-  private static final int FIELD_OVERHEAD_BYTES = 192;
-
   /** Memory of the objects that hold a request without fields until it is answered. */
   private static final int REQUEST_OVERHEAD_BYTES = 2 * 1024;
 
@@ -75,7 +70,7 @@
     long undecodedBytes = actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
     return undecodedBytes
         + partialBytes
-        + partialLines * FIELD_OVERHEAD_BYTES
+        + partialLines * HeadMemory.FIELD_OVERHEAD_BYTES
         + (insideBody ? headBytes : 0);
   }
 
@@ -113,7 +108,7 @@
           REQUEST_OVERHEAD_BYTES
               + partialBytes
               + decodedBytes
-              + (long) fieldCount * FIELD_OVERHEAD_BYTES;
+              + (long) fieldCount * HeadMemory.FIELD_OVERHEAD_BYTES;
     }
     insideBody = !(messages.get(messages.size() - 1) instanceof LastHttpContent);
     partialBytes = 0;
@@ -123,7 +118,7 @@
 
   private void countEmptyLines(int bytes) {
     emptyLineBytes += bytes;
-    if (emptyLineBytes > MAX_EMPTY_LINE_BYTES) {
+    if (emptyLineBytes > HeadMemory.MAX_EMPTY_LINE_BYTES) {
       throw new TooLongHttpLineException("empty lines before a request");
     }
   }
--- a/src/main/java/io/coltsfootwheel/relay/InputGate.java
+++ b/src/main/java/io/coltsfootwheel/relay/InputGate.java
@@ -109,8 +109,11 @@
   private void passUndecodedBytes() {
     if (!passing && guard.undecodedBytes() > 0) {
       passing = true;
-      channelContext.fireChannelRead(Unpooled.EMPTY_BUFFER);
-      passing = false;
+      try {
+        channelContext.fireChannelRead(Unpooled.EMPTY_BUFFER);
+      } finally {
+        passing = false;
+      }
     }
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -14,7 +14,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -48,6 +47,7 @@
   private final RelayRequest request;
   private final Consumer<RelayResponse> responder;
   private final Set<TargetId> triedTargets = new HashSet<>();
+  private final ExchangeTimers timers = new ExchangeTimers();
   private Optional<Route> route = Optional.empty();
   private Optional<ServicePolicy> service = Optional.empty();
   private long deadlineNanos;
@@ -57,8 +57,6 @@
 
   private long routingWaitEndNanos;
   private boolean awaitsRouting;
-  private Optional<Future<?>> deadlineTimer = Optional.empty();
-  private Optional<Future<?>> overdueTimer = Optional.empty();
   private boolean completed;
   private boolean mayHaveExecuted;
   private int sendCount;
@@ -124,7 +122,7 @@
       refuse(DEADLINE_PASSED, DEFAULT_RETRY_AFTER_MILLIS);
       return;
     }
-    deadlineTimer = Optional.of(context.schedule(this::onDeadline, remainingMillis()));
+    timers.add(context.schedule(this::onDeadline, remainingMillis()));
     clientWaitedMillis =
         context
             .deadlineTracker()
@@ -313,9 +311,8 @@
                     new CallOutcome()));
     if (context.overload().handlesOverdueResponses()) {
       int send = sendCount;
-      overdueTimer =
-          Optional.of(
-              context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos)));
+      timers.add(
+          context.schedule(() -> checkOverdue(send), newAttempt.millisUntilOverdue(nowNanos)));
     }
   }
 
@@ -543,11 +540,10 @@
     responder.accept(response);
   }
 
-  /** Cancels what would keep this exchange in memory up to its deadline. */
+  /** Cancels the timers unless they still watch a call whose response is discarded. */
   private void cancelTimers() {
     if (call.isEmpty()) {
-      deadlineTimer.ifPresent(t -> t.cancel(false));
-      overdueTimer.ifPresent(t -> t.cancel(false));
+      timers.cancelAll();
     }
   }
 
--- a/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
+++ b/src/test/java/io/coltsfootwheel/node/OutdatedRoutingTest.java
@@ -107,7 +107,7 @@
     relay = new Relay(relaySettings(), log, new SimpleMeterRegistry());
     entrySettings =
         new EntryNodeSettings(
-            "test", entryLink, leaderLink.port(), List.of(InstanceId.of(LEADER_HOST)));
+            "test", entryLink, leaderLink.port(), List.of(InstanceId.of(LEADER_HOST)), 100);
     entry = new EntryNode(entrySettings, relay, log);
     entry.start();
     while (statusOf("old") != 200) {
--- a/src/test/java/io/coltsfootwheel/node/RunningFleet.java
+++ b/src/test/java/io/coltsfootwheel/node/RunningFleet.java
@@ -164,7 +164,11 @@
     EntryNode entry =
         new EntryNode(
             new EntryNodeSettings(
-                "test", new Address(host, freePort(host)), linkPort, List.of(member(0), member(1))),
+                "test",
+                new Address(host, freePort(host)),
+                linkPort,
+                List.of(member(0), member(1)),
+                100),
             relay,
             log);
     entry.start();
