Bound the lines that wait in the log by their memory, not only by their number

Seen: 4,000 lines with a request identifier of 16,000 or 256,000 characters, which a client chooses, wait for a reader of standard output that has stopped: 64 MB and 1 GB in a process with a heap of 64 MB.

Cause: EventLog counted 4,096 events and kept their values as objects.

Change: an event becomes numbers, booleans and texts of at most 4,096 characters when it is written to the queue (QueuedEvent); all that wait use at most 8 MiB by estimate, about what 4,096 lines of usual size take. What does not fit is dropped and counted, as before.

Evidence: EventLogTest#memoryOfQueuedEventsIsBounded and #longTextIsShortened failed on (3 of 7 cases of the class) and pass.

--- a/src/main/java/io/coltsfootwheel/eventlog/EventLog.java
+++ b/src/main/java/io/coltsfootwheel/eventlog/EventLog.java
@@ -8,31 +8,38 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 
 /**
  * Writes events as JSON lines on a dedicated thread.
  *
- * <p>The queue is bounded. An event that does not fit is dropped and counted, so that a reader of
- * standard output that stops reading never delays a request. The number of dropped events is logged
- * before the next event.
+ * <p>The queue is bounded by the number of events and by their memory, because clients and other
+ * processes choose the size of some fields. An event that does not fit is dropped and counted, so
+ * that a reader of standard output that stops reading never delays a request. The number of dropped
+ * events is logged before the next event.
  *
  * <p>Usage: {@code log.write(LogEvent.of("process.started").with("role", "entry"))}.
  */
 public final class EventLog implements AutoCloseable {
   private static final int QUEUE_CAPACITY = 4_096;
+
+  /** Memory of all queued events: an eighth of the heap that the deploy file grants. */
+  static final long MAX_QUEUED_BYTES = 8L * 1024 * 1024;
+
   private static final long CLOSE_TIMEOUT_MILLIS = 300;
   private static final JsonFactory JSON = new JsonFactory();
 
   private final Consumer<String> output;
   private final Map<String, Object> commonFields;
   private final ArrayBlockingQueue<Entry> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+  private final AtomicLong queuedBytes = new AtomicLong();
   private final LongAdder dropped = new LongAdder();
   private final Thread writer = new Thread(this::run, "event-log");
   private long reportedDropCount;
 
-  private record Entry(long unixMillis, LogEvent event) {}
+  private record Entry(long unixMillis, QueuedEvent event) {}
 
   /**
    * Creates a log and starts its thread.
@@ -53,7 +60,10 @@
    * @param event the event
    */
   public void write(LogEvent event) {
-    if (!queue.offer(new Entry(System.currentTimeMillis(), event))) {
+    QueuedEvent queued = QueuedEvent.of(event);
+    boolean fits = queuedBytes.addAndGet(queued.bytes()) <= MAX_QUEUED_BYTES;
+    if (!fits || !queue.offer(new Entry(System.currentTimeMillis(), queued))) {
+      queuedBytes.addAndGet(-queued.bytes());
       dropped.increment();
     }
   }
@@ -94,14 +104,11 @@
 
   /** Writes an event; one that cannot be written is no reason to write no others. */
   private void write(Entry entry) {
+    queuedBytes.addAndGet(-entry.event().bytes());
     try {
       writeLines(entry);
     } catch (RuntimeException | Error e) {
-      LogEvent notice =
-          LogEvent.of("log.failed")
-              .with("failed_event", entry.event().name())
-              .with("error", e.getClass().getName());
-      output.accept(format(new Entry(entry.unixMillis(), notice)));
+      output.accept(format(entry.unixMillis(), QueuedEvent.failed(entry.event().name(), e)));
     }
   }
 
@@ -113,21 +120,21 @@
               .with("lines", dropCount - reportedDropCount)
               .with("total", dropCount);
       reportedDropCount = dropCount;
-      output.accept(format(new Entry(entry.unixMillis(), dropNotice)));
+      output.accept(format(entry.unixMillis(), QueuedEvent.of(dropNotice)));
     }
-    output.accept(format(entry));
+    output.accept(format(entry.unixMillis(), entry.event()));
   }
 
-  private String format(Entry entry) {
+  private String format(long unixMillis, QueuedEvent event) {
     StringWriter text = new StringWriter();
     try (JsonGenerator json = JSON.createGenerator(text)) {
       json.writeStartObject();
-      json.writeStringField("time", Instant.ofEpochMilli(entry.unixMillis()).toString());
-      json.writeStringField("event", entry.event().name());
+      json.writeStringField("time", Instant.ofEpochMilli(unixMillis).toString());
+      json.writeStringField("event", event.name());
       for (Map.Entry<String, Object> field : commonFields.entrySet()) {
         writeField(json, field);
       }
-      for (Map.Entry<String, Object> field : entry.event().fields().entrySet()) {
+      for (Map.Entry<String, Object> field : event.fields().entrySet()) {
         writeField(json, field);
       }
       json.writeEndObject();
--- a/src/test/java/io/coltsfootwheel/eventlog/EventLogTest.java
+++ b/src/test/java/io/coltsfootwheel/eventlog/EventLogTest.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.LongAdder;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventLogTest {
   /** Guards against lines that a JSON parser rejects. */
@@ -73,4 +76,46 @@
     log.close();
     assertThat(lines).anyMatch(line -> line.contains("\"event\":\"log.dropped\""));
   }
+
+  /**
+   * Guards against a process without memory because the reader of standard output has stopped and
+   * clients choose the size of what is logged, such as the identifier of a request.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1_000, 16_000, 256_000})
+  void memoryOfQueuedEventsIsBounded(int characters) throws Exception {
+    CountDownLatch outputUnblocked = new CountDownLatch(1);
+    LongAdder written = new LongAdder();
+    EventLog log =
+        new EventLog(
+            line -> {
+              awaitQuietly(outputUnblocked);
+              written.add(line.length());
+            },
+            Map.of());
+    for (int i = 0; i < 4_000; i++) {
+      log.write(LogEvent.of("x").with("request", "r".repeat(characters)));
+    }
+    outputUnblocked.countDown();
+    log.close();
+    assertThat(written.sum()).isLessThan(2 * EventLog.MAX_QUEUED_BYTES);
+  }
+
+  /** Guards against a line that drops what a long text begins with. */
+  @Test
+  void longTextIsShortened() throws Exception {
+    List<String> lines = new CopyOnWriteArrayList<>();
+    EventLog log = new EventLog(lines::add, Map.of());
+    log.write(LogEvent.of("x").with("text", "b".repeat(10_000)));
+    log.close();
+    assertThat(lines.get(0)).contains("bbb... (10000 characters)").hasSizeLessThan(5_000);
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
