Limit the targets whose services are not configured, and forget removed ones

Seen: each accepted report with a new identifier and a service that no configuration names registers a target for 30 s or longer, in the state of all control processes; the leader kept the reports of each for its whole term.

Cause: the number of registered targets is chosen by whoever sends reports, and nothing limited it. HeartbeatMonitor never removed a record, and lastRegistrationNanos kept each name of a service.

Change: at most 4,096 targets of services that are not configured (UnconfiguredTargets, about 2 MiB); further reports are answered 503 and may be sent again, and count at once when their service is configured. The reports of a removed target are forgotten 60 s after the last one, when it can hold no key any more; a new leader knows none of them either. Whether a report counts is a verdict with three values now.

--- a/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/HeartbeatMonitor.java
@@ -17,6 +17,9 @@
   /** Typical time until a call that grants keys has been answered. */
   private static final double GRANT_CALL_SECONDS = 0.06;
 
+  /** Time for which the reports of a removed target are known; none is on its way for longer. */
+  private static final long REMOVED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+
   private final OwnershipSettings settings;
   private final long termStartNanos;
   private final Map<TargetId, TargetHeartbeat> byId = new HashMap<>();
@@ -74,6 +77,16 @@
     return heartbeat;
   }
 
+  /** Removes the records of targets that were removed long ago and can hold no key any more. */
+  void evictRemoved(long nowNanos, FleetState state) {
+    byId.entrySet()
+        .removeIf(
+            e ->
+                state.target(e.getKey()).isEmpty()
+                    && e.getValue().isLeaseEnded(nowNanos)
+                    && nowNanos - e.getValue().lastReportNanos() > REMOVED_RETENTION_NANOS);
+  }
+
   /**
    * Returns whether a report is outdated: it is of an earlier incarnation, has a lower sequence
    * number than the last report, has an earlier phase than the one that is registered, or conflicts
--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -45,6 +45,7 @@
   private final RangeMoves moves = new RangeMoves();
   private final ColdTargets coldTargets;
   private final ViewBuilder viewBuilder;
+  private final UnconfiguredTargets unconfiguredTargets = new UnconfiguredTargets();
   private final Map<ServiceName, Long> lastRegistrationNanos = new HashMap<>();
 
   /** Targets whose removal is proposed and not yet applied. */
@@ -108,6 +109,23 @@
             state,
             nowNanos);
     state.targets().forEach(t -> heartbeats.getOrCreate(nowNanos, t, state));
+    unconfiguredTargets.update(state);
+  }
+
+  /** Whether a report counts. */
+  public enum ReportVerdict {
+    /** The report is the newest of its target. */
+    CURRENT,
+
+    /** The report is outdated; its sender gets no grant. */
+    OUTDATED,
+
+    /** Too many targets are registered whose services are not configured; it may be sent again. */
+    TOO_MANY_UNCONFIGURED;
+
+    private ReportOutcome withoutCommands() {
+      return new ReportOutcome(List.of(), false, this);
+    }
   }
 
   /**
@@ -116,10 +134,14 @@
    * @param commands commands to propose
    * @param waitsForFirstCommand true when the report may be answered only after the first command
    *     has been applied
-   * @param isCurrent false for an outdated report, whose sender gets no grant
+   * @param verdict whether the report counts
    */
   public record ReportOutcome(
-      List<FleetCommand> commands, boolean waitsForFirstCommand, boolean isCurrent) {}
+      List<FleetCommand> commands, boolean waitsForFirstCommand, ReportVerdict verdict) {
+    boolean isCurrent() {
+      return verdict == ReportVerdict.CURRENT;
+    }
+  }
 
   /**
    * Processes a report of a target.
@@ -132,7 +154,10 @@
     moveStarter.clearLoads();
     TargetRecord target = report.target();
     if (heartbeats.isOutdated(report, state)) {
-      return new ReportOutcome(List.of(), false, false);
+      return ReportVerdict.OUTDATED.withoutCommands();
+    }
+    if (!unconfiguredTargets.admit(target, state)) {
+      return ReportVerdict.TOO_MANY_UNCONFIGURED.withoutCommands();
     }
     Optional<TargetRecord> known = state.target(target.id());
     moves.removeEarlierIncarnations(target);
@@ -158,7 +183,7 @@
               commands.add(join);
             });
     boolean isLeaving = changed && target.phase() != TargetPhase.READY;
-    return new ReportOutcome(commands, isLeaving, true);
+    return new ReportOutcome(commands, isLeaving, ReportVerdict.CURRENT);
   }
 
   /**
@@ -219,6 +244,7 @@
     if (nowNanos - lastEvictionNanos > EVICTION_INTERVAL_NANOS) {
       lastEvictionNanos = nowNanos;
       loadStatistics.evictIdle(nowNanos, state);
+      evictRemoved(nowNanos);
     }
     updateEndedLeases(nowNanos);
     viewChanged |= coldTargets.update(nowNanos, state);
@@ -232,6 +258,15 @@
     return commands;
   }
 
+  /** Removes what is kept for targets and services that are not in use any more. */
+  private void evictRemoved(long nowNanos) {
+    unconfiguredTargets.update(state);
+    heartbeats.evictRemoved(nowNanos, state);
+    Set<ServiceName> used = new HashSet<>(keyedServices.names());
+    state.targets().forEach(t -> used.add(t.service()));
+    lastRegistrationNanos.keySet().retainAll(used);
+  }
+
   /**
    * Returns whether targets have to be called.
    *
--- a/src/main/java/io/coltsfootwheel/node/LeaderSession.java
+++ b/src/main/java/io/coltsfootwheel/node/LeaderSession.java
@@ -87,7 +87,7 @@
   void report(long nowNanos, long requestId, HeartbeatReport report) {
     TargetRecord target = report.target();
     OwnershipLeader.ReportOutcome reportOutcome = ownership.report(nowNanos, report);
-    if (!reportOutcome.isCurrent()) {
+    if (reportOutcome.verdict() == OwnershipLeader.ReportVerdict.OUTDATED) {
       actions.log(
           LogEvent.of("report.outdated")
               .with("target", target.id())
@@ -95,6 +95,12 @@
       actions.answer(requestId, new ControlAnswer.Acknowledged(Optional.empty(), self));
       return;
     }
+    if (reportOutcome.verdict() == OwnershipLeader.ReportVerdict.TOO_MANY_UNCONFIGURED) {
+      actions.answer(
+          requestId,
+          new ControlAnswer.Unavailable("too many targets of services that are not configured"));
+      return;
+    }
     Consumer<Boolean> answer = confirmed -> answerReport(confirmed, requestId, target);
     boolean awaitsCommand = reportOutcome.waitsForFirstCommand();
     for (FleetCommand command : reportOutcome.commands()) {
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderHarness.java
@@ -93,6 +93,10 @@
     return state.target(TargetId.of(name)).isPresent();
   }
 
+  int targetCount() {
+    return state.targets().size();
+  }
+
   /** Elects a leader whose state comes from a snapshot. */
   void restoreFromSnapshot() {
     state = FleetState.fromSnapshot(state.toSnapshot());
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipLeaderTest.java
@@ -291,6 +291,44 @@
     assertThat(harness.reportAndGrant("a", TargetPhase.READY)).containsExactly(KeyRange.ALL);
   }
 
+  /**
+   * Guards against control processes without memory: each report names a new target and a service
+   * that no configuration has, and each target was registered for 30 s or longer.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void targetsOfUnknownServicesAreLimited(boolean leaderChanges) {
+    OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
+    int maxTargets = 4_096;
+    for (int i = 0; i < maxTargets + 200; i++) {
+      if (leaderChanges && i == maxTargets) {
+        harness.electLeader();
+      }
+      harness.apply(harness.reportOfUnknownService("u" + i, 1, 2_000 + i));
+    }
+    assertThat(harness.targetCount()).isEqualTo(maxTargets);
+    harness.register("a");
+    assertThat(harness.isRegistered("a")).isTrue();
+    harness.apply(harness.reportOfUnknownService("u1", 1, 2_001));
+    assertThat(harness.targetCount()).isEqualTo(maxTargets + 1);
+  }
+
+  /** Guards against targets of a later service that are never registered after such reports. */
+  @Test
+  void targetsOfUnknownServicesGiveWayWhenTheyAreSilent() {
+    OwnershipLeaderHarness harness = new OwnershipLeaderHarness();
+    for (int i = 0; i < 4_100; i++) {
+      harness.apply(harness.reportOfUnknownService("u" + i, 1, 2_000 + i));
+    }
+    harness.advance(40_000);
+    harness.apply(harness.tick());
+    harness.advance(2_000);
+    harness.apply(harness.tick());
+    assertThat(harness.targetCount()).isZero();
+    harness.apply(harness.reportOfUnknownService("later", 1, 2_000));
+    assertThat(harness.isRegistered("later")).isTrue();
+  }
+
   /**
    * Guards against two holders of one key: a later process reports the address of a target whose
    * lease has not ended, and the leader may change after that.
