Bound the frames that wait for all peers together

Seen: ten peers that accept a connection and read nothing make a process hold 100 MB of frames, in a test that sends no more; with the 64 MB of the deploy file two such peers are enough.

Cause: the queue of each connection was bounded, their sum was not, and frames that were handed to the network counted no more although they used memory until they were written.

Change: SendMemory counts each frame from the queue until it is written to the socket; a payload that is sent to several peers counts once. Beyond a quarter of the heap (at least 16 MiB) the connection that holds most is closed and opens again, as ConnectionMemoryBudget does for clients; its frames are reported as not written. With the unpooled allocator of the deploy file small frames are copied into heap, which is counted, and no longer into direct memory.

The tests of link, NodeLinksTest and SilentLinksTest pass.

--- a/src/main/java/io/coltsfootwheel/link/FrameEncoder.java
+++ b/src/main/java/io/coltsfootwheel/link/FrameEncoder.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import java.util.List;
 
 /** Encodes frames; small payloads are copied into a shared buffer, large ones are not copied. */
@@ -22,9 +23,13 @@
     return buffer.writeBytes(frame.payload());
   }
 
-  /** Writes frames in order without flushing. */
-  static void write(Channel channel, List<Frame> frames) {
-    ByteBuf sharedBuffer = channel.alloc().buffer(sharedBufferBytes(frames));
+  /**
+   * Writes frames in order without flushing.
+   *
+   * @return completes when the last frame was written to the socket, or the connection has ended
+   */
+  static ChannelFuture write(Channel channel, List<Frame> frames) {
+    ByteBuf sharedBuffer = newBuffer(channel.alloc(), sharedBufferBytes(frames));
     for (Frame frame : frames) {
       writeHeader(sharedBuffer, frame);
       if (frame.payload().length <= MAX_COPIED_PAYLOAD_BYTES) {
@@ -35,7 +40,12 @@
         channel.write(Unpooled.wrappedBuffer(frame.payload()), channel.voidPromise());
       }
     }
-    channel.write(sharedBuffer, channel.voidPromise());
+    return channel.write(sharedBuffer);
+  }
+
+  /** Frames that wait take heap, which is bounded; memory outside of it is for reads and writes. */
+  private static ByteBuf newBuffer(ByteBufAllocator allocator, int bytes) {
+    return allocator.isDirectBufferPooled() ? allocator.buffer(bytes) : allocator.heapBuffer(bytes);
   }
 
   private static int sharedBufferBytes(List<Frame> frames) {
--- a/src/main/java/io/coltsfootwheel/link/LinkContext.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkContext.java
@@ -10,6 +10,9 @@
 
   LinkTraffic traffic();
 
+  /** Returns the memory of the frames that wait on all connections. */
+  SendMemory sendMemory();
+
   /** Starts an attempt, which is told how it ends. */
   void connect(ConnectionAttempt attempt);
 
--- a/src/main/java/io/coltsfootwheel/link/LinkFailure.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkFailure.java
@@ -22,6 +22,8 @@
   CONNECT_FAILED,
   /** A frame was dropped because the outbound queue of its peer was full. */
   QUEUE_FULL,
+  /** The connection held most of the frames that wait, and all together used too much memory. */
+  MEMORY_EXCEEDED,
   /** A frame was addressed to an unknown peer. */
   UNKNOWN_PEER
 }
--- a/src/main/java/io/coltsfootwheel/link/LinkSettings.java
+++ b/src/main/java/io/coltsfootwheel/link/LinkSettings.java
@@ -14,6 +14,8 @@
  * @param port port to listen on, 0 for any free port
  * @param key shared key of the cluster
  * @param maxQueueBytes maximum size of the outbound queue of each peer and channel
+ * @param maxTotalQueueBytes memory of all frames that wait to be written, beyond which the
+ *     connection that holds most is closed
  * @param connectTimeoutMillis timeout of the first connection attempt; the handshake may take ten
  *     times as long
  * @param idleTimeoutMillis time without sent frames after which a data connection is closed
@@ -28,6 +30,7 @@
     int port,
     byte[] key,
     int maxQueueBytes,
+    long maxTotalQueueBytes,
     long connectTimeoutMillis,
     long idleTimeoutMillis,
     long seed,
@@ -35,6 +38,8 @@
   /** Twice the maximum frame size, so that a queued snapshot leaves room for small frames. */
   public static final int DEFAULT_MAX_QUEUE_BYTES = 2 * Frame.MAX_FRAME_BYTES;
 
+  private static final int HEAP_SHARE_OF_QUEUES = 4;
+
   /** Longer than a round trip between regions and shorter than the shortest lease. */
   public static final long DEFAULT_CONNECT_TIMEOUT_MILLIS = 300;
 
@@ -84,12 +89,19 @@
         port,
         key.clone(),
         DEFAULT_MAX_QUEUE_BYTES,
+        defaultMaxTotalQueueBytes(),
         DEFAULT_CONNECT_TIMEOUT_MILLIS,
         DEFAULT_IDLE_TIMEOUT_MILLIS,
         session.hashCode(),
         ListenerKind.LINKS.maxConnections(ProcessLimits.ofProcess()));
   }
 
+  /** A quarter of the heap, but room for the queue of one peer. */
+  private static long defaultMaxTotalQueueBytes() {
+    return Math.max(
+        DEFAULT_MAX_QUEUE_BYTES, Runtime.getRuntime().maxMemory() / HEAP_SHARE_OF_QUEUES);
+  }
+
   /**
    * Returns these settings with another bound of accepted connections.
    *
@@ -105,9 +117,32 @@
         port,
         key,
         maxQueueBytes,
+        maxTotalQueueBytes,
         connectTimeoutMillis,
         idleTimeoutMillis,
         seed,
         maxConnections);
   }
+
+  /**
+   * Returns these settings with another bound of all frames that wait.
+   *
+   * @param maxBytes memory of the frames
+   * @return the settings
+   */
+  public LinkSettings withMaxTotalQueueBytes(long maxBytes) {
+    return new LinkSettings(
+        cluster,
+        instance,
+        session,
+        host,
+        port,
+        key,
+        maxQueueBytes,
+        maxBytes,
+        connectTimeoutMillis,
+        idleTimeoutMillis,
+        seed,
+        maxInboundConnections);
+  }
 }
--- a/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
+++ b/src/main/java/io/coltsfootwheel/link/OutboundConnection.java
@@ -25,6 +25,7 @@
   private final SendQueue queue;
 
   private State state = State.IDLE;
+  private SendMemory.Account memory;
   private Channel activeChannel;
   private Optional<ConnectionProber> prober = Optional.empty();
   private Optional<Replacement> replacement = Optional.empty();
@@ -58,6 +59,7 @@
             .<SilenceCheck>map(c -> new ControlEvidence(c::prober))
             .orElseGet(ReplacementCheck::new);
     this.queue = new SendQueue(context.settings().maxQueueBytes());
+    this.memory = context.sendMemory().open(this::closeForMemory);
   }
 
   InstanceId peer() {
@@ -86,6 +88,7 @@
         context.failureLog().count(LinkFailure.QUEUE_FULL);
         return false;
       }
+      memory.add(frame);
       if (state == State.IDLE) {
         state = State.CONNECTING;
         startConnecting = true;
@@ -96,6 +99,7 @@
     if (startConnecting) {
       connect();
     }
+    context.sendMemory().enforce();
     return true;
   }
 
@@ -227,6 +231,35 @@
     scheduleRetry();
   }
 
+  /**
+   * Ends the connection because the frames that wait on all connections use too much memory, and
+   * this one holds most of them. An attempt to connect goes on without frames.
+   */
+  private void closeForMemory() {
+    Optional<Channel> channelToClose;
+    boolean lost;
+    List<Frame> unwritten;
+    synchronized (this) {
+      if (state == State.CLOSED) {
+        return;
+      }
+      lost = state == State.CONNECTED || !queue.isEmpty();
+      channelToClose = Optional.ofNullable(activeChannel);
+      unwritten = takeQueue();
+      memory = context.sendMemory().open(this::closeForMemory);
+      if (state == State.CONNECTED) {
+        endActiveChannel();
+        beginBackoff();
+      }
+    }
+    context.failureLog().connectionFailed(logName(), LinkFailure.MEMORY_EXCEEDED);
+    channelToClose.ifPresent(Channel::close);
+    reportLoss(lost, unwritten);
+    if (channelToClose.isPresent()) {
+      scheduleRetry();
+    }
+  }
+
   private void beginBackoff() {
     state = State.BACKOFF;
     failedAttempts++;
@@ -292,6 +325,7 @@
       channelToClose = activeChannel;
       endActiveChannel();
       unwritten = takeQueue();
+      memory.close();
     }
     if (channelToClose != null) {
       channelToClose.close();
@@ -324,11 +358,16 @@
       channel.eventLoop().execute(this::writeQueuedFrames);
       return false;
     }
-    List<Frame> batch = nextBatch(channel);
+    SendMemory.Account batchMemory;
+    List<Frame> batch;
+    synchronized (this) {
+      batchMemory = memory;
+      batch = nextBatch(channel);
+    }
     if (batch.isEmpty()) {
       return !currentChannel().equals(Optional.of(channel));
     }
-    FrameEncoder.write(channel, batch);
+    FrameEncoder.write(channel, batch).addListener(written -> batchMemory.remove(batch));
     prober().ifPresent(ConnectionProber::framesWritten);
     channel.flush();
     return true;
@@ -405,7 +444,9 @@
 
   private List<Frame> takeQueue() {
     writeScheduled = false;
-    return queue.takeAll();
+    List<Frame> unwritten = queue.takeAll();
+    memory.remove(unwritten);
+    return unwritten;
   }
 
   /** Reports frames that were not written first: the peer has certainly not received them. */
--- a/src/main/java/io/coltsfootwheel/link/SendQueue.java
+++ b/src/main/java/io/coltsfootwheel/link/SendQueue.java
@@ -6,11 +6,6 @@
 
 /** Frames that wait to be written to one connection, bounded by size; not thread-safe. */
 final class SendQueue {
-  /**
-   * Memory charged for a queued frame besides its payload, so that empty frames are bounded too.
-   */
-  private static final int FRAME_OVERHEAD_BYTES = 64;
-
   private static final int EXPECTED_BATCH_FRAMES = 64;
 
   private final int maxBytes;
@@ -56,6 +51,6 @@
   }
 
   private static int costBytes(Frame frame) {
-    return frame.payload().length + FRAME_OVERHEAD_BYTES;
+    return frame.payload().length + SendMemory.FRAME_OVERHEAD_BYTES;
   }
 }
--- a/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
+++ b/src/main/java/io/coltsfootwheel/link/TcpLinkTransport.java
@@ -47,6 +47,7 @@
   private final LinkTraffic traffic = new LinkTraffic();
   private final InboundConnections inboundConnections = new InboundConnections();
   private final LoopResources eventLoops = LoopResources.create("link", EVENT_LOOP_THREADS, true);
+  private final SendMemory sendMemory;
   private final ConnectionLimiter connectionLimiter;
   private final TcpClient client;
   private final Random jitter;
@@ -59,6 +60,7 @@
 
   TcpLinkTransport(LinkSettings settings) {
     this.settings = settings;
+    this.sendMemory = new SendMemory(settings.maxTotalQueueBytes());
     this.connectionLimiter = new ConnectionLimiter(settings.maxInboundConnections());
     this.jitter = new Random(settings.seed());
     this.client =
@@ -191,6 +193,11 @@
     return traffic;
   }
 
+  @Override
+  public SendMemory sendMemory() {
+    return sendMemory;
+  }
+
   @Override
   public void connect(ConnectionAttempt attempt) {
     Address address = attempt.connection().address();
--- a/src/test/java/io/coltsfootwheel/link/LinkTransportTest.java
+++ b/src/test/java/io/coltsfootwheel/link/LinkTransportTest.java
@@ -9,11 +9,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -157,6 +159,66 @@
     }
   }
 
+  /**
+   * Guards against a process without memory because many peers do not read: what waits for all of
+   * them is bounded, and a peer that reads gets all its frames.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {4_000, 100_000, 4_000_000})
+  void boundsWhatWaitsForAllPeers(int bytes) throws Exception {
+    long maxBytes = 20_000_000;
+    RecordingListener listenerA = new RecordingListener();
+    RecordingListener listenerB = new RecordingListener();
+    LinkTransport a = transportOf(settings(A, "c1", "key").withMaxTotalQueueBytes(maxBytes));
+    a.start(listenerA);
+    Map<InstanceId, Address> peers = new HashMap<>();
+    peers.put(B, start(transport(B, "c1", "key", listenerB), listenerB));
+    List<ServerSocket> unresponsive = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      unresponsive.add(new ServerSocket(0));
+      peers.put(
+          InstanceId.of("u" + i), new Address("127.0.0.1", unresponsive.get(i).getLocalPort()));
+    }
+    a.replacePeers(peers);
+    long acceptedBytes = 0;
+    for (int sent = 0; sent < 100_000_000; sent += bytes) {
+      Frame frame = new Frame(FrameKind.FORWARD, new byte[bytes]);
+      InstanceId to = InstanceId.of("u" + sent / bytes % 10);
+      acceptedBytes += a.send(to, frame) ? bytes : 0;
+    }
+    assertThat(acceptedBytes - listenerA.notWrittenBytes.sum()).isLessThanOrEqualTo(maxBytes);
+    Frame small = new Frame(FrameKind.FORWARD, new byte[1_000]);
+    for (int i = 0; i < 100; i++) {
+      awaitCondition(() -> a.send(B, small));
+      assertThat(listenerB.frames.poll(10, TimeUnit.SECONDS)).isNotNull();
+    }
+    for (ServerSocket socket : unresponsive) {
+      socket.close();
+    }
+  }
+
+  /** Guards against links that end because one update for many peers counts for each of them. */
+  @Test
+  void frameForManyPeersCountsOnce() throws Exception {
+    RecordingListener listenerA = new RecordingListener();
+    LinkTransport a = transportOf(settings(A, "c1", "key").withMaxTotalQueueBytes(20_000_000));
+    a.start(listenerA);
+    Map<InstanceId, Address> peers = new HashMap<>();
+    try (ServerSocket unresponsive = new ServerSocket(0)) {
+      Address address = new Address("127.0.0.1", unresponsive.getLocalPort());
+      for (int i = 0; i < 40; i++) {
+        peers.put(InstanceId.of("u" + i), address);
+      }
+      a.replacePeers(peers);
+      Frame frame = new Frame(FrameKind.FORWARD, new byte[4_000_000]);
+      for (InstanceId peer : peers.keySet()) {
+        assertThat(a.send(peer, frame)).isTrue();
+      }
+    }
+    assertThat(listenerA.notWrittenBytes.sum()).isZero();
+    assertThat(a.failureCount(LinkFailure.MEMORY_EXCEEDED)).isZero();
+  }
+
   /** Guards against queueing frames for unknown peers and oversized frames. */
   @ParameterizedTest
   @ValueSource(ints = {1, Frame.MAX_PAYLOAD_BYTES + 1})
@@ -191,15 +253,23 @@
 
   private LinkTransport transport(
       InstanceId id, String cluster, String key, RecordingListener listener) {
-    LinkTransport transport =
-        LinkTransport.of(LinkSettings.of(cluster, id, "s-" + id, "127.0.0.1", 0, key.getBytes()));
-    transports.add(transport);
+    LinkTransport transport = transportOf(settings(id, cluster, key));
     if (id.equals(A)) {
       transport.start(listener);
     }
     return transport;
   }
 
+  private static LinkSettings settings(InstanceId id, String cluster, String key) {
+    return LinkSettings.of(cluster, id, "s-" + id, "127.0.0.1", 0, key.getBytes());
+  }
+
+  private LinkTransport transportOf(LinkSettings settings) {
+    LinkTransport transport = LinkTransport.of(settings);
+    transports.add(transport);
+    return transport;
+  }
+
   private static Address start(LinkTransport transport, RecordingListener listener) {
     return transport.start(listener);
   }
@@ -231,6 +301,12 @@
   private static final class RecordingListener implements LinkListener {
     private final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
     private final BlockingQueue<LinkChannel> disconnectedChannels = new LinkedBlockingQueue<>();
+    private final LongAdder notWrittenBytes = new LongAdder();
+
+    @Override
+    public void notWritten(InstanceId peer, Frame frame) {
+      notWrittenBytes.add(frame.payload().length);
+    }
 
     @Override
     public void received(InstanceId from, String session, Frame frame) {
