Encode an update for all entries into one frame

Seen by reading: SharedUpdate encodes and deflates an update once, but NodeLinks encoded that message again for each entry, so 190 entries that are behind held 190 copies of a large configuration.

Change: SharedFrames returns the same frame for the same encoded message.

Evidence: SharedFramesTest (it needs the new class; before, each call made a new array). NodeLinksTest passes.

--- a/src/main/java/io/coltsfootwheel/node/NodeLinks.java
+++ b/src/main/java/io/coltsfootwheel/node/NodeLinks.java
@@ -32,6 +32,7 @@
   private final BiConsumer<InstanceId, NodeMessage> receiver;
   private final Consumer<InstanceId> onLost;
   private final EventLog log;
+  private final SharedFrames frames = new SharedFrames();
 
   /**
    * Creates the links without starting them.
@@ -81,7 +82,7 @@
   }
 
   void send(InstanceId to, NodeMessage message) {
-    Frame frame = message.toFrame();
+    Frame frame = frames.frameOf(message);
     if (frame.payload().length >= LARGE_MESSAGE_BYTES) {
       log.write(
           LogEvent.of("message.large")
