--- a/src/main/java/io/coltsfootwheel/journal/JournalFolder.java
+++ b/src/main/java/io/coltsfootwheel/journal/JournalFolder.java
@@ -92,19 +92,26 @@
   }
 
   void createSegment(long number, Batch firstBatch) throws IOException {
-    replaceAtomically(segmentName(number), RecordFormat.file(ControlCodec.encode(firstBatch)));
+    replaceWithRecord(segmentName(number), ControlCodec.encode(firstBatch));
   }
 
   void replaceSnapshot(StoredSnapshot snapshot) throws IOException {
-    replaceAtomically(SNAPSHOT, RecordFormat.file(ControlCodec.encode(snapshot)));
+    replaceWithRecord(SNAPSHOT, ControlCodec.encode(snapshot));
+  }
+
+  /** Writes a file of one record without a further copy of its payload, which may be large. */
+  private void replaceWithRecord(String name, byte[] payload) throws IOException {
+    replaceAtomically(name, RecordFormat.fileHeader(payload), payload);
   }
 
   /** Replaces the content of a file; a crash leaves either the old or the new content. */
-  void replaceAtomically(String name, byte[] bytes) throws IOException {
+  void replaceAtomically(String name, byte[]... parts) throws IOException {
     Path temporary = folder.resolve(name + ".tmp");
     try (FileAccess.AppendFile output = files.append(temporary)) {
       output.truncate(0);
-      output.write(ByteBuffer.wrap(bytes));
+      for (byte[] part : parts) {
+        output.write(ByteBuffer.wrap(part));
+      }
       output.sync();
     }
     files.rename(temporary, folder.resolve(name));
--- a/src/main/java/io/coltsfootwheel/journal/JournalRecovery.java
+++ b/src/main/java/io/coltsfootwheel/journal/JournalRecovery.java
@@ -69,19 +69,15 @@
 
   private DurableState readLegacyFile() throws IOException {
     JournalState[] read = new JournalState[1];
-    try (InputStream input = folder.read(JournalFolder.LEGACY_FILE)) {
-      RecordFormat.readUpToTornTail(
-          folder.path(JournalFolder.LEGACY_FILE),
-          input,
-          RecordFormat.LEGACY_VERSION,
-          payload -> {
-            if (read[0] == null) {
-              read[0] = new JournalState(ControlCodec.decode(payload, DurableState.class));
-            } else {
-              read[0].apply(ControlCodec.decode(payload, ReplicationEffect.Persist.class));
-            }
-          });
-    }
+    reader(JournalFolder.LEGACY_FILE, RecordFormat.LEGACY_VERSION)
+        .readUpToTornTail(
+            payload -> {
+              if (read[0] == null) {
+                read[0] = new JournalState(ControlCodec.decode(payload, DurableState.class));
+              } else {
+                read[0].apply(ControlCodec.decode(payload, ReplicationEffect.Persist.class));
+              }
+            });
     return read[0].content();
   }
 
@@ -90,12 +86,8 @@
       return Optional.empty();
     }
     StoredSnapshot[] read = new StoredSnapshot[1];
-    try (InputStream input = folder.read(JournalFolder.SNAPSHOT)) {
-      RecordFormat.readComplete(
-          folder.path(JournalFolder.SNAPSHOT),
-          input,
-          payload -> read[0] = ControlCodec.decode(payload, StoredSnapshot.class));
-    }
+    reader(JournalFolder.SNAPSHOT, RecordFormat.VERSION)
+        .readComplete(payload -> read[0] = ControlCodec.decode(payload, StoredSnapshot.class));
     return Optional.of(read[0]);
   }
 
@@ -118,18 +110,19 @@
   private void readSegment(long number, boolean isLast) throws IOException {
     String name = JournalFolder.segmentName(number);
     lastIndexBySegment.put(number, 0L);
-    try (InputStream input = folder.read(name)) {
-      if (isLast) {
-        validBytes =
-            RecordFormat.readUpToTornTail(
-                folder.path(name), input, RecordFormat.VERSION, p -> apply(number, p));
-      } else {
-        RecordFormat.readComplete(folder.path(name), input, p -> apply(number, p));
-      }
+    RecordReader records = reader(name, RecordFormat.VERSION);
+    if (isLast) {
+      validBytes = records.readUpToTornTail(payload -> apply(number, payload));
+    } else {
+      records.readComplete(payload -> apply(number, payload));
     }
   }
 
-  private void apply(long segment, byte[] payload) {
+  private RecordReader reader(String name, int version) {
+    return new RecordReader(folder.path(name), () -> folder.read(name), version);
+  }
+
+  private void apply(long segment, InputStream payload) {
     for (ReplicationEffect.Persist effect : ControlCodec.decode(payload, Batch.class).effects()) {
       state.apply(effect);
       effect.entries().forEach(e -> lastIndexBySegment.merge(segment, e.index(), Math::max));
--- a/src/main/java/io/coltsfootwheel/model/ControlCodec.java
+++ b/src/main/java/io/coltsfootwheel/model/ControlCodec.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.stream.Stream;
@@ -84,8 +85,30 @@
     try {
       return MAPPER.readValue(bytes, type);
     } catch (IOException e) {
-      throw ColtsfootwheelException.of(
-          ErrorKind.INVALID_VALUE, "bytes do not decode to " + type.getSimpleName(), e);
+      throw invalid(type, e);
     }
   }
+
+  /**
+   * Decodes a value of which only the parts are kept in memory.
+   *
+   * @param input the MessagePack bytes; it is closed
+   * @param type the type to read
+   * @param <T> the type to read
+   * @return the value
+   * @throws ColtsfootwheelException with {@link ErrorKind#INVALID_VALUE} when the bytes are not an
+   *     encoding of the type, or cannot be read
+   */
+  public static <T> T decode(InputStream input, Class<T> type) {
+    try {
+      return MAPPER.readValue(input, type);
+    } catch (IOException e) {
+      throw invalid(type, e);
+    }
+  }
+
+  private static ColtsfootwheelException invalid(Class<?> type, IOException cause) {
+    return ColtsfootwheelException.of(
+        ErrorKind.INVALID_VALUE, "bytes do not decode to " + type.getSimpleName(), cause);
+  }
 }
