Bound the uncommitted entries of a leader by their bytes

Seen: a leader that has no quorum takes 100 proposals of 112 kB, or of 9 MiB; 8,192 of any size were allowed.

Cause: uncommitted entries were bounded by their number only. On the platform one configuration change is proposed at a time; the lists of operators of the daemon, up to 8 MiB each, are not held back.

Change: further proposals are rejected as overloaded while 8 MiB or more are uncommitted; the first one may be larger.

The tests of consensus, control and daemon and ReplicationSimulationTest pass.

--- a/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
+++ b/src/main/java/io/coltsfootwheel/consensus/LeaderState.java
@@ -15,6 +15,12 @@
   /** Full batches that may be sent to a member beyond its last acknowledged entry. */
   private static final int MAX_BATCHES_IN_FLIGHT = 4;
 
+  /**
+   * Size of the uncommitted entries at which further proposals are rejected; the first one may be
+   * larger.
+   */
+  private static final long MAX_UNCOMMITTED_BYTES = 8L * 1024 * 1024;
+
   private final MemberCore core;
   private final Map<MemberId, FollowerProgress> progress = new HashMap<>();
   private final Map<InstanceId, MemberId> currentIdentity = new HashMap<>();
@@ -53,7 +59,9 @@
   }
 
   void propose(long proposalId, byte[] command) {
-    if (core.log.lastIndex() - core.commitIndex() >= core.settings.maxUncommitted()) {
+    long lastIndex = core.log.lastIndex();
+    if (lastIndex - core.commitIndex() >= core.settings.maxUncommitted()
+        || core.log.reachesBytes(core.commitIndex(), lastIndex, MAX_UNCOMMITTED_BYTES)) {
       reject(proposalId, ProposalFailure.OVERLOADED);
     } else {
       proposalIdByIndex.put(appendEntry(EntryKind.COMMAND, command), proposalId);
--- a/src/test/java/io/coltsfootwheel/consensus/LargeCommandsTest.java
+++ b/src/test/java/io/coltsfootwheel/consensus/LargeCommandsTest.java
@@ -57,4 +57,17 @@
         sentEntries.stream().limit(sentEntries.size() - 1).mapToLong(e -> e.bytes().length).sum();
     assertThat(allButLastBytes).isLessThan(MAX_BYTES_IN_FLIGHT);
   }
+
+  /** Guards against a leader without quorum that takes large commands until its memory is used. */
+  @ParameterizedTest
+  @CsvSource({"1000, 100", "112000, 75", "1048576, 8", "9437184, 1"})
+  void uncommittedCommandsAreBoundedByTheirBytes(int commandBytes, long expectedAccepted) {
+    DrivenMember leader = DrivenMember.voter(3, 1).elect();
+    leader.acknowledge(member(2), 1);
+    for (int i = 0; i < COMMANDS; i++) {
+      leader.propose(new byte[commandBytes]);
+    }
+    long rejected = leader.effects(ReplicationEffect.ProposalRejected.class).count();
+    assertThat(COMMANDS - rejected).isEqualTo(expectedAccepted);
+  }
 }
