Bound the commands that a daemon member retains by their bytes

Seen: a member keeps the last 4,096 commands for followers, and sends all of them at once to one that was away: 100 commands of 112 kB are 11 MB, 4,096 of the 8 MiB that an operator may send are 32 GiB.

Evidence: CommandSubscribersTest#retainedCommandsAreBoundedByTheirBytes failed on in 2 of 3 cases and passes. The tests of daemon pass.

--- a/src/main/java/io/coltsfootwheel/daemon/CommandSubscribers.java
+++ b/src/main/java/io/coltsfootwheel/daemon/CommandSubscribers.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.daemon;
 
+import io.coltsfootwheel.consensus.SnapshotSchedule;
 import io.coltsfootwheel.control.ControlState;
 import io.coltsfootwheel.model.InstanceId;
 import java.util.ArrayDeque;
@@ -13,10 +14,15 @@
 /** Instances that subscribe to the committed commands at this control member. */
 final class CommandSubscribers {
   private static final int MAX_RETAINED_DELTAS = 4_096;
+
+  /** Size of the retained commands; a subscriber that lacks others gets the whole state. */
+  static final long MAX_RETAINED_BYTES = SnapshotSchedule.MAX_COMMAND_BYTES;
+
   private static final long SUBSCRIPTION_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
   private final TreeMap<InstanceId, Long> expiryNanosByInstance = new TreeMap<>();
   private final Deque<ControlMessage.StateDelta> retainedDeltas = new ArrayDeque<>();
+  private long retainedBytes;
 
   /** Encoded once for all subscribers, while the retained commands continue it. */
   private Optional<ControlMessage.StateSnapshot> snapshot = Optional.empty();
@@ -76,10 +82,7 @@
    * @return the messages to send
    */
   List<InstanceEffect> publish(long nowNanos, ControlMessage.StateDelta delta) {
-    retainedDeltas.addLast(delta);
-    if (retainedDeltas.size() > MAX_RETAINED_DELTAS) {
-      retainedDeltas.removeFirst();
-    }
+    retain(delta);
     expiryNanosByInstance.values().removeIf(expiryNanos -> nowNanos - expiryNanos >= 0);
     List<InstanceEffect> effects = new ArrayList<>(expiryNanosByInstance.size());
     for (InstanceId subscriber : expiryNanosByInstance.keySet()) {
@@ -88,9 +91,23 @@
     return effects;
   }
 
+  private void retain(ControlMessage.StateDelta delta) {
+    retainedDeltas.addLast(delta);
+    retainedBytes += delta.bytes().length;
+    while (retainedDeltas.size() > MAX_RETAINED_DELTAS || retainedBytes > MAX_RETAINED_BYTES) {
+      retainedBytes -= retainedDeltas.removeFirst().bytes().length;
+    }
+  }
+
+  /** Returns the size of the retained commands. */
+  long retainedBytes() {
+    return retainedBytes;
+  }
+
   /** Removes the retained commands, which do not lead to the state of an installed snapshot. */
   void clearRetained() {
     retainedDeltas.clear();
+    retainedBytes = 0;
     snapshot = Optional.empty();
   }
 }
--- a/src/test/java/io/coltsfootwheel/daemon/CommandSubscribersTest.java
+++ b/src/test/java/io/coltsfootwheel/daemon/CommandSubscribersTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Whole states for followers that lack them all at the same time, as after a restart. */
 class CommandSubscribersTest {
@@ -49,6 +51,28 @@
     assertThat(snapshotIn(subscribers.subscribe(0, SECOND, 0, second)).index()).isEqualTo(2);
   }
 
+  /**
+   * Guards against a member that keeps thousands of large commands for its followers, and sends
+   * them all to one that was away.
+   */
+  @ParameterizedTest
+  @CsvSource({"1000, 100", "112000, 37", "5000000, 0"})
+  void retainedCommandsAreBoundedByTheirBytes(int commandBytes, int expectedDeltas) {
+    for (int i = 1; i <= 100; i++) {
+      subscribers.publish(0, new ControlMessage.StateDelta(i, i + 1, new byte[commandBytes]));
+    }
+    ControlState state = ControlState.empty().apply(101, registration(FIRST)).state();
+    List<ControlMessage> sent =
+        subscribers.subscribe(0, SECOND, 1, state).stream()
+            .map(e -> ((InstanceEffect.SendMessage) e).message())
+            .toList();
+    long deltas = sent.stream().filter(ControlMessage.StateDelta.class::isInstance).count();
+    boolean isWhole = sent.stream().anyMatch(ControlMessage.StateSnapshot.class::isInstance);
+    assertThat(subscribers.retainedBytes()).isEqualTo((long) expectedDeltas * commandBytes);
+    assertThat(isWhole).isEqualTo(expectedDeltas < 100);
+    assertThat(deltas).isEqualTo(isWhole ? 0 : expectedDeltas);
+  }
+
   /** Guards against followers that request a state again while it is under way to them. */
   @Test
   void stateThatIsUnderWayIsRequestedLessAndLessOften() {
