Bound the results of operators' changes by their texts

Change: the texts of all results have at most 4 Mi characters; beyond that the oldest results go, the newest one stays. 10,000 accepted changes stay below it. During an upgrade members of both versions may remember a different number of old changes, once there are 4 Mi characters of them. A change that is sent again that late gets its first result from one and a conflict, for its old revision, from the other; neither applies it again. A change that was refused as invalid, and is valid now, would be applied by one only: not before that amount of texts.

The tests of control pass.

--- a/src/main/java/io/coltsfootwheel/control/ChangeResults.java
+++ b/src/main/java/io/coltsfootwheel/control/ChangeResults.java
@@ -12,13 +12,17 @@
  * same identity gets the result of the first submission.
  *
  * <p>Operators make about 2,200 changes a day, so copying the map on each change is cheap enough,
- * and 10,000 identities cover more than four days.
+ * and 10,000 identities cover more than four days. Results with long texts push the oldest out
+ * earlier, because they are part of each snapshot.
  *
  * @param results result of each change identity, oldest first
  */
 record ChangeResults(Map<String, CommandResult> results) {
   static final int MAX_RESULTS = 10_000;
 
+  /** Length of all texts; 10,000 results without one and with identities of 128 stay below it. */
+  static final long MAX_TEXT_LENGTH = 4 * 1024 * 1024;
+
   static ChangeResults empty() {
     return new ChangeResults(Map.of());
   }
@@ -31,9 +35,19 @@
     Map<String, CommandResult> changed = new LinkedHashMap<>(results);
     changed.put(changeId, result);
     List<String> ids = new ArrayList<>(changed.keySet());
-    for (int i = 0; i < ids.size() - MAX_RESULTS; i++) {
-      changed.remove(ids.get(i));
+    long textLength = 0;
+    for (Map.Entry<String, CommandResult> entry : changed.entrySet()) {
+      textLength += textLength(entry);
+    }
+    int i = 0;
+    while (changed.size() > 1 && (changed.size() > MAX_RESULTS || textLength > MAX_TEXT_LENGTH)) {
+      textLength -= textLength(Map.entry(ids.get(i), changed.remove(ids.get(i))));
+      i++;
     }
     return new ChangeResults(Collections.unmodifiableMap(changed));
   }
+
+  private static long textLength(Map.Entry<String, CommandResult> result) {
+    return result.getKey().length() + result.getValue().textLength();
+  }
 }
--- a/src/main/java/io/coltsfootwheel/control/CommandResult.java
+++ b/src/main/java/io/coltsfootwheel/control/CommandResult.java
@@ -13,6 +13,15 @@
   @JsonSubTypes.Type(value = CommandResult.Rejected.class, name = "rejected")
 })
 public sealed interface CommandResult {
+  /**
+   * Returns the length of the texts of the result.
+   *
+   * @return the characters
+   */
+  default long textLength() {
+    return 0;
+  }
+
   /**
    * The command was applied.
    *
@@ -33,6 +42,11 @@
     public Conflict {
       differences = List.copyOf(differences);
     }
+
+    @Override
+    public long textLength() {
+      return differences.stream().mapToLong(String::length).sum();
+    }
   }
 
   /**
@@ -41,5 +55,10 @@
    * @param kind kind of the error
    * @param detail what is wrong
    */
-  record Rejected(ErrorKind kind, String detail) implements CommandResult {}
+  record Rejected(ErrorKind kind, String detail) implements CommandResult {
+    @Override
+    public long textLength() {
+      return detail.length();
+    }
+  }
 }
--- a/src/test/java/io/coltsfootwheel/control/ListCommandsTest.java
+++ b/src/test/java/io/coltsfootwheel/control/ListCommandsTest.java
@@ -7,6 +7,7 @@
 import io.coltsfootwheel.control.Fixtures.CommandLog;
 import io.coltsfootwheel.model.Allowance;
 import io.coltsfootwheel.model.CustomerId;
+import io.coltsfootwheel.model.ErrorKind;
 import io.coltsfootwheel.model.PlanName;
 import io.coltsfootwheel.model.ServiceName;
 import java.util.Map;
@@ -72,4 +73,18 @@
     assertThat(changeResults.firstResult("c-0")).isEmpty();
     assertThat(changeResults.firstResult("c-1")).contains(new CommandResult.Accepted(1));
   }
+
+  /** Guards against snapshots that grow with the texts of refused changes. */
+  @Test
+  void keepsResultsWithinTheirTexts() {
+    ChangeResults changeResults = ChangeResults.empty();
+    for (int i = 0; i < 1_000; i++) {
+      String detail = "x".repeat(15_000);
+      changeResults =
+          changeResults.with("c-" + i, new CommandResult.Rejected(ErrorKind.INVALID_VALUE, detail));
+    }
+    assertThat(changeResults.results()).hasSizeBetween(270, 280).containsKey("c-999");
+    CommandResult huge = new CommandResult.Rejected(ErrorKind.INVALID_VALUE, "x".repeat(5_000_000));
+    assertThat(changeResults.with("huge", huge).results()).containsOnlyKeys("huge");
+  }
 }
