Handle each request by one version, and open connections by the newest limits

Seen: maxBodyBytes is raised; over 2 s after the acknowledgement 20 of 100 proper requests on kept connections are refused with 413. In tests of relay on: heads on kept connections are refused or taken by the old limit, idle connections close by the old time or stay open, a head has the time of the version at its connection's accept, a response is cut by the idle time of an older version, and a request that waits behind another one is handled by a later version than the limits by which it was read.

Cause: ClientChannel gave the decoder, the aggregator, the idle handler, the guard of heads and the check of stalled responses the numbers in force at the accept, and they read no others. An exchange took its route from the newest version when it started, so a request had the limits of one version and the route of another.

Change: the decoder takes the newest version (RouteTable) at the first byte of a head; that version goes with the request (RelayRequest.routes) to its response: size and time of the head, body, trailers, route, service, repetition, timeouts, and how long the client may take no bytes of the response. Between two requests the newest version applies to a connection, and a change checks idle times again without starting them anew (IdleTimeout). The decoder itself allows the largest head of any version, and counts fields as the base class does; the aggregator is replaced before a request to which another limit applies. Before the first configuration the largest limits apply, since the first one may allow them; a request read then is handled by the first version, its body included.

--- a/src/main/java/io/coltsfootwheel/relay/ClientChannel.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientChannel.java
@@ -6,8 +6,6 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.timeout.IdleStateHandler;
-import java.util.concurrent.TimeUnit;
 import reactor.netty.Connection;
 
 /** Adds the handlers of a client connection, in the order in which input passes them. */
@@ -28,40 +26,39 @@
    * Adds the handlers and starts to read.
    *
    * @param connection connection of a client
-   * @param limits limits of what the client may send
    */
-  void addHandlers(Connection connection, ClientLimits limits) {
+  void addHandlers(Connection connection) {
     ClientRequestDecoder decoder =
         new ClientRequestDecoder(
             new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.maxHeaderBytes()));
+                .setMaxHeaderSize(ClientLimits.MAX_HEADER_BYTES),
+            relay::newestRoutes);
     RequestReadProgress progress = new RequestReadProgress(decoder);
     ClientInputGuard guard =
         new ClientInputGuard(
             connection.channel(),
             decoder,
             budgets.input(),
-            limits.headerTimeoutMillis(),
             () -> closeForMemory(connection, "input uses too much memory"));
     InputGate gate = new InputGate(() -> progress.incompleteRequest().isPresent(), guard);
     decoder.suspendWhile(gate::isSuspended);
-    ClientHandler client =
-        new ClientHandler(relay, progress, gate, guard, limits.idleTimeoutMillis());
+    ClientHandler client = new ClientHandler(relay, decoder, progress, gate, guard);
     if (!budgets.connections().admit(connection.channel(), client::mayClose)) {
       return;
     }
     guard.onHeadLate(client::rejectLateHead);
+    BodyAggregation bodies = new BodyAggregation(decoder, max -> aggregator(client, max));
     connection.addHandlerLast(gate);
     connection.addHandlerLast(decoder);
     connection.addHandlerLast(new HttpResponseEncoder());
     connection.addHandlerLast("received-messages", progress.messageHandler());
+    connection.addHandlerLast("body-aggregation", bodies);
     connection.addHandlerLast(
         new BufferedBodyLimiter(
             budgets.bodies(), () -> closeForMemory(connection, "bodies use too much memory")));
-    connection.addHandlerLast(aggregator(client, (int) limits.maxBodyBytes()));
-    connection.addHandlerLast(
-        new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
+    connection.addHandlerLast(BodyAggregation.aggregatorName(), bodies.aggregator());
+    connection.addHandlerLast(client.idleTimeout());
     connection.addHandlerLast(client);
     connection.channel().config().setAutoRead(true);
   }
--- a/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientHandler.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.routing.ClientLimits;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,7 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.IdleStateEvent;
+import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -59,17 +60,21 @@
   private static final long STALLED_MILLIS = 5_000;
 
   private final Relay relay;
+  private final ClientRequestDecoder decoder;
   private final RequestReadProgress progress;
   private final InputGate gate;
   private final ClientInputGuard guard;
   private final ClientRequestParser parser;
   private final PipelinedResponses responses;
   private final WriteProgress writeProgress = new WriteProgress(System.nanoTime());
-  private final long idleTimeoutMillis;
+  private final IdleTimeout idleTimeout = new IdleTimeout(this::idleMillis, this::closeWhenIdle);
   private final long connectedNanos = System.nanoTime();
 
-  /** Responses not yet fully written to the socket; closing now would truncate them. */
-  private int pendingWrites;
+  /**
+   * Time for which the client may take no bytes of each response that is not yet fully written to
+   * the socket; closing now would truncate them.
+   */
+  private final ArrayDeque<Long> pendingWriteStallMillis = new ArrayDeque<>();
 
   private boolean hasReadRequest;
 
@@ -89,25 +94,24 @@
    * Creates a handler.
    *
    * @param relay the relay
+   * @param decoder decodes the requests, and knows the version by which each is handled
    * @param progress tracks requests received in part
    * @param gate suspends the input of the connection
    * @param guard bounds the input that is no request yet
-   * @param idleTimeoutMillis time after which a client that takes no response is disconnected, 0
-   *     for none
    */
   ClientHandler(
       Relay relay,
+      ClientRequestDecoder decoder,
       RequestReadProgress progress,
       InputGate gate,
-      ClientInputGuard guard,
-      long idleTimeoutMillis) {
+      ClientInputGuard guard) {
     this.relay = relay;
+    this.decoder = decoder;
     this.progress = progress;
     this.gate = gate;
     this.guard = guard;
     this.parser = new ClientRequestParser(relay.headerNames());
     this.responses = new PipelinedResponses(this, relay.budgets());
-    this.idleTimeoutMillis = idleTimeoutMillis;
   }
 
   @Override
@@ -116,6 +120,22 @@
     relay.clientConnected(this);
   }
 
+  /** Returns the handler that reports that the connection is idle, to place before this one. */
+  IdleTimeout idleTimeout() {
+    return idleTimeout;
+  }
+
+  /** Applies other limits than before to the connection, from now on. */
+  void limitsChanged() {
+    idleTimeout.timeoutChanged();
+  }
+
+  /** Returns the time for which the connection may be idle now. */
+  private long idleMillis() {
+    ClientLimits limits = progress.isPartial() ? decoder.limits() : relay.newestRoutes().limits();
+    return limits.idleTimeoutMillis();
+  }
+
   /** Closes the connection at its idle timeout unless a request or response is in progress. */
   private void closeWhenIdle() {
     if (!isBusy()) {
@@ -149,7 +169,7 @@
     relay.recordIncompleteRefusal(request.headers());
     HttpHeaders headers = new DefaultHttpHeaders();
     RetryAfter.ENTRY_STOPPING.addTo(headers);
-    write(unavailable(headers), true);
+    write(unavailable(headers), true, decoder.limits());
   }
 
   void close() {
@@ -165,7 +185,7 @@
   }
 
   boolean isBusy() {
-    return hasUnansweredRequests() || pendingWrites > 0;
+    return hasUnansweredRequests() || !pendingWriteStallMillis.isEmpty();
   }
 
   boolean hasUnansweredRequests() {
@@ -202,7 +222,8 @@
   private void add(FullHttpRequest request, boolean closes) {
     long headBytes = guard.headBytes();
     if (countMemory(headBytes, request.content().readableBytes())) {
-      responses.add(parser.parse(request.retain(), System.nanoTime()), closes, headBytes);
+      responses.add(
+          parser.parse(request.retain(), System.nanoTime(), decoder.routes()), closes, headBytes);
       return;
     }
     relay.recordMemoryRefusal(request.headers());
@@ -212,7 +233,7 @@
       headers.set(idName, request.headers().get(idName));
     }
     RetryAfter.MEMORY_EXCEEDED.addTo(headers);
-    responses.addResponse(unavailable(headers), closes);
+    responses.addResponse(unavailable(headers), closes, decoder.limits());
   }
 
   private boolean countMemory(long headBytes, long bodyBytes) {
@@ -245,7 +266,9 @@
     gate.stop();
     if (!lastResponseWritten && !responses.isClosing()) {
       responses.addResponse(
-          new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER), true);
+          new RelayResponse(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER),
+          true,
+          decoder.limits());
     }
   }
 
@@ -316,6 +339,7 @@
 
   @Override
   public boolean isWritable() {
+    int pendingWrites = pendingWriteStallMillis.size();
     return pendingWrites == 0
         || pendingWrites < MAX_PENDING_WRITES && channelContext.channel().isWritable();
   }
@@ -328,7 +352,7 @@
 
   /** Writes the response to the first unanswered request; closes the connection after the last. */
   @Override
-  public void write(RelayResponse response, boolean closes) {
+  public void write(RelayResponse response, boolean closes, ClientLimits limits) {
     boolean last = closes || relay.stopState().closesConnections() && !hasMoreInput();
     FullHttpResponse httpResponse =
         new DefaultFullHttpResponse(
@@ -343,12 +367,12 @@
       httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
       lastResponseWritten = true;
     }
-    pendingWrites++;
+    pendingWriteStallMillis.add(limits.idleTimeoutMillis());
     responses.changeUnwrittenBytes(bodyBytes);
     ChannelFuture writeFuture = channelContext.writeAndFlush(httpResponse);
     writeFuture.addListener(
         future -> {
-          pendingWrites--;
+          pendingWriteStallMillis.remove();
           writeProgress.countCompleted();
           responses.changeUnwrittenBytes(-bodyBytes);
           relay.bodyBudget().removeComplete(bodyBytes);
@@ -375,12 +399,12 @@
 
   private void checkWriteProgress() {
     checksWriteProgress = false;
-    if (pendingWrites == 0 || !channelContext.channel().isActive()) {
+    if (pendingWriteStallMillis.isEmpty() || !channelContext.channel().isActive()) {
       return;
     }
     writeProgress.update(channelContext.channel(), System.nanoTime());
-    if (idleTimeoutMillis > 0
-        && writeProgress.stalledMillis(System.nanoTime()) >= idleTimeoutMillis) {
+    long maxStallMillis = pendingWriteStallMillis.element();
+    if (maxStallMillis > 0 && writeProgress.stalledMillis(System.nanoTime()) >= maxStallMillis) {
       closeStalled();
     } else {
       scheduleWriteCheck();
@@ -389,7 +413,8 @@
 
   /** Returns whether the client has not taken bytes of its responses for some seconds. */
   boolean isStalled() {
-    return pendingWrites > 0 && writeProgress.stalledMillis(System.nanoTime()) >= STALLED_MILLIS;
+    return !pendingWriteStallMillis.isEmpty()
+        && writeProgress.stalledMillis(System.nanoTime()) >= STALLED_MILLIS;
   }
 
   long unwrittenBytes() {
@@ -423,14 +448,6 @@
     }
   }
 
-  @Override
-  public void userEventTriggered(ChannelHandlerContext context, Object event) {
-    if (event instanceof IdleStateEvent) {
-      closeWhenIdle();
-    }
-    context.fireUserEventTriggered(event);
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     responses.cancelAll();
--- a/src/main/java/io/coltsfootwheel/relay/ClientInputGuard.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientInputGuard.java
@@ -17,13 +17,13 @@
   private final Channel channel;
   private final ClientRequestDecoder decoder;
   private final ConnectionMemoryBudget budget;
-  private final long headTimeoutMillis;
   private final Runnable onAborted;
   private Runnable onHeadLate = () -> {};
   private long usedBytes;
   private Optional<Long> headStartNanos = Optional.empty();
   private boolean isHeadOverdue;
   private Optional<ScheduledFuture<?>> check = Optional.empty();
+  private long checkNanos;
 
   /**
    * Creates a guard.
@@ -31,19 +31,16 @@
    * @param channel connection of the client
    * @param decoder decodes its requests
    * @param budget memory of all clients
-   * @param headTimeoutMillis time in which a head must be complete, 0 for no limit
    * @param onAborted closes the connection because input uses too much memory
    */
   ClientInputGuard(
       Channel channel,
       ClientRequestDecoder decoder,
       ConnectionMemoryBudget budget,
-      long headTimeoutMillis,
       Runnable onAborted) {
     this.channel = channel;
     this.decoder = decoder;
     this.budget = budget;
-    this.headTimeoutMillis = headTimeoutMillis;
     this.onAborted = onAborted;
   }
 
@@ -81,15 +78,29 @@
     if (suspended || !decoder.isInsideHead()) {
       headStartNanos = Optional.empty();
       isHeadOverdue = false;
-    } else if (headStartNanos.isEmpty() && headTimeoutMillis > 0) {
+    } else if (headStartNanos.isEmpty() && headTimeoutMillis() > 0) {
       headStartNanos = Optional.of(System.nanoTime());
-      if (check.isEmpty()) {
-        scheduleCheck(headTimeoutMillis);
-      }
+      scheduleFirstCheck();
+    }
+  }
+
+  /** Returns the time in which the current head must be complete, 0 for no limit. */
+  private long headTimeoutMillis() {
+    return decoder.limits().headerTimeoutMillis();
+  }
+
+  /** Keeps the check for an earlier head, unless its version allowed that head more time. */
+  private void scheduleFirstCheck() {
+    long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(headTimeoutMillis());
+    boolean isEarlier = check.isEmpty() || dueNanos - checkNanos < 0;
+    if (isEarlier) {
+      check.ifPresent(task -> task.cancel(false));
+      scheduleCheck(headTimeoutMillis());
     }
   }
 
   private void scheduleCheck(long delayMillis) {
+    checkNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
     check =
         Optional.of(
             channel
@@ -103,8 +114,8 @@
       return;
     }
     long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - headStartNanos.get());
-    if (ageMillis < headTimeoutMillis) {
-      scheduleCheck(headTimeoutMillis - ageMillis);
+    if (ageMillis < headTimeoutMillis()) {
+      scheduleCheck(headTimeoutMillis() - ageMillis);
     } else if (isHeadOverdue) {
       onHeadLate.run();
     } else {
--- a/src/main/java/io/coltsfootwheel/relay/ClientRequestParser.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientRequestParser.java
@@ -1,5 +1,6 @@
 package io.coltsfootwheel.relay;
 
+import io.coltsfootwheel.routing.RouteTable;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -23,8 +24,9 @@
    *
    * @param request the request; its reference passes to the result
    * @param receivedNanos monotonic time at which it was read
+   * @param routes version of the configuration by which it is handled
    */
-  RelayRequest parse(FullHttpRequest request, long receivedNanos) {
+  RelayRequest parse(FullHttpRequest request, long receivedNanos, RouteTable routes) {
     HttpHeaders headers = request.headers();
     return new RelayRequest(
         headers.get(headerNames.requestId(), ""),
@@ -35,7 +37,8 @@
         request.content(),
         parseKey(headers.get(headerNames.key())),
         parseNonNegative(headers.get(headerNames.deadlineMillis())),
-        receivedNanos);
+        receivedNanos,
+        routes);
   }
 
   /** Returns the status that answers a request which could not be decoded. */
--- a/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
+++ b/src/main/java/io/coltsfootwheel/relay/PipelinedResponses.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.loadcontrol.RequestPipeline;
+import io.coltsfootwheel.routing.ClientLimits;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -41,8 +42,9 @@
      * @param response the response; its reference passes to the connection, which stops counting
      *     its body as complete when it is written
      * @param closes whether it closes the connection in any case
+     * @param limits limits on the request that it answers
      */
-    void write(RelayResponse response, boolean closes);
+    void write(RelayResponse response, boolean closes, ClientLimits limits);
 
     /** Called when a response became known; calls {@link #advance} when that is possible. */
     void proceed();
@@ -52,14 +54,16 @@
   private static final class Item {
     private Optional<RelayRequest> request;
     private final boolean closes;
+    private final ClientLimits limits;
     private long headBytes;
     private boolean isIdempotent = true;
     private Optional<RelayExchange> exchange = Optional.empty();
     private Optional<RelayResponse> response = Optional.empty();
 
-    Item(Optional<RelayRequest> request, boolean closes, long headBytes) {
+    Item(Optional<RelayRequest> request, boolean closes, ClientLimits limits, long headBytes) {
       this.request = request;
       this.closes = closes;
+      this.limits = limits;
       this.headBytes = headBytes;
     }
   }
@@ -82,13 +86,15 @@
    * whose response closes the connection.
    */
   void add(RelayRequest request, boolean closes, long headBytes) {
-    Item item = new Item(Optional.of(request), closes, headBytes);
+    ClientLimits limits = request.routes().limits();
+    Item item = new Item(Optional.of(request), closes, limits, headBytes);
     pipeline.add(item, closes, headBytes + request.body().readableBytes());
   }
 
-  /** Adds the response to a request that is not forwarded. */
-  void addResponse(RelayResponse response, boolean closes) {
-    finish(pipeline.add(new Item(Optional.empty(), closes, 0), closes, 0), response);
+  /** Adds the response to a request that is not forwarded, and to which limits apply. */
+  void addResponse(RelayResponse response, boolean closes, ClientLimits limits) {
+    Item item = new Item(Optional.empty(), closes, limits, 0);
+    finish(pipeline.add(item, closes, 0), response);
   }
 
   private void finish(RequestPipeline.Entry<Item> entry, RelayResponse response) {
@@ -133,7 +139,8 @@
       return false;
     }
     Optional<Item> answered = pipeline.takeAnswered();
-    answered.ifPresent(item -> connection.write(item.response.orElseThrow(), item.closes));
+    answered.ifPresent(
+        item -> connection.write(item.response.orElseThrow(), item.closes, item.limits));
     return answered.isPresent();
   }
 
--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -13,7 +13,9 @@
 import io.coltsfootwheel.model.AvailabilityZone;
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.ClientLimits;
 import io.coltsfootwheel.routing.Configuration;
+import io.coltsfootwheel.routing.RouteTable;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -147,7 +149,11 @@
   public void configure(Configuration configuration) {
     runOnEventLoop(
         () -> {
+          ClientLimits limitsBefore = routing.routes().limits();
           routing.updateConfiguration(configuration);
+          if (!routing.routes().limits().equals(limitsBefore)) {
+            List.copyOf(clients).forEach(ClientHandler::limitsChanged);
+          }
           log.write(LogEvent.of("configuration.applied").with("version", configuration.version()));
           routingApplied();
         });
@@ -351,7 +357,12 @@
   }
 
   private void onConnection(Connection connection) {
-    clientChannel.addHandlers(connection, routing.routes().limits().applicable());
+    clientChannel.addHandlers(connection);
+  }
+
+  /** Returns the version of the configuration by which new requests are handled. */
+  RouteTable newestRoutes() {
+    return routing.routes();
   }
 
   void clientConnected(ClientHandler client) {
@@ -412,7 +423,7 @@
    */
   boolean isIdempotent(RelayRequest request) {
     return routing
-        .routes()
+        .routesOf(request)
         .find(request.host(), request.uri())
         .map(route -> route.kind().isIdempotent())
         .orElse(routing.isComplete());
--- a/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayExchange.java
@@ -4,6 +4,7 @@
 import io.coltsfootwheel.model.ServiceName;
 import io.coltsfootwheel.model.TargetId;
 import io.coltsfootwheel.routing.Route;
+import io.coltsfootwheel.routing.RouteTable;
 import io.coltsfootwheel.routing.ServicePolicy;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -48,6 +49,7 @@
   private final Consumer<RelayResponse> responder;
   private final Set<TargetId> triedTargets = new HashSet<>();
   private final ExchangeTimers timers = new ExchangeTimers();
+  private RouteTable routes;
   private Optional<Route> route = Optional.empty();
   private Optional<ServicePolicy> service = Optional.empty();
   private long deadlineNanos;
@@ -75,6 +77,7 @@
     this.context = context;
     this.request = request;
     this.responder = responder;
+    this.routes = request.routes();
     this.deadlineNanos =
         request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(request.deadlineMillis().orElse(0));
   }
@@ -96,13 +99,19 @@
       }
       return;
     }
-    route = context.routing().routes().find(request.host(), request.uri());
+    routes = context.routing().routesOf(request);
+    if (request.body().readableBytes() > routes.limits().maxBodyBytes()) {
+      // Read before the first configuration was known.
+      respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large", RetryAfter.NONE);
+      return;
+    }
+    route = routes.find(request.host(), request.uri());
     if (route.isEmpty()) {
       refuseUnknownRoute();
       return;
     }
     ServiceName name = route.get().choose(context.nextRandom()).service();
-    service = context.routing().routes().service(name);
+    service = routes.service(name);
     if (service.isEmpty()) {
       refuse("service is not configured", DEFAULT_RETRY_AFTER_MILLIS);
       return;
@@ -127,13 +136,17 @@
         context
             .deadlineTracker()
             .waitedMillis(request.receivedNanos(), route.get().name(), request.deadlineMillis());
+    recordDemand(name);
+    decide();
+  }
+
+  private void recordDemand(ServiceName name) {
     context.retryBudget().recordRequest(request.receivedNanos(), name);
-    context.priorityReserve().recordRequest(name, route.get().priority());
+    context.priorityReserve().recordRequest(name, route.orElseThrow().priority());
     request.key().ifPresent(key -> context.countKey(name, key));
-    if (!service.get().keyed()) {
+    if (!service.orElseThrow().keyed()) {
       context.permitDemand().recordUnkeyed(name);
     }
-    decide();
   }
 
   /**
@@ -570,7 +583,7 @@
                 .with("limit", refusalTarget.map(t -> t.concurrencyLimit(nowNanos)).orElse(0))
                 .with("detail", detail)
                 .with("last_failure", lastFailure)
-                .with("configuration", context.routing().routes().version())
+                .with("configuration", routes.version())
                 .with("view_age_ms", context.leaderContactAgeMillis())
                 .with("routes_age_ms", context.freshness().configurationAgeMillis(nowNanos))
                 .with("owners_age_ms", context.freshness().ownershipAgeMillis(nowNanos))
--- a/src/main/java/io/coltsfootwheel/relay/RelayRequest.java
+++ b/src/main/java/io/coltsfootwheel/relay/RelayRequest.java
@@ -1,6 +1,7 @@
 package io.coltsfootwheel.relay;
 
 import io.coltsfootwheel.model.TargetId;
+import io.coltsfootwheel.routing.RouteTable;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -24,6 +25,7 @@
  * @param key key, if the client sent a valid one
  * @param deadlineMillis time for which the client will wait, if it stated one
  * @param receivedNanos monotonic time at which the relay had read the complete request
+ * @param routes version of the configuration that was in force when its head began
  */
 record RelayRequest(
     String id,
@@ -34,7 +36,8 @@
     ByteBuf body,
     OptionalInt key,
     OptionalLong deadlineMillis,
-    long receivedNanos) {
+    long receivedNanos,
+    RouteTable routes) {
 
   /**
    * Returns this request as it is sent to a target. It holds a reference of its own to the body.
--- a/src/main/java/io/coltsfootwheel/relay/RequestAggregator.java
+++ b/src/main/java/io/coltsfootwheel/relay/RequestAggregator.java
@@ -60,6 +60,11 @@
     onRejected.accept(status);
   }
 
+  /** Returns whether a request was rejected, so that all that follows is dropped. */
+  boolean hasRejected() {
+    return rejected;
+  }
+
   /** Drops what follows a rejected request, whose body the client may or may not have sent. */
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -170,6 +170,14 @@
     return routes;
   }
 
+  /**
+   * Returns the version by which a request is handled: that of its head, or the newest one if there
+   * was none then.
+   */
+  RouteTable routesOf(RelayRequest request) {
+    return request.routes().version() > 0 ? request.routes() : routes;
+  }
+
   boolean isComplete() {
     return hasOwnership && routes.version() > 0;
   }
--- a/src/main/java/io/coltsfootwheel/routing/ClientLimits.java
+++ b/src/main/java/io/coltsfootwheel/routing/ClientLimits.java
@@ -16,9 +16,20 @@
   public static final ClientLimits DEFAULT =
       new ClientLimits(16 * 1024, 8L * 1024 * 1024, 5_000, 60_000);
 
+  /** Largest request header that any configuration allows. */
+  public static final int MAX_HEADER_BYTES = 256 * 1024;
+
   private static final int MIN_HEADER_BYTES = 1_024;
-  private static final int MAX_HEADER_BYTES = 256 * 1024;
   private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
+
+  /** Limits before the first configuration is known: a request that it may allow is not refused. */
+  public static final ClientLimits UNCONFIGURED =
+      new ClientLimits(
+          MAX_HEADER_BYTES,
+          MAX_BODY_BYTES,
+          DEFAULT.headerTimeoutMillis(),
+          DEFAULT.idleTimeoutMillis());
+
   private static final long MAX_TIMEOUT_MILLIS = TimeUnit.DAYS.toMillis(1);
 
   /**
--- a/src/main/java/io/coltsfootwheel/routing/RouteTable.java
+++ b/src/main/java/io/coltsfootwheel/routing/RouteTable.java
@@ -9,9 +9,13 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Finds the route of a request: the one of its host with the longest matching path prefix. */
+/**
+ * One version of the configuration, by which a request is handled from its head to its response.
+ * Finds the route of a request: the one of its host with the longest matching path prefix.
+ */
 public final class RouteTable {
-  private static final RouteTable EMPTY = of(Configuration.empty());
+  private static final RouteTable EMPTY =
+      new RouteTable(0, Map.of(), Map.of(), ClientLimits.UNCONFIGURED);
 
   private final long version;
   private final Map<String, List<Route>> routesByHost;
@@ -47,7 +51,7 @@
     }
     Comparator<Route> longestFirst = Comparator.comparingInt(r -> -r.pathPrefix().length());
     routes.values().forEach(list -> list.sort(longestFirst));
-    return new RouteTable(configuration.version(), routes, services, limits);
+    return new RouteTable(configuration.version(), routes, services, limits.applicable());
   }
 
   /**
@@ -71,7 +75,7 @@
   /**
    * Returns the limits on clients.
    *
-   * @return the limits
+   * @return the limits, each of which a server can apply
    */
   public ClientLimits limits() {
     return limits;
--- a/src/test/java/io/coltsfootwheel/relay/HoldingTarget.java
+++ b/src/test/java/io/coltsfootwheel/relay/HoldingTarget.java
@@ -14,18 +14,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * Target on the loopback interface that answers each request with its path. A request whose path
- * contains "hold" is answered only after its path was released; only such a request may have a
- * body.
+ * contains "hold" is answered only after its path was released.
  */
 final class HoldingTarget implements AutoCloseable {
   private static final Pattern PATH = Pattern.compile("^\\S+ (\\S+) ");
   private static final Pattern ID = Pattern.compile("\\r\\nid: (.*?)\\r\\n");
+  private static final Pattern LENGTH = Pattern.compile("(?i)\\r\\ncontent-length: (\\d+)\\r\\n");
   private static final int POLL_MILLIS = 5;
 
   private final OwnershipView.Target view;
@@ -33,6 +34,7 @@
   private final int bodyBytes;
   private final List<String> received = new CopyOnWriteArrayList<>();
   private final List<String> cancelled = new CopyOnWriteArrayList<>();
+  private final AtomicInteger openConnections = new AtomicInteger();
   private volatile boolean reads = true;
   private final Set<String> released = ConcurrentHashMap.newKeySet();
 
@@ -70,6 +72,11 @@
     return List.copyOf(cancelled);
   }
 
+  /** Returns the connections that are open now. */
+  int openConnections() {
+    return openConnections.get();
+  }
+
   void release(String... paths) {
     released.addAll(List.of(paths));
   }
@@ -85,13 +92,16 @@
   }
 
   private void serve(Socket socket) {
+    openConnections.incrementAndGet();
     try (socket) {
       socket.setSoTimeout(POLL_MILLIS);
       String head = readHead(socket);
       while (!head.isEmpty()) {
         String path = find(PATH, head);
         received.add(path);
-        if (path.contains("hold") && !awaitRelease(socket, path)) {
+        if (!path.contains("hold")) {
+          readBody(socket, find(LENGTH, head));
+        } else if (!awaitRelease(socket, path)) {
           return;
         }
         String body = path + ".".repeat(Math.max(0, bodyBytes - path.length()));
@@ -103,6 +113,19 @@
       }
     } catch (IOException e) {
       // The relay closed the connection.
+    } finally {
+      openConnections.decrementAndGet();
+    }
+  }
+
+  private static void readBody(Socket socket, String length) throws IOException {
+    int missingBytes = length.isEmpty() ? 0 : Integer.parseInt(length);
+    while (missingBytes > 0) {
+      try {
+        missingBytes -= socket.getInputStream().read(new byte[missingBytes]);
+      } catch (SocketTimeoutException e) {
+        // The body is still on its way.
+      }
     }
   }
 
--- a/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
+++ b/src/test/java/io/coltsfootwheel/relay/RelayFixture.java
@@ -52,6 +52,16 @@
    * @param items routes and services
    */
   RelayFixture(long drainMillis, List<ConfigurationItem> items) {
+    this(drainMillis);
+    relay.configure(new Configuration(1, items, List.of()));
+  }
+
+  /** Returns a running relay without a configuration. */
+  static RelayFixture unconfigured() {
+    return new RelayFixture(DRAIN_MILLIS);
+  }
+
+  private RelayFixture(long drainMillis) {
     port = freePort();
     relay =
         new Relay(
@@ -67,7 +77,6 @@
             log,
             new SimpleMeterRegistry());
     relay.start();
-    relay.configure(new Configuration(1, items, List.of()));
   }
 
   /** Returns a keyed and an unkeyed service, each with an idempotent route of the same name. */
