Keep no more connections to a target than its service allows now

Seen: a service's maxConnections is lowered; an entry keeps and uses the connections that it opened under the earlier number, as long as requests come.

Cause: the share of an entry was read when a connection was opened, never when one was kept.

Change: a connection is kept for reuse only within the present share, which also follows the number of entries; a new configuration closes idle ones beyond it. Requests in progress end on theirs.

Evidence: ChangedLimitsTest#keptConnectionsToATargetFollowTheNewestVersion failed on (6 kept where 2 are allowed) and passes.

--- a/src/main/java/io/coltsfootwheel/relay/Relay.java
+++ b/src/main/java/io/coltsfootwheel/relay/Relay.java
@@ -102,7 +102,13 @@
     PacedWriter pacedWriter = PacedWriter.ofLink(settings.linkBytesPerSecond(), eventLoop);
     this.connections =
         new TargetConnections(
-            loopResources, eventLoop, settings.headerNames(), bodyBudget(), pacedWriter, log);
+            loopResources,
+            eventLoop,
+            settings.headerNames(),
+            bodyBudget(),
+            pacedWriter,
+            routing::maxConnections,
+            log);
     this.chooser =
         new TargetChooser(
             random,
@@ -154,6 +160,7 @@
           if (!routing.routes().limits().equals(limitsBefore)) {
             List.copyOf(clients).forEach(ClientHandler::limitsChanged);
           }
+          connections.closeExcess();
           log.write(LogEvent.of("configuration.applied").with("version", configuration.version()));
           routingApplied();
         });
--- a/src/main/java/io/coltsfootwheel/relay/RoutingState.java
+++ b/src/main/java/io/coltsfootwheel/relay/RoutingState.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -178,6 +179,14 @@
     return request.routes().version() > 0 ? request.routes() : routes;
   }
 
+  /** Returns the connections that this entry may keep to a target, empty for an unknown one. */
+  OptionalInt maxConnections(TargetId id) {
+    return target(id)
+        .flatMap(t -> routes.service(t.spec().service()))
+        .map(s -> OptionalInt.of(ConnectionShare.of(s.maxConnections(), entryCount)))
+        .orElseGet(OptionalInt::empty);
+  }
+
   boolean isComplete() {
     return hasOwnership && routes.version() > 0;
   }
--- a/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
+++ b/src/main/java/io/coltsfootwheel/relay/TargetConnections.java
@@ -14,7 +14,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.Executor;
+import java.util.function.Function;
 import reactor.netty.Connection;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
@@ -30,6 +32,7 @@
   private final ProtocolHeaderNames headerNames;
   private final BufferedBodyBudget budget;
   private final PacedWriter writer;
+  private final Function<TargetId, OptionalInt> maxConnections;
   private final EventLog log;
   private final Map<TargetId, Pool> pools = new HashMap<>();
   private long openedCount;
@@ -63,17 +66,30 @@
     }
   }
 
+  /**
+   * Creates pools without connections.
+   *
+   * @param loops event loops of the connections
+   * @param executor the relay's event loop
+   * @param headerNames names of the protocol's headers
+   * @param budget memory of the bodies of responses
+   * @param writer writes requests at the speed of the entry's link
+   * @param maxConnections returns the connections that may be kept to a target now
+   * @param log structured log
+   */
   TargetConnections(
       LoopResources loops,
       Executor executor,
       ProtocolHeaderNames headerNames,
       BufferedBodyBudget budget,
       PacedWriter writer,
+      Function<TargetId, OptionalInt> maxConnections,
       EventLog log) {
     this.executor = executor;
     this.headerNames = headerNames;
     this.budget = budget;
     this.writer = writer;
+    this.maxConnections = maxConnections;
     this.log = log;
     this.client =
         TcpClient.create(ConnectionProvider.newConnection())
@@ -149,6 +165,22 @@
     }
   }
 
+  /** Closes idle connections beyond what may be kept to their target now. */
+  void closeExcess() {
+    for (Pool pool : pools.values()) {
+      int excess = excess(pool);
+      while (excess > 0 && !pool.idle.isEmpty()) {
+        pool.idle.pollLast().close();
+        excess--;
+      }
+    }
+  }
+
+  private int excess(Pool pool) {
+    OptionalInt limit = maxConnections.apply(pool.target);
+    return limit.isPresent() ? pool.openCount - limit.getAsInt() : 0;
+  }
+
   private static TargetConnection takeIdle(Pool pool, String requestId) {
     long nowNanos = System.nanoTime();
     closeUnusable(pool, nowNanos);
@@ -228,9 +260,12 @@
     targetConnection.send(request, requestId, listener);
   }
 
-  /** Keeps a connection for reuse, unless its target was removed or has another address now. */
+  /**
+   * Keeps a connection for reuse, unless its target was removed or has another address now, or
+   * fewer connections may be kept to it.
+   */
   private void returnToPool(Pool pool, Address address, TargetConnection connection) {
-    if (isCurrent(pool, address)) {
+    if (isCurrent(pool, address) && excess(pool) <= 0) {
       pool.idle.addFirst(connection);
     } else {
       connection.close();
--- a/src/test/java/io/coltsfootwheel/relay/ChangedLimitsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/ChangedLimitsTest.java
@@ -377,4 +377,31 @@
     // Whether 404 or 503: the relay of this test does not know that no newer routes exist.
     assertThat(exchange(socket, get("third"))).isIn(404, 503);
   }
+
+  /** Guards against more kept connections to a target than its service allows now. */
+  @Test
+  void keptConnectionsToATargetFollowTheNewestVersion() throws Exception {
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      clients.add(connect());
+      send(clients.get(i), get("hold-" + i));
+    }
+    for (int i = 0; i < 6; i++) {
+      target.release("/any/hold-" + i);
+    }
+    for (Socket client : clients) {
+      assertThat(status(client)).isEqualTo(200);
+    }
+    ClientLimits limits = limits(HEAD, BODY, TIMEOUT, TIMEOUT);
+    assertThat(target.openConnections()).isEqualTo(6);
+    change(
+        List.of(
+            ConfigurationItem.of(new ServicePolicy(SERVICE, false, 4), "{}"),
+            ConfigurationItem.of(limits, "{}"),
+            RelayFixture.route("any", SERVICE, RouteKind.SAFE, 10_000)));
+    for (int i = 0; i < 200 && target.openConnections() > 2; i++) {
+      Thread.sleep(20);
+    }
+    assertThat(target.openConnections()).isEqualTo(2);
+  }
 }
--- a/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/TargetConnectionsTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -96,6 +97,7 @@
             HEADER_NAMES,
             new BufferedBodyBudget(1_000_000),
             PacedWriter.ofLink(OptionalLong.empty(), eventLoop),
+            id -> OptionalInt.empty(),
             log);
     RecordingListener listener = new RecordingListener(change.maySendAfterwards());
     FullHttpRequest request =
