Follow the slots that a target announces again

Seen: a target announces more slots without a restart; its dispatcher goes on sending it no more requests at once than its first announcement allowed, for as long as the dispatcher exists.

Cause: ConcurrencyLimit took the slots once, and was replaced only for a new incarnation.

--- a/src/main/java/io/coltsfootwheel/dispatch/ConcurrencyLimit.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/ConcurrencyLimit.java
@@ -23,7 +23,7 @@
    */
   private static final long MAX_SHEDDING_MILLIS = 2_000;
 
-  private final int maxLimit;
+  private int maxLimit;
   private int limit = 1;
   private int consecutiveFastReplies;
   private double meanServiceNanos;
@@ -34,6 +34,12 @@
     this.maxLimit = maxLimit;
   }
 
+  /** Sets another number of slots, which the target has announced. */
+  void setMaxLimit(int newMaxLimit) {
+    maxLimit = newMaxLimit;
+    limit = Math.min(limit, newMaxLimit);
+  }
+
   int current(long nowNanos) {
     if (shedding && nowNanos - shedUntilNanos < 0) {
       return limit - 1;
--- a/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
+++ b/src/main/java/io/coltsfootwheel/dispatch/TargetDispatcher.java
@@ -132,6 +132,7 @@
       limit = new ConcurrencyLimit(entry.spec().slots());
       notices = new TargetNotices();
     }
+    limit.setMaxLimit(entry.spec().slots());
     spec = entry.spec();
     status = entry.status();
     outcomes.specChanged(spec);
--- a/src/test/java/io/coltsfootwheel/dispatch/DispatchReducerTest.java
+++ b/src/test/java/io/coltsfootwheel/dispatch/DispatchReducerTest.java
@@ -33,6 +33,25 @@
     assertThat(fixture.sent()).containsExactly("a");
   }
 
+  /** Guards against a target that is held to the slots of its first announcement. */
+  @ParameterizedTest
+  @CsvSource({"6, 6", "1, 1"})
+  void followsAnotherNumberOfSlotsOfTheSameIncarnation(int slots, int expectedInFlight) {
+    DispatchFixture fixture = new DispatchFixture(true).warmUp();
+    fixture.control.putTarget(FakeControl.spec("t1", FakeControl.KEYED, slots, true, "plateau"));
+    fixture.viewChanged();
+    for (int i = 0; i < 30; i++) {
+      fixture.offer("fast" + i, 0, 5_000);
+      fixture.advance(10, true);
+      fixture.reply("fast" + i, COMPLETED);
+    }
+    fixture.effects.clear();
+    for (int i = 0; i < 10; i++) {
+      fixture.offer("a" + i, 0, 5_000);
+    }
+    assertThat(fixture.sent()).hasSize(expectedInFlight);
+  }
+
   @ParameterizedTest
   @CsvSource({"399, true", "400, false", "5000, false"})
   void sendsOnlyWithinTheLease(long sinceExtensionMillis, boolean expectSent) {
