Size the connection pool of a target by its present slots

Seen: the size of a pool follows from slots and connections of a target, but was computed again only when the connections, the address or the incarnation changed.

Change: the computed size decides.

--- a/src/main/java/io/coltsfootwheel/daemon/TargetPools.java
+++ b/src/main/java/io/coltsfootwheel/daemon/TargetPools.java
@@ -69,15 +69,18 @@
     boolean isSame =
         openSpec != null
             && openSpec.address().equals(spec.address())
-            && openSpec.connections() == spec.connections()
+            && connections(openSpec) == connections(spec)
             && openSpec.incarnation().equals(spec.incarnation());
     if (!isSame) {
       if (openSpec != null && !openSpec.incarnation().equals(spec.incarnation())) {
         targetClient.close(id);
       }
-      int connections = Math.min(spec.connections(), spec.slots() * CONNECTIONS_PER_SLOT);
-      targetClient.open(id, spec.address(), connections);
+      targetClient.open(id, spec.address(), connections(spec));
       openSpecs.put(id, spec);
     }
   }
+
+  private static int connections(TargetSpec spec) {
+    return Math.min(spec.connections(), spec.slots() * CONNECTIONS_PER_SLOT);
+  }
 }
