Name what is too large after heads and trailers, and ask for the verdict

What a first read of the diff found: a flag of the decoder was named after heads although trailers set it too, and ReportOutcome kept a method for a simulation only.

Evidence: ChangedLimitsTest, ClientBoundsTest and OwnershipLeaderTest pass.

--- a/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/OwnershipLeader.java
@@ -137,11 +137,7 @@
    * @param verdict whether the report counts
    */
   public record ReportOutcome(
-      List<FleetCommand> commands, boolean waitsForFirstCommand, ReportVerdict verdict) {
-    boolean isCurrent() {
-      return verdict == ReportVerdict.CURRENT;
-    }
-  }
+      List<FleetCommand> commands, boolean waitsForFirstCommand, ReportVerdict verdict) {}
 
   /**
    * Processes a report of a target.
--- a/src/main/java/io/coltsfootwheel/relay/ClientRequestDecoder.java
+++ b/src/main/java/io/coltsfootwheel/relay/ClientRequestDecoder.java
@@ -56,8 +56,8 @@
   private long partialLines;
   private long headBytes;
 
-  /** Whether a head was larger than its version allows; nothing behind it is decoded. */
-  private boolean headTooLarge;
+  /** Whether fields were larger than their version allows; nothing behind them is decoded. */
+  private boolean fieldsTooLarge;
 
   /**
    * Creates a decoder.
@@ -128,7 +128,7 @@
     if (isSuspended.getAsBoolean()) {
       return;
     }
-    if (headTooLarge) {
+    if (fieldsTooLarge) {
       buffer.skipBytes(buffer.readableBytes());
       return;
     }
@@ -189,7 +189,7 @@
 
   /** Passes on what the base class passes on for fields that are too large for it. */
   private void reject(ByteBuf buffer, List<Object> out, HttpObject invalid) {
-    headTooLarge = true;
+    fieldsTooLarge = true;
     requestLineDecoded = false;
     headBegun = false;
     insideBody = false;
--- a/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
+++ b/src/test/java/io/coltsfootwheel/keyspace/OwnershipSimulation.java
@@ -321,7 +321,7 @@
             0,
             current.heldRanges(),
             current.releasedRanges());
-    return leader.report(nanos(), outdated).isCurrent();
+    return leader.report(nanos(), outdated).verdict() == OwnershipLeader.ReportVerdict.CURRENT;
   }
 
   private void run(long millis) {
@@ -361,7 +361,7 @@
     OwnershipLeader receiver = leader;
     OwnershipLeader.ReportOutcome outcome = receiver.report(nanos(), report);
     outcome.commands().forEach(this::propose);
-    if (!outcome.isCurrent()) {
+    if (outcome.verdict() != OwnershipLeader.ReportVerdict.CURRENT) {
       return;
     }
     schedule(
