--- a/src/main/java/io/coltsfootwheel/eventlog/EventLog.java
+++ b/src/main/java/io/coltsfootwheel/eventlog/EventLog.java
@@ -25,7 +25,7 @@
 public final class EventLog implements AutoCloseable {
   private static final int QUEUE_CAPACITY = 4_096;
 
-  /** Memory of all queued events: an eighth of the heap that the deploy file grants. */
+  /** Memory of all queued events; a reader that has stopped must not use up the heap. */
   static final long MAX_QUEUED_BYTES = 8L * 1024 * 1024;
 
   private static final long CLOSE_TIMEOUT_MILLIS = 300;
--- a/src/main/java/io/coltsfootwheel/keyspace/UnconfiguredTargets.java
+++ b/src/main/java/io/coltsfootwheel/keyspace/UnconfiguredTargets.java
@@ -9,7 +9,7 @@
  * for a configuration, but their names, and so their number, can be chosen by anybody who reports.
  */
 final class UnconfiguredTargets {
-  /** Their records use about 2 MiB in the state of each control process. */
+  /** Their records are in the memory and the snapshots of each control process. */
   static final int MAX_TARGETS = 4_096;
 
   private final Set<TargetId> admitted = new HashSet<>();
