Let all requests arrive at the target before the first is answered

Cause: the test released the held requests without waiting for them. One that arrived behind an answer was sent on that answer's connection.

Change: it waits until the target has all six. The check stays as it is, and now always compares what the test is about.

--- a/src/test/java/io/coltsfootwheel/relay/ChangedLimitsTest.java
+++ b/src/test/java/io/coltsfootwheel/relay/ChangedLimitsTest.java
@@ -386,6 +386,9 @@
       clients.add(connect());
       send(clients.get(i), get("hold-" + i));
     }
+    for (int i = 0; i < 200 && target.received().size() < 6; i++) {
+      Thread.sleep(20);
+    }
     for (int i = 0; i < 6; i++) {
       target.release("/any/hold-" + i);
     }
